--- /dev/null
+++ b/crates/base/src/size.rs
@@ -0,0 +1,73 @@
+//! Sizes in bytes, written with a unit.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+const KIB: u64 = 1024;
+const UNITS: [(&str, u64); 4] = [
+    ("GiB", KIB * KIB * KIB),
+    ("MiB", KIB * KIB),
+    ("KiB", KIB),
+    ("B", 1),
+];
+
+/// A size in bytes, written as `16KiB`, `4MiB` or `512B`.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct Size(pub u64);
+
+/// Reports a text that is not a size.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not a size; write a whole number with B, KiB, MiB or GiB, such as \"16KiB\"")]
+pub struct SizeError(String);
+
+impl Size {
+    /// Returns the size as a count for buffers of this process.
+    pub fn as_usize(self) -> usize {
+        usize::try_from(self.0).unwrap_or(usize::MAX)
+    }
+}
+
+impl FromStr for Size {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, SizeError> {
+        let fail = || SizeError(text.to_owned());
+        let (unit, factor) = UNITS
+            .iter()
+            .find(|(unit, _)| text.ends_with(unit))
+            .ok_or_else(fail)?;
+        let count: u64 = text[..text.len() - unit.len()]
+            .trim_end()
+            .parse()
+            .map_err(|_| fail())?;
+        count.checked_mul(*factor).map(Self).ok_or_else(fail)
+    }
+}
+
+impl TryFrom<String> for Size {
+    type Error = SizeError;
+
+    fn try_from(text: String) -> Result<Self, SizeError> {
+        text.parse()
+    }
+}
+
+impl From<Size> for String {
+    fn from(size: Size) -> String {
+        size.to_string()
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (unit, factor) = UNITS
+            .iter()
+            .find(|(_, factor)| self.0 >= *factor && self.0.is_multiple_of(*factor))
+            .unwrap_or(&UNITS[3]);
+        write!(f, "{}{unit}", self.0 / factor)
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,3 @@
+//! The operators' command line.
+
 fn main() {}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,1 +1,3 @@
+//! The daemon.
+
 fn main() {}
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,57 @@
+//! Guards the framing: messages survive any split into pieces, and a cut or
+//! oversize frame is an error rather than a shorter message.
+
+use proptest::prelude::*;
+use wire::{frame, msg};
+
+fn data(offset: u64, bytes: Vec<u8>) -> msg::Reply {
+    msg::Reply {
+        stamp: None,
+        part: Some(msg::Part::Data(msg::Data {
+            offset,
+            bytes: bytes.into(),
+        })),
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_split(bodies in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..8), size in 1usize..64) {
+        let sent: Vec<_> = bodies
+            .into_iter()
+            .enumerate()
+            .map(|(i, body)| data(i as u64, body))
+            .collect();
+        let stream: Vec<u8> = sent.iter().flat_map(|m| frame::encode(m).to_vec()).collect();
+        let mut reader = frame::Reader::<msg::Reply>::new(frame::MAX_SMALL);
+        let mut received = Vec::new();
+        for piece in stream.chunks(size) {
+            reader.push(piece);
+            while let Some(message) = reader.next_message().unwrap() {
+                received.push(message);
+            }
+        }
+        reader.finish().unwrap();
+        prop_assert_eq!(sent, received);
+    }
+}
+
+#[test]
+fn cut_frame() {
+    let bytes = frame::encode(&data(0, vec![1; 10]));
+    let mut reader = frame::Reader::<msg::Reply>::new(frame::MAX_SMALL);
+    reader.push(&bytes[..bytes.len() - 1]);
+    assert!(reader.next_message().unwrap().is_none());
+    assert!(matches!(reader.finish(), Err(frame::FrameError::Cut(_))));
+}
+
+#[test]
+fn oversize_frame() {
+    let bytes = frame::encode(&data(0, vec![1; 2000]));
+    let mut reader = frame::Reader::<msg::Reply>::new(1000);
+    reader.push(&bytes);
+    assert!(matches!(
+        reader.next_message(),
+        Err(frame::FrameError::Length(_))
+    ));
+}
