Let several requests read one outlet

Requests with one idempotency key follow the response of the first one. Writers and readers are numbered, so that a superseded one does no harm.

--- a/crates/daemon/src/outlet.rs
+++ b/crates/daemon/src/outlet.rs
@@ -3,13 +3,15 @@
 //!
 //! The two ends are independent, so that the reply stream can break and
 //! another one continue from an offset. The buffer between them has a window:
-//! a slow router stops the reading from the target.
+//! a slow router stops the reading from the target. Several requests with one
+//! idempotency key read the same outlet.
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
+use base::id;
 use bytes::Bytes;
 use tokio::sync::Notify;
 use wire::msg;
@@ -70,15 +72,19 @@
     Refused(msg::Refused),
 }
 
-/// What the writer must do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Demand {
-    /// Write more.
-    More,
-    /// Read the response from the target again, from this offset.
-    Rewind(u64),
-    /// Stop; the response is no longer wanted.
-    Stop,
+/// A task that writes; a later one supersedes those before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Writer(u64);
+
+/// A reply stream that reads; a later one of the same request supersedes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Reader(u64);
+
+#[derive(Debug)]
+struct Position {
+    request: id::RequestId,
+    next: u64,
+    head_taken: bool,
 }
 
 #[derive(Debug, Default)]
@@ -89,12 +95,11 @@
     start: u64,
     /// Offset behind the last byte in `pieces`.
     end: u64,
-    /// Offset that the reader takes next.
-    next: u64,
-    head_taken: bool,
-    reader: u64,
-    attached: bool,
-    rewind: Option<u64>,
+    /// Offset up to which any reader has taken the body.
+    taken: u64,
+    readers: BTreeMap<u64, Position>,
+    last_reader: u64,
+    writer: u64,
     stopped: bool,
     finish: Option<Finish>,
 }
@@ -124,7 +129,7 @@
         let state = State {
             start,
             end: start,
-            next: start,
+            taken: start,
             ..State::default()
         };
         Self {
@@ -139,18 +144,36 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Writes the head; a second head, after a rewind, is ignored.
+    /// Registers a writer that begins at `offset`, and drops what is held
+    /// unless it ends just there.
+    pub fn writer(&self, offset: u64) -> Writer {
+        let mut state = self.lock();
+        state.writer += 1;
+        state.finish = None;
+        if state.end != offset {
+            state.pieces.clear();
+            state.start = offset;
+            state.end = offset;
+            state.taken = offset;
+        }
+        let writer = Writer(state.writer);
+        drop(state);
+        self.writable.notify_waiters();
+        writer
+    }
+
+    /// Writes the head; a second one, of a resumed stream, is ignored.
     pub fn head(&self, head: msg::Head) {
         self.lock().head.get_or_insert(head);
         self.readable.notify_waiters();
     }
 
-    /// Writes a piece of the body.
-    pub fn push(&self, bytes: Bytes) {
-        if bytes.is_empty() {
+    /// Writes a piece of the body; one of a superseded writer is ignored.
+    pub fn push(&self, writer: Writer, bytes: Bytes) {
+        let mut state = self.lock();
+        if bytes.is_empty() || state.writer != writer.0 {
             return;
         }
-        let mut state = self.lock();
         state.end += bytes.len() as u64;
         state.pieces.push_back(bytes);
         drop(state);
@@ -164,21 +187,16 @@
         self.writable.notify_waiters();
     }
 
-    /// Tells the writer to stop.
+    /// Tells the writer to stop; the response is no longer wanted.
     pub fn stop(&self) {
         self.lock().stopped = true;
         self.writable.notify_waiters();
-        self.readable.notify_waiters();
     }
 
-    /// Returns the offset behind the last byte written.
-    pub fn written(&self) -> u64 {
-        self.lock().end
-    }
-
-    /// Returns whether a reader is attached.
-    pub fn attached(&self) -> bool {
-        self.lock().attached
+    /// Returns the offsets of the first byte held and behind the last one.
+    pub fn held(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.start, state.end)
     }
 
     /// Returns head and body when the response is whole and still held.
@@ -195,37 +213,31 @@
         state.head.clone().map(|head| (head, body))
     }
 
-    /// Waits until the writer may write or must do something else.
-    pub async fn demand(&self) -> Demand {
+    /// Waits until the writer may write; false when it must stop.
+    pub async fn writable(&self, writer: Writer) -> bool {
         loop {
             let notified = self.writable.notified();
             {
-                let mut state = self.lock();
-                if state.stopped {
-                    return Demand::Stop;
-                }
-                if let Some(offset) = state.rewind.take() {
-                    state.pieces.clear();
-                    state.start = offset;
-                    state.end = offset;
-                    return Demand::Rewind(offset);
+                let state = self.lock();
+                if state.stopped || state.writer != writer.0 {
+                    return false;
                 }
-                let waiting = state.end.saturating_sub(state.next);
+                let waiting = state.end.saturating_sub(state.taken);
                 if waiting < self.window.ahead as u64 {
-                    return Demand::More;
+                    return true;
                 }
             }
             notified.await;
         }
     }
 
-    /// Waits until the writer must do something else than to write.
-    pub async fn interrupted(&self) {
+    /// Waits until the writer must stop.
+    pub async fn stopped(&self, writer: Writer) {
         loop {
             let notified = self.writable.notified();
             {
                 let state = self.lock();
-                if state.stopped || state.rewind.is_some() {
+                if state.stopped || state.writer != writer.0 {
                     return;
                 }
             }
@@ -233,110 +245,120 @@
         }
     }
 
-    /// Attaches a reader at an offset and supersedes the previous one.
+    /// Attaches a reader for a request at an offset and supersedes its
+    /// previous one.
     ///
     /// # Errors
     ///
-    /// When the bytes at the offset are no longer held and `rewind` is false.
-    pub fn attach(&self, offset: u64, head_taken: bool, rewind: bool) -> Result<u64, Gone> {
+    /// When the bytes at the offset are no longer held.
+    pub fn attach(
+        &self,
+        request: id::RequestId,
+        offset: u64,
+        head_taken: bool,
+    ) -> Result<Reader, Gone> {
         let mut state = self.lock();
-        let held = (state.start..=state.end).contains(&offset);
-        if !held {
-            if !rewind {
-                return Err(Gone {
-                    offset,
-                    start: state.start,
-                });
-            }
-            state.rewind = Some(offset);
-            state.finish = None;
+        if !(state.start..=state.end).contains(&offset) {
+            return Err(Gone {
+                offset,
+                start: state.start,
+            });
         }
-        state.next = offset;
-        state.head_taken = head_taken;
-        state.reader += 1;
-        state.attached = true;
-        let reader = state.reader;
+        state
+            .readers
+            .retain(|_, position| position.request != request);
+        state.last_reader += 1;
+        let reader = Reader(state.last_reader);
+        let position = Position {
+            request,
+            next: offset,
+            head_taken,
+        };
+        state.readers.insert(reader.0, position);
         drop(state);
         self.readable.notify_waiters();
-        self.writable.notify_waiters();
         Ok(reader)
     }
 
-    /// Detaches a reader, unless another one has taken over; returns whether
-    /// the outlet is without a reader now.
-    pub fn detach(&self, reader: u64) -> bool {
-        let mut state = self.lock();
-        if state.reader != reader {
-            return false;
-        }
-        state.attached = false;
-        true
-    }
-
     /// Waits for what a reader receives next.
-    pub async fn next(&self, reader: u64) -> Piece {
+    pub async fn next(&self, reader: Reader) -> Piece {
         loop {
             let notified = self.readable.notified();
-            if let Some(piece) = self.take(reader) {
+            if let Some(piece) = self.lock().take(reader, self.window.behind) {
                 self.writable.notify_waiters();
                 return piece;
             }
             notified.await;
         }
     }
+}
 
-    fn take(&self, reader: u64) -> Option<Piece> {
-        let mut state = self.lock();
-        if state.reader != reader {
+impl State {
+    fn take(&mut self, reader: Reader, behind: usize) -> Option<Piece> {
+        let Some(position) = self.readers.get_mut(&reader.0) else {
             return Some(Piece::Superseded);
-        }
-        if let Some(Finish::Refused(refused)) = &state.finish {
+        };
+        if let Some(Finish::Refused(refused)) = &self.finish {
             return Some(Piece::Refused(refused.clone()));
         }
-        if !state.head_taken && state.head.is_some() {
-            state.head_taken = true;
-            return state.head.clone().map(Piece::Head);
+        if !position.head_taken
+            && let Some(head) = &self.head
+        {
+            position.head_taken = true;
+            return Some(Piece::Head(head.clone()));
         }
-        if state.rewind.is_some() {
-            return None;
+        let next = position.next;
+        if position.head_taken && next < self.start {
+            // Another reader of this request moved the window.
+            return Some(Piece::Superseded);
         }
-        if state.head_taken && state.next < state.end {
-            return Some(Piece::Data(state.advance(self.window.behind)));
+        if position.head_taken && next < self.end {
+            let data = self.read(next);
+            position_after(&mut self.readers, reader, &data);
+            self.trim(behind);
+            return Some(Piece::Data(data));
         }
-        match &state.finish {
-            Some(Finish::Whole) => Some(Piece::End(state.end)),
+        match &self.finish {
+            Some(Finish::Whole) => Some(Piece::End(self.end)),
             Some(Finish::Broken(broken)) => Some(Piece::Broken(broken.clone())),
             _ => None,
         }
     }
-}
 
-impl State {
-    /// Takes the next piece for the reader and drops what is too far behind.
-    fn advance(&mut self, behind: usize) -> msg::Data {
+    /// Returns the rest of the piece that holds the offset.
+    fn read(&self, next: u64) -> msg::Data {
         let mut offset = self.start;
-        let mut found = Bytes::new();
         for piece in &self.pieces {
             let end = offset + piece.len() as u64;
-            if self.next < end {
-                found = piece.slice((self.next - offset) as usize..);
-                break;
+            if next < end {
+                let bytes = piece.slice((next - offset) as usize..);
+                return msg::Data {
+                    offset: next,
+                    bytes,
+                };
             }
             offset = end;
         }
-        let data = msg::Data {
-            offset: self.next,
-            bytes: found,
-        };
-        self.next += data.bytes.len() as u64;
+        msg::Data::default()
+    }
+
+    /// Drops the pieces that lie too far behind the foremost reader.
+    fn trim(&mut self, behind: usize) {
+        let foremost = self.readers.values().map(|position| position.next).max();
+        self.taken = self.taken.max(foremost.unwrap_or(0));
         while let Some(first) = self.pieces.front() {
             let end = self.start + first.len() as u64;
-            if end + behind as u64 > self.next {
+            if end + behind as u64 > self.taken {
                 break;
             }
             self.start = end;
             self.pieces.pop_front();
         }
-        data
+    }
+}
+
+fn position_after(readers: &mut BTreeMap<u64, Position>, reader: Reader, data: &msg::Data) {
+    if let Some(position) = readers.get_mut(&reader.0) {
+        position.next += data.bytes.len() as u64;
     }
 }
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -71,6 +71,9 @@
     /// Whether it takes new work.
     #[prost(enumeration = "Standing", tag = "6")]
     pub standing: i32,
+    /// Present epoch of an agent's ledger; 0 from a router.
+    #[prost(uint64, tag = "7")]
+    pub epoch: u64,
 }
 
 /// Asks an agent to run a request at its target.
@@ -139,6 +142,9 @@
     /// The freshest loads of other agents of the service, at most 8.
     #[prost(message, repeated, tag = "21")]
     pub loads: Vec<Load>,
+    /// Latest epoch of the agent's ledger that the router knows; 0 for none.
+    #[prost(uint64, tag = "22")]
+    pub epoch: u64,
 }
 
 /// Why a request was not run.
@@ -299,6 +305,9 @@
     /// Milliseconds that remain until the deadline.
     #[prost(uint32, tag = "5")]
     pub remaining: u32,
+    /// Epoch that the `Run` message carried.
+    #[prost(uint64, tag = "6")]
+    pub epoch: u64,
 }
 
 /// Tells that the caller left.
