--- /dev/null
+++ b/crates/place/src/policy.rs
@@ -0,0 +1,119 @@
+//! The placement policies and their parameters.
+
+use std::{fmt, str::FromStr};
+
+use base::span;
+
+/// How a target is chosen. All but [`Policy::Full`] are baselines for
+/// comparison.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// A random target in proportion to the weights.
+    Random,
+    /// The least loaded target relative to its weight.
+    Least,
+    /// The first target of the chat's ranking, however loaded.
+    Hash,
+    /// The first target of the chat's ranking that is below its cap.
+    Bounded,
+    /// As `Bounded`, with warm-up, hints, previous homes, two choices after a
+    /// refusal and preference for the same data centre.
+    #[default]
+    Full,
+}
+
+impl Policy {
+    /// Every policy, the baselines first.
+    pub const ALL: [Self; 5] = [
+        Self::Random,
+        Self::Least,
+        Self::Hash,
+        Self::Bounded,
+        Self::Full,
+    ];
+}
+
+/// Reports a text that names no policy.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not a policy; use random, least, hash, bounded or full")]
+pub struct PolicyError(String);
+
+impl FromStr for Policy {
+    type Err = PolicyError;
+
+    fn from_str(text: &str) -> Result<Self, PolicyError> {
+        Self::ALL
+            .into_iter()
+            .find(|policy| policy.to_string() == text)
+            .ok_or_else(|| PolicyError(text.to_owned()))
+    }
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Random => "random",
+            Self::Least => "least",
+            Self::Hash => "hash",
+            Self::Bounded => "bounded",
+            Self::Full => "full",
+        })
+    }
+}
+
+/// Parameters of the choice; the same in every router, because routers with
+/// different parameters send one chat to different targets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// The policy in use.
+    pub policy: Policy,
+    /// Prompt tokens from which importing the KV cache is cheaper than
+    /// computing it again; `None` when importing never pays.
+    pub import: Option<u32>,
+    /// Typical time between two turns of a chat. Tells chats that began after
+    /// a target joined from older ones.
+    pub pause: span::Span,
+    /// Factor on the weight of targets in the router's own data centre, for
+    /// new chats. Above 1, a chat that enters through another data centre and
+    /// brings no hint back is looked for at the wrong target.
+    pub near: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            policy: Policy::Full,
+            import: None,
+            pause: span::Span::from_secs(60),
+            near: 1.0,
+        }
+    }
+}
+
+/// Measured costs of obtaining the KV cache of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Costs {
+    /// Fixed cost of one export and import.
+    pub transfer: span::Span,
+    /// Cost of moving 1,000 tokens.
+    pub moved: span::Span,
+    /// Cost of computing 1,000 tokens.
+    pub computed: span::Span,
+}
+
+impl Costs {
+    /// Returns the number of tokens from which moving the cache is cheaper
+    /// than computing it, or `None` when it never is.
+    ///
+    /// Moving `t` thousand tokens costs `transfer + t × moved`, computing them
+    /// `t × computed`.
+    pub fn threshold(&self) -> Option<u32> {
+        let gain = self
+            .computed
+            .as_micros()
+            .checked_sub(self.moved.as_micros())
+            .filter(|gain| *gain > 0)?;
+        let tokens = (self.transfer.as_micros().saturating_mul(1_000)).div_ceil(gain);
+        u32::try_from(tokens).ok()
+    }
+}
--- /dev/null
+++ b/crates/place/src/view.rs
@@ -0,0 +1,129 @@
+//! The targets of one service as a router knows them at one moment.
+
+use std::{collections::BTreeMap, fmt, sync::Arc};
+
+use base::{hash, id, span};
+
+use crate::policy;
+
+/// Whether a target takes new work, in the router's opinion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// In the instance list; its agent has not reported yet.
+    Listed,
+    /// Joined or came back `age` ago; its cache does not yet hold the chats
+    /// that rank it first.
+    Warming {
+        /// Time since it joined.
+        age: span::Span,
+    },
+    /// Takes new work.
+    Up,
+    /// Finishes its work and takes no more.
+    Leaving,
+    /// Does not answer.
+    Down,
+}
+
+impl fmt::Display for Standing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Listed => "listed",
+            Self::Warming { .. } => "warming",
+            Self::Up => "up",
+            Self::Leaving => "leaving",
+            Self::Down => "down",
+        })
+    }
+}
+
+/// One target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The target. Its hash decides which chats rank it first.
+    pub id: id::TargetId,
+    /// The process of the agent beside the target.
+    pub process: id::ProcessId,
+    /// Capacity relative to other targets, in hundredths; 0 takes no chats.
+    pub weight: u32,
+    /// Where the target is.
+    pub centre: id::DataCentre,
+    /// Whether it takes new work.
+    pub standing: Standing,
+    /// Outstanding requests by the latest report, plus what this router sent
+    /// since.
+    pub load: u32,
+    /// Outstanding requests that the bound allowed in the latest report.
+    pub cap: u32,
+}
+
+impl Target {
+    /// Returns whether the target is believed to be at its cap.
+    pub fn is_full(&self) -> bool {
+        self.load >= self.cap
+    }
+
+    /// Returns whether the target takes new work.
+    pub fn is_open(&self) -> bool {
+        self.weight > 0 && matches!(self.standing, Standing::Up | Standing::Warming { .. })
+    }
+}
+
+/// The targets of one service, immutable once built.
+#[derive(Clone, Debug)]
+pub struct View {
+    targets: Vec<Arc<Target>>,
+    hashes: Vec<u64>,
+    processes: BTreeMap<id::ProcessId, usize>,
+    tuning: policy::Tuning,
+}
+
+impl View {
+    /// Builds a view. When a target is listed twice, the last entry counts.
+    pub fn new(targets: Vec<Target>, tuning: policy::Tuning) -> Self {
+        let unique: BTreeMap<_, _> = targets.into_iter().map(|t| (t.id.clone(), t)).collect();
+        let targets: Vec<_> = unique.into_values().map(Arc::new).collect();
+        let hashes = targets
+            .iter()
+            .map(|target| hash::bytes(target.id.as_str().as_bytes()))
+            .collect();
+        let processes = targets
+            .iter()
+            .enumerate()
+            .map(|(index, target)| (target.process.clone(), index))
+            .collect();
+        Self {
+            targets,
+            hashes,
+            processes,
+            tuning,
+        }
+    }
+
+    /// Returns all targets in the order of their ids.
+    pub fn targets(&self) -> &[Arc<Target>] {
+        &self.targets
+    }
+
+    /// Returns the parameters of the choice.
+    pub fn tuning(&self) -> &policy::Tuning {
+        &self.tuning
+    }
+
+    /// Returns the target beside an agent, such as the owner of a claim.
+    pub fn of_process(&self, process: &id::ProcessId) -> Option<&Arc<Target>> {
+        self.processes.get(process).map(|at| &self.targets[*at])
+    }
+
+    /// Returns the target with this id.
+    pub fn of_target(&self, target: &id::TargetId) -> Option<&Arc<Target>> {
+        self.targets
+            .binary_search_by(|known| known.id.cmp(target))
+            .ok()
+            .map(|at| &self.targets[at])
+    }
+
+    pub(crate) fn hashes(&self) -> &[u64] {
+        &self.hashes
+    }
+}
