Add members, exchange and byte budget

Member and load records carry the age of the report, so that no clocks of two processes are compared. An exchange may ask for member records, for fresher loads, and for a part of all members when a process starts.

--- /dev/null
+++ b/crates/fleet/src/exchange.rs
@@ -0,0 +1,758 @@
+//! The exchange of members and loads with a few neighbours.
+//!
+//! Once a second a process sends one message to one neighbour and gets one
+//! back. A message holds the most valuable records that its share of the byte
+//! budget allows: changes of state first, then quarantine entries, answers to
+//! what the receiver asked for, the loads of the receiver's service group, and
+//! last the pulses, by which every member remains known everywhere.
+//!
+//! See [the design page](../../../docs/design.md), section 2.7.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net,
+};
+
+use base::{hash, id, span, time};
+use prost::Message;
+use wire::msg;
+
+use crate::{budget, convert, member, neighbour, rules};
+
+/// Time between two exchanges that a process starts.
+pub const INTERVAL: span::Span = span::Span::from_secs(1);
+
+/// Messages of one interval: sent and received, as the one who starts and as
+/// the one who answers.
+const MESSAGES: i64 = 4;
+
+/// Smallest message worth sending, in bytes.
+const SMALLEST: i64 = 200;
+
+/// Largest message that a process composes, in bytes; one part of the members
+/// for a new process fits in it.
+const LARGEST: i64 = 16_000;
+
+/// Most keys in `wants` and in `stale`, 8 bytes each.
+const ASKED: usize = 16;
+
+/// Age from which a process asks for a fresher report.
+const OLD: span::Span = span::Span::from_secs(35);
+
+/// Every how many turns a lost or merely listed member or a seed is tried, so
+/// that the two sides of a healed cut find each other.
+const PROBE: u64 = 10;
+
+/// Messages that carry a quarantine entry on from one process.
+const SUSPECT_NEWS: u32 = 12;
+
+/// Parts in which a new process learns the members, each from another peer.
+/// With 1,110 members a part is about 14 KB.
+const PARTS: u32 = 8;
+
+/// A member, or a seed whose process is not known, to exchange with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Partner {
+    /// The process expected at the address.
+    pub process: Option<id::ProcessId>,
+    /// Where to send.
+    pub address: net::SocketAddr,
+}
+
+/// What a received message changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Applied {
+    /// Members whose place or standing changed.
+    pub changed: Vec<id::ProcessId>,
+    /// Quarantine entries that were new or changed, for the quarantine.
+    pub suspects: Vec<msg::Suspect>,
+    /// The sender's configuration version, when it is above this process's.
+    pub newer: Option<id::Version>,
+    /// The incarnation that the fleet knows of this process, when it is above
+    /// its own; the process must take a higher one.
+    pub renumber: Option<id::Incarnation>,
+    /// Whether the fleet holds this incarnation to be leaving while it is not.
+    pub accused: bool,
+    /// Records that could not be read.
+    pub invalid: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Suspicion {
+    entry: msg::Suspect,
+    until: time::Mono,
+    left: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Own {
+    standing: member::Standing,
+    version: id::Version,
+    load: u32,
+    cap: u32,
+}
+
+/// The exchange of one process.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// The members that the exchange keeps up to date.
+    pub members: member::Members,
+    own: Own,
+    reported: time::Mono,
+    key: u64,
+    seeds: Vec<net::SocketAddr>,
+    turn: u64,
+    urgent: VecDeque<id::ProcessId>,
+    wants: BTreeMap<u64, time::Mono>,
+    suspects: BTreeMap<u64, Suspicion>,
+    /// Parts of the members that are still to be asked for.
+    parts: VecDeque<u32>,
+}
+
+impl Exchange {
+    /// Starts with this process as the only member. `seeds` are addresses of
+    /// other processes from the settings; `seed` makes processes that start
+    /// together choose different first peers.
+    pub fn new(
+        now: time::Mono,
+        own: member::Member,
+        rules: rules::Rules,
+        seeds: Vec<net::SocketAddr>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            own: Own {
+                standing: own.standing,
+                version: own.version,
+                load: own.load,
+                cap: own.cap,
+            },
+            reported: now,
+            key: member::key(&own.process),
+            members: member::Members::new(now, own, rules),
+            seeds,
+            turn: hash::mix(seed, 0) % (1 << 16) * PROBE,
+            urgent: VecDeque::new(),
+            wants: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            parts: (0..PARTS).collect(),
+        }
+    }
+
+    /// Sets what this process tells about itself from now on.
+    pub fn update(
+        &mut self,
+        now: time::Mono,
+        standing: member::Standing,
+        version: id::Version,
+        load: u32,
+        cap: u32,
+    ) {
+        let urgent = standing != self.own.standing || version > self.own.version;
+        self.own = Own {
+            standing,
+            version: version.max(self.own.version),
+            load,
+            cap,
+        };
+        if urgent {
+            self.report(now);
+        }
+    }
+
+    /// Takes over what a reply says about its sender. A sender or incarnation
+    /// that is not known becomes the next partner.
+    pub fn stamp(&mut self, now: time::Mono, stamp: &member::Stamp) -> member::Outcome {
+        let outcome = self.members.stamp(now, stamp);
+        if outcome == member::Outcome::Unknown {
+            self.wants.insert(member::key(&stamp.process), now);
+            if !self.urgent.contains(&stamp.process) {
+                self.urgent.push_back(stamp.process.clone());
+            }
+        }
+        outcome
+    }
+
+    /// Adds a quarantine entry of this process, or a change of one.
+    pub fn suspect(&mut self, now: time::Mono, entry: msg::Suspect) {
+        self.merge_suspect(now, entry);
+    }
+
+    /// Returns the partner of this interval, or none when no other process is
+    /// known.
+    pub fn partner(&mut self, now: time::Mono) -> Option<Partner> {
+        while let Some(process) = self.urgent.pop_front() {
+            if let Some(entry) = self.members.entry(&process) {
+                return Some(partner(entry));
+            }
+        }
+        self.turn += 1;
+        if self.turn.is_multiple_of(PROBE)
+            && let Some(probe) = self.probe()
+        {
+            return Some(probe);
+        }
+        self.neighbour(now, self.turn % neighbour::SLOTS)
+            .or_else(|| self.probe())
+    }
+
+    /// Composes the message that starts an exchange, or none while the budget
+    /// is in debt. The bytes are charged.
+    pub fn compose(
+        &mut self,
+        now: time::Mono,
+        budget: &mut budget::Budget,
+        to: &Partner,
+    ) -> Option<msg::Exchange> {
+        let limit = self.share(now, budget);
+        if limit < SMALLEST {
+            return None;
+        }
+        let mut message = self.head(now, to.process.as_ref());
+        self.ask(now, &mut message);
+        self.fill(now, &mut message, to.process.as_ref(), limit);
+        charge(now, budget, &message);
+        Some(message)
+    }
+
+    /// Merges the message that started an exchange and composes the answer.
+    /// An answer is always given; in debt it holds only the stamp.
+    pub fn answer(
+        &mut self,
+        now: time::Mono,
+        budget: &mut budget::Budget,
+        request: &msg::Exchange,
+    ) -> (msg::Exchange, Applied) {
+        let applied = self.apply(now, budget, request);
+        let limit = match request.parts {
+            0 => self.share(now, budget),
+            _ => budget.available(now).min(LARGEST),
+        };
+        let to: Option<id::ProcessId> = request
+            .sender
+            .as_ref()
+            .and_then(|stamp| stamp.process.parse().ok());
+        let mut answer = self.head(now, to.as_ref());
+        let mut room = Room::new(limit, &answer);
+        self.add_correction(now, &mut answer, &mut room, request);
+        self.add_asked(now, &mut answer, &mut room, request);
+        self.add_part(now, &mut answer, &mut room, request);
+        self.fill(now, &mut answer, to.as_ref(), limit);
+        charge(now, budget, &answer);
+        (answer, applied)
+    }
+
+    /// Merges a received message. The bytes are charged.
+    pub fn apply(
+        &mut self,
+        now: time::Mono,
+        budget: &mut budget::Budget,
+        message: &msg::Exchange,
+    ) -> Applied {
+        charge(now, budget, message);
+        let mut applied = Applied::default();
+        for record in &message.members {
+            match convert::member(record) {
+                Ok(member) => self.apply_member(now, member, &mut applied),
+                Err(_) => applied.invalid += 1,
+            }
+        }
+        for record in &message.loads {
+            match convert::load(record) {
+                Ok(load) => self.apply_load(now, load, &mut applied),
+                Err(_) => applied.invalid += 1,
+            }
+        }
+        for entry in &message.suspects {
+            if let Some(merged) = self.merge_suspect(now, entry.clone()) {
+                applied.suspects.push(merged);
+            }
+        }
+        self.apply_sender(now, message, &mut applied);
+        applied
+    }
+
+    /// Notes that the exchange with a partner failed.
+    pub fn failed(&mut self, now: time::Mono, to: &Partner, failure: member::Failure) {
+        if let Some(process) = &to.process {
+            self.members.failure(now, process, failure);
+        }
+    }
+
+    fn report(&mut self, now: time::Mono) {
+        self.reported = now;
+        let own = self.own;
+        self.members
+            .update(now, own.standing, own.version, own.load, own.cap);
+    }
+
+    /// Returns the bytes for one message of the usual exchange.
+    fn share(&self, now: time::Mono, budget: &mut budget::Budget) -> i64 {
+        let rate = i64::try_from(budget.rate().0).unwrap_or(i64::MAX);
+        let micros = i64::try_from(INTERVAL.as_micros()).unwrap_or(i64::MAX);
+        let even = rate * micros / 1_000_000 / MESSAGES;
+        let overhead = i64::try_from(budget::OVERHEAD).unwrap_or(0);
+        even.min(budget.available(now)) - overhead
+    }
+
+    fn neighbour(&self, now: time::Mono, slot: u64) -> Option<Partner> {
+        let own = self.members.own();
+        let grouped = slot < neighbour::GROUP_SLOTS && own.service.is_some();
+        let salt = neighbour::salt(now, self.key, slot);
+        let usable = |entry: &&member::Entry| {
+            entry.state == member::State::Reported
+                && entry.member.process != own.process
+                && entry.standing(now, self.members.rules()) != member::Standing::Down
+        };
+        let among = |same: bool| {
+            let candidates = self
+                .members
+                .entries()
+                .filter(usable)
+                .filter(|entry| !same || entry.member.service == own.service)
+                .map(|entry| &entry.member.process);
+            neighbour::pick(salt, candidates)
+        };
+        let process = grouped
+            .then(|| among(true))
+            .flatten()
+            .or_else(|| among(false))?;
+        self.members.entry(process).map(partner)
+    }
+
+    /// Returns a member that sends no reports, or a seed, in turn.
+    fn probe(&self) -> Option<Partner> {
+        let silent: Vec<Partner> = self
+            .members
+            .entries()
+            .filter(|entry| matches!(entry.state, member::State::Lost(_) | member::State::Listed))
+            .map(partner)
+            .collect();
+        let known = |address: &net::SocketAddr| {
+            self.members
+                .entries()
+                .any(|entry| entry.present() && entry.member.address == *address)
+        };
+        let seeds = self
+            .seeds
+            .iter()
+            .filter(|address| !known(address))
+            .map(|address| Partner {
+                process: None,
+                address: *address,
+            });
+        let all: Vec<Partner> = silent.into_iter().chain(seeds).collect();
+        let count = u64::try_from(all.len()).unwrap_or(u64::MAX);
+        let nth = hash::mix(self.key, self.turn).checked_rem(count)?;
+        all.into_iter().nth(usize::try_from(nth).unwrap_or(0))
+    }
+
+    /// Starts a message with the stamp and the own report.
+    fn head(&mut self, now: time::Mono, to: Option<&id::ProcessId>) -> msg::Exchange {
+        if now.since(self.reported) >= INTERVAL {
+            self.report(now);
+        }
+        let own = self.members.own().clone();
+        let mut message = msg::Exchange {
+            sender: Some(convert::stamp_record(&own)),
+            ..Default::default()
+        };
+        let entry = self.members.entry_mut(&own.process);
+        let Some(entry) = entry else {
+            return message;
+        };
+        let whole = entry.whole && entry.news > 0 || to.is_none();
+        entry.news = entry.news.saturating_sub(1);
+        if whole {
+            message.members.push(convert::member_record(&own));
+        } else {
+            message.loads.push(convert::load_record(&own.load()));
+        }
+        message
+    }
+
+    /// Adds what this process wants to know.
+    fn ask(&mut self, now: time::Mono, message: &mut msg::Exchange) {
+        if let Some(part) = self.parts.pop_front() {
+            message.part = part;
+            message.parts = PARTS;
+        }
+        let silence = self.members.rules().silence;
+        self.wants.retain(|_, since| now.since(*since) < silence);
+        message.wants = self.wants.keys().copied().take(ASKED).collect();
+        let mut old: Vec<(span::Span, u64)> = self
+            .members
+            .entries()
+            .filter(|entry| entry.state == member::State::Reported)
+            .filter(|entry| entry.member.process != self.members.own().process)
+            .map(|entry| (entry.age(now), member::key(&entry.member.process)))
+            .filter(|(age, _)| *age >= OLD)
+            .collect();
+        old.sort_by(|a, b| b.cmp(a));
+        message.stale = old.into_iter().map(|(_, key)| key).take(ASKED).collect();
+    }
+
+    /// Tells the receiver what the fleet knows of it, when that is a newer
+    /// incarnation, or a leaving state that it does not state itself.
+    fn add_correction(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        request: &msg::Exchange,
+    ) {
+        let Some(stamp) = request.sender.as_ref().and_then(|s| convert::stamp(s).ok()) else {
+            return;
+        };
+        let Some(entry) = self.members.entry(&stamp.process) else {
+            return;
+        };
+        let newer = entry.member.incarnation > stamp.incarnation;
+        let accused = entry.member.incarnation == stamp.incarnation
+            && entry.leaving
+            && stamp.standing != member::Standing::Leaving;
+        if newer || accused {
+            room.load(message, &entry.relayed(now).load());
+        }
+    }
+
+    /// Adds the records that the receiver asked for.
+    fn add_asked(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        request: &msg::Exchange,
+    ) {
+        for key in &request.wants {
+            let Some(entry) = self.members.by_key(*key).filter(|e| fresh(now, e)) else {
+                continue;
+            };
+            room.member(message, &entry.relayed(now));
+        }
+        for key in &request.stale {
+            let Some(entry) = self.members.by_key(*key) else {
+                continue;
+            };
+            if entry.state == member::State::Reported && entry.age(now) < OLD {
+                room.load(message, &entry.relayed(now).load());
+            }
+        }
+    }
+
+    /// Adds the part of all members that a new process asked for.
+    fn add_part(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        request: &msg::Exchange,
+    ) {
+        if request.parts == 0 {
+            return;
+        }
+        let parts = u64::from(request.parts);
+        let own = self.key;
+        for entry in self.members.entries() {
+            let key = member::key(&entry.member.process);
+            if key % parts == u64::from(request.part) && key != own && fresh(now, entry) {
+                room.member(message, &entry.relayed(now));
+            }
+        }
+    }
+
+    /// Fills a message with the most valuable records.
+    fn fill(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        to: Option<&id::ProcessId>,
+        limit: i64,
+    ) {
+        let mut room = Room::new(limit, message);
+        self.add_news(now, message, &mut room, to);
+        self.add_suspects(now, message, &mut room);
+        self.add_group(now, message, &mut room, to);
+        self.add_pulses(now, message, &mut room, to);
+    }
+
+    fn add_news(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        to: Option<&id::ProcessId>,
+    ) {
+        let mut news: Vec<(time::Mono, id::ProcessId)> = self
+            .members
+            .entries()
+            .filter(|entry| entry.news > 0 && fresh(now, entry))
+            .filter(|entry| self.passes(entry, to))
+            .map(|entry| (entry.changed, entry.member.process.clone()))
+            .collect();
+        news.sort_by(|a, b| b.cmp(a));
+        for (_, process) in news {
+            let Some(entry) = self.members.entry_mut(&process) else {
+                continue;
+            };
+            let relayed = entry.relayed(now);
+            let added = match entry.whole {
+                true => room.member(message, &relayed),
+                false => room.load(message, &relayed.load()),
+            };
+            if !added {
+                return;
+            }
+            entry.news -= 1;
+            entry.pulses = entry.pulses.saturating_sub(1);
+        }
+    }
+
+    fn add_suspects(&mut self, now: time::Mono, message: &mut msg::Exchange, room: &mut Room) {
+        self.suspects.retain(|_, suspicion| now < suspicion.until);
+        for suspicion in self.suspects.values_mut() {
+            if suspicion.left == 0 {
+                continue;
+            }
+            let mut entry = suspicion.entry.clone();
+            let remaining = suspicion.until.since(now).as_millis();
+            entry.remaining = u32::try_from(remaining).unwrap_or(u32::MAX);
+            if room.suspect(message, entry) {
+                suspicion.left -= 1;
+            }
+        }
+    }
+
+    /// Adds the loads of the receiver's service group, the freshest first, in
+    /// at most half of the room.
+    fn add_group(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        to: Option<&id::ProcessId>,
+    ) {
+        let Some(service) = to
+            .and_then(|to| self.members.entry(to))
+            .and_then(|entry| entry.member.service.clone())
+        else {
+            return;
+        };
+        let mut group: Vec<(span::Span, &member::Entry)> = self
+            .members
+            .entries()
+            .filter(|entry| entry.member.service.as_ref() == Some(&service))
+            .filter(|entry| fresh(now, entry) && self.passes(entry, to))
+            .map(|entry| (entry.age(now), entry))
+            .collect();
+        group.sort_by_key(|(age, _)| *age);
+        let floor = room.left / 2;
+        for (_, entry) in group {
+            if room.left <= floor || !room.load(message, &entry.relayed(now).load()) {
+                return;
+            }
+        }
+    }
+
+    /// Adds the pulses that this process learned last.
+    fn add_pulses(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        to: Option<&id::ProcessId>,
+    ) {
+        let mut pulses: Vec<(time::Mono, id::ProcessId)> = self
+            .members
+            .entries()
+            .filter(|entry| entry.pulses > 0 && fresh(now, entry))
+            .filter(|entry| self.passes(entry, to))
+            .map(|entry| (entry.pulsed, entry.member.process.clone()))
+            .collect();
+        pulses.sort_by(|a, b| b.cmp(a));
+        for (_, process) in pulses {
+            let Some(entry) = self.members.entry_mut(&process) else {
+                continue;
+            };
+            if !room.load(message, &entry.relayed(now).load()) {
+                return;
+            }
+            entry.pulses -= 1;
+        }
+    }
+
+    /// Returns whether a record is worth sending: neither the sender's own,
+    /// which every message has, nor the receiver's.
+    fn passes(&self, entry: &member::Entry, to: Option<&id::ProcessId>) -> bool {
+        let process = &entry.member.process;
+        Some(process) != to && *process != self.members.own().process
+    }
+
+    fn apply_member(&mut self, now: time::Mono, member: member::Member, applied: &mut Applied) {
+        let process = member.process.clone();
+        let (incarnation, standing) = (member.incarnation, member.standing);
+        let outcome = self.members.report(now, member);
+        match outcome {
+            member::Outcome::Own => self.apply_own(incarnation, standing, applied),
+            member::Outcome::Added | member::Outcome::Restarted | member::Outcome::Changed => {
+                applied.changed.push(process.clone());
+            }
+            _ => {}
+        }
+        self.wants.remove(&member::key(&process));
+    }
+
+    fn apply_load(&mut self, now: time::Mono, load: member::Load, applied: &mut Applied) {
+        match self.members.load(now, load) {
+            member::Outcome::Own => self.apply_own(load.incarnation, load.standing, applied),
+            member::Outcome::Unknown => {
+                self.wants.entry(load.process).or_insert(now);
+            }
+            member::Outcome::Added | member::Outcome::Changed => {
+                let entry = self.members.by_key(load.process);
+                applied
+                    .changed
+                    .extend(entry.map(|e| e.member.process.clone()));
+            }
+            _ => {}
+        }
+    }
+
+    fn apply_own(
+        &mut self,
+        incarnation: id::Incarnation,
+        standing: member::Standing,
+        applied: &mut Applied,
+    ) {
+        let own = self.members.own();
+        if incarnation > own.incarnation {
+            applied.renumber = applied.renumber.max(Some(incarnation));
+        }
+        let leaving = own.standing == member::Standing::Leaving;
+        if incarnation == own.incarnation && standing == member::Standing::Leaving && !leaving {
+            applied.accused = true;
+        }
+    }
+
+    fn apply_sender(&mut self, now: time::Mono, message: &msg::Exchange, applied: &mut Applied) {
+        let Some(record) = &message.sender else {
+            return;
+        };
+        let Ok(stamp) = convert::stamp(record) else {
+            applied.invalid += 1;
+            return;
+        };
+        if stamp.version > self.own.version {
+            applied.newer = Some(stamp.version);
+        }
+        match self.stamp(now, &stamp) {
+            member::Outcome::Changed => applied.changed.push(stamp.process),
+            member::Outcome::Own => self.apply_own(stamp.incarnation, stamp.standing, applied),
+            _ => {}
+        }
+    }
+
+    /// Merges a quarantine entry and returns it when that changed something:
+    /// the union of the targets, `refused` and `lifted` once set remain set.
+    fn merge_suspect(&mut self, now: time::Mono, entry: msg::Suspect) -> Option<msg::Suspect> {
+        let until = convert::until(now, entry.remaining);
+        let Some(known) = self.suspects.get_mut(&entry.fingerprint) else {
+            let left = SUSPECT_NEWS;
+            let suspicion = Suspicion {
+                entry: entry.clone(),
+                until,
+                left,
+            };
+            self.suspects.insert(entry.fingerprint, suspicion);
+            return Some(entry);
+        };
+        let mut merged = known.entry.clone();
+        merged.targets.extend(entry.targets);
+        merged.targets.sort();
+        merged.targets.dedup();
+        merged.refused |= entry.refused;
+        merged.lifted |= entry.lifted;
+        known.until = known.until.max(until);
+        if merged == known.entry {
+            return None;
+        }
+        known.entry = merged;
+        known.left = SUSPECT_NEWS;
+        let mut entry = known.entry.clone();
+        let remaining = known.until.since(now).as_millis();
+        entry.remaining = u32::try_from(remaining).unwrap_or(u32::MAX);
+        Some(entry)
+    }
+}
+
+/// Returns whether a report may be passed on; one that is nearly as old as
+/// the time of silence would only delay the removal.
+fn fresh(now: time::Mono, entry: &member::Entry) -> bool {
+    entry.state == member::State::Reported && entry.age(now) < FRESH
+}
+
+/// Age up to which reports are passed on.
+const FRESH: span::Span = span::Span::from_secs(50);
+
+fn partner(entry: &member::Entry) -> Partner {
+    Partner {
+        process: Some(entry.member.process.clone()),
+        address: entry.member.address,
+    }
+}
+
+fn charge(now: time::Mono, budget: &mut budget::Budget, message: &msg::Exchange) {
+    let bytes = u64::try_from(message.encoded_len()).unwrap_or(u64::MAX);
+    budget.charge(now, bytes + budget::OVERHEAD);
+}
+
+/// The bytes that are left in a message.
+struct Room {
+    left: i64,
+}
+
+/// Bytes of a field's tag and of the length of a record up to 16 KiB.
+const RECORD: usize = 3;
+
+impl Room {
+    fn new(limit: i64, message: &msg::Exchange) -> Self {
+        let used = i64::try_from(message.encoded_len()).unwrap_or(i64::MAX);
+        Self { left: limit - used }
+    }
+
+    fn take(&mut self, bytes: usize) -> bool {
+        let bytes = i64::try_from(bytes + RECORD).unwrap_or(i64::MAX);
+        if bytes > self.left {
+            return false;
+        }
+        self.left -= bytes;
+        true
+    }
+
+    fn member(&mut self, message: &mut msg::Exchange, member: &member::Member) -> bool {
+        let record = convert::member_record(member);
+        let added = self.take(record.encoded_len());
+        if added {
+            message.members.push(record);
+        }
+        added
+    }
+
+    fn load(&mut self, message: &mut msg::Exchange, load: &member::Load) -> bool {
+        let record = convert::load_record(load);
+        let repeated = message.loads.iter().any(|l| l.process == record.process);
+        let added = repeated || self.take(record.encoded_len());
+        if added && !repeated {
+            message.loads.push(record);
+        }
+        added
+    }
+
+    fn suspect(&mut self, message: &mut msg::Exchange, entry: msg::Suspect) -> bool {
+        let added = self.take(entry.encoded_len());
+        if added {
+            message.suspects.push(entry);
+        }
+        added
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/spending.rs
@@ -0,0 +1,40 @@
+//! The token bucket of control bytes.
+
+mod common;
+
+use base::{rate, span, time};
+use common::at;
+use fleet::budget;
+
+#[test]
+fn debt_repaid() {
+    // Guards against received bytes that count for nothing.
+    let mut budget = budget::Budget::new(at(0), rate::ByteRate(1000), 2000);
+    budget.charge(at(0), 5000);
+    assert_eq!(budget.available(at(0)), -3000);
+    assert_eq!(budget.wait(at(0), 1000), span::Span::from_secs(4));
+    assert_eq!(budget.available(at(3)), 0);
+    assert_eq!(budget.available(at(99)), 2000);
+}
+
+#[test]
+fn join_once() {
+    // Guards against a join allowance that refills.
+    let mut budget = budget::Budget::joining(at(0));
+    let most = i64::try_from(budget::JOIN + budget::BURST).expect("it is small");
+    assert_eq!(budget.available(at(5)), most);
+    budget.charge(at(5), budget::JOIN);
+    assert_eq!(
+        budget.available(at(500)),
+        i64::try_from(budget::BURST).expect("small")
+    );
+}
+
+#[test]
+fn clock_jump() {
+    // Guards against tokens from a point in time that was seen before.
+    let mut budget = budget::Budget::new(at(10), rate::ByteRate(1000), 2000);
+    budget.charge(at(10), 2000);
+    assert_eq!(budget.available(time::Mono(0)), 0);
+    assert_eq!(budget.available(at(11)), 1000);
+}
--- /dev/null
+++ b/crates/fleet/tests/trade.rs
@@ -0,0 +1,93 @@
+//! The exchange between two or a few processes.
+
+mod common;
+
+use base::{id, time};
+use common::{address, agent, at, exchange, router};
+use fleet::{budget, exchange as ex, member};
+
+/// Lets `from` exchange with `to` once.
+fn meet(now: time::Mono, from: &mut ex::Exchange, to: &mut ex::Exchange) -> ex::Applied {
+    let mut budget = budget::Budget::joining(now);
+    let partner = ex::Partner {
+        process: Some(to.members.own().process.clone()),
+        address: to.members.own().address,
+    };
+    let request = from
+        .compose(now, &mut budget, &partner)
+        .expect("the budget is full");
+    let (answer, _) = to.answer(now, &mut budget, &request);
+    from.apply(now, &mut budget, &answer)
+}
+
+#[test]
+fn both_learn() {
+    // Guards against an exchange that informs one side only.
+    let mut one = exchange(agent(1, "crew"), address(2));
+    let mut two = exchange(agent(2, "crew"), address(1));
+    assert_eq!(one.partner(at(1)).expect("a seed").address, address(2));
+    meet(at(1), &mut one, &mut two);
+    assert_eq!(one.members.reporting(), 2);
+    assert_eq!(two.members.reporting(), 2);
+}
+
+#[test]
+fn newer_version() {
+    // Guards against a process that does not notice a newer configuration.
+    let mut one = exchange(agent(1, "crew"), address(2));
+    let mut two = exchange(agent(2, "crew"), address(1));
+    two.update(at(1), member::Standing::Up, id::Version(5), 0, 8);
+    let applied = meet(at(1), &mut one, &mut two);
+    assert_eq!(applied.newer, Some(id::Version(5)));
+}
+
+#[test]
+fn relayed_leaving() {
+    // Guards against a leaving state that only direct partners learn.
+    let mut one = exchange(agent(1, "crew"), address(2));
+    let mut two = exchange(agent(2, "crew"), address(1));
+    let mut three = exchange(router(3), address(1));
+    meet(at(1), &mut one, &mut two);
+    meet(at(1), &mut three, &mut two);
+    one.update(at(2), member::Standing::Leaving, id::Version(1), 3, 8);
+    meet(at(2), &mut one, &mut two);
+    let applied = meet(at(2), &mut three, &mut two);
+    let process = one.members.own().process.clone();
+    assert_eq!(applied.changed, vec![process.clone()]);
+    let row = three.members.get(at(2), &process).expect("it is known");
+    assert_eq!(row.standing, member::Standing::Leaving);
+}
+
+#[test]
+fn restarted_self() {
+    // Guards against a process whose incarnation is below the one that the
+    // fleet remembers, for example after its wall clock was set back.
+    let mut one = exchange(agent(1, "crew"), address(2));
+    let mut two = exchange(agent(2, "crew"), address(1));
+    let mut before = agent(2, "crew");
+    before.incarnation = id::Incarnation(40);
+    one.members.report(at(1), before);
+    let applied = meet(at(1), &mut two, &mut one);
+    assert_eq!(applied.renumber, Some(id::Incarnation(40)));
+    two.members.renumber(at(1), id::Incarnation(41));
+    meet(at(2), &mut two, &mut one);
+    let process = two.members.own().process.clone();
+    let row = one.members.get(at(2), &process).expect("it is known");
+    assert_eq!(row.member.incarnation, id::Incarnation(41));
+}
+
+#[test]
+fn short_budget() {
+    // Guards against bytes that grow when the budget is short.
+    let mut one = exchange(agent(1, "crew"), address(2));
+    let mut two = exchange(agent(2, "crew"), address(1));
+    let mut budget = budget::Budget::new(at(1), budget::RATE, budget::BURST);
+    budget.charge(at(1), budget::BURST + 1);
+    let partner = one.partner(at(1)).expect("a seed");
+    assert!(one.compose(at(1), &mut budget, &partner).is_none());
+    let mut full = budget::Budget::joining(at(1));
+    let request = two.compose(at(1), &mut full, &partner).expect("full");
+    let (answer, _) = one.answer(at(1), &mut budget, &request);
+    assert!(answer.sender.is_some());
+    assert_eq!(answer.loads.len() + answer.members.len(), 1);
+}
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -351,6 +351,10 @@
     /// Outstanding requests that the bound allows.
     #[prost(uint32, tag = "13")]
     pub cap: u32,
+    /// Time since the report left its source, in tenths of a second; the sum of
+    /// the times that it was held, so that no two clocks are compared.
+    #[prost(uint32, tag = "14")]
+    pub age: u32,
 }
 
 /// A load report, smaller than a member.
@@ -374,6 +378,12 @@
     /// Configuration version in use.
     #[prost(uint64, tag = "6")]
     pub version: u64,
+    /// Time since the report left its source, in tenths of a second.
+    #[prost(uint32, tag = "7")]
+    pub age: u32,
+    /// Whether it takes new work.
+    #[prost(enumeration = "Standing", tag = "8")]
+    pub standing: i32,
 }
 
 /// A request content that is refused, or suspected, after crashes.
@@ -414,6 +424,18 @@
     /// Quarantine entries.
     #[prost(message, repeated, tag = "4")]
     pub suspects: Vec<Suspect>,
+    /// Processes of which the sender wants the member record, as in [`Load`].
+    #[prost(fixed64, repeated, tag = "5")]
+    pub wants: Vec<u64>,
+    /// Processes of which the sender's report is old, as in [`Load`].
+    #[prost(fixed64, repeated, tag = "6")]
+    pub stale: Vec<u64>,
+    /// Part of all members that a new process asks for, below `parts`.
+    #[prost(uint32, tag = "7")]
+    pub part: u32,
+    /// Number of parts; 0 when the sender asks for none.
+    #[prost(uint32, tag = "8")]
+    pub parts: u32,
 }
 
 /// Asks a peer for configuration changes.
