--- a/crates/fleet/src/convert.rs
+++ b/crates/fleet/src/convert.rs
@@ -154,6 +154,7 @@
 /// Writes the stamp of the process that `member` describes.
 pub fn stamp_record(member: &member::Member) -> msg::Stamp {
     msg::Stamp {
+        epoch: 0,
         process: member.process.to_string(),
         incarnation: member.incarnation.0,
         version: member.version.0,
