--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,13 +1,8 @@
 //! Settings of one process, and the configuration that all processes share.
 //!
 //! [`settings`] reads what a process needs in order to start. [`state`] holds
-<<<<<<< HEAD
-//! the shared configuration with its rules, [`change`] the changes to it,
-//! [`history`] the sequence of accepted changes and how a process follows it.
-=======
 //! the shared configuration with its rules and
 //! [`change`] the changes to it.
->>>>>>> state
 //!
 //! See [the design page](../../../docs/design.md), sections 2.7 and 3.2.
 
