--- a/crates/daemon/src/router/front.rs
+++ b/crates/daemon/src/front.rs
@@ -71,10 +71,10 @@
     pub service: id::ServiceId,
     /// Where placement looks for its cache.
     pub chat: id::ChatHash,
-    /// Whether the chat has had a response before.
-    pub returning: bool,
-    /// Bytes of the prompt; 0 for plain services.
-    pub length: usize,
+    /// Earlier responses of the model in the prompt.
+    pub turns: u32,
+    /// Estimated tokens of the prompt; 0 for plain services.
+    pub tokens: u32,
     /// Whether the target is an engine.
     pub engine: bool,
     /// Whether another target continues a broken stream.
@@ -162,8 +162,8 @@
             .map_err(|cause| Problem::new(Code::BadRequest, cause.to_string()))?,
         false => prompt::Prompt {
             chat: plain_chat(id, &team.id, &service.id, key),
-            returning: false,
-            length: 0,
+            turns: 0,
+            tokens: 0,
         },
     };
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -191,8 +191,8 @@
         team: team.id.clone(),
         service: service.id.clone(),
         chat: facts.chat,
-        returning: facts.returning,
-        length: facts.length,
+        turns: facts.turns,
+        tokens: facts.tokens,
         engine,
         deterministic: service.deterministic,
         hint: text(&parts.headers, &HINT).map(str::to_owned),
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -30,7 +30,7 @@
 use tokio_rustls::TlsConnector;
 use wire::frame;
 
-use crate::serve;
+use crate::{failure::Failure, serve};
 
 /// Time to connect and complete the handshakes.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -72,22 +72,24 @@
     ///
     /// # Errors
     ///
-    /// When the connection cannot be made or breaks, or the peer replies with
-    /// another status than 200. The request may have arrived all the same.
+    /// When the connection cannot be made, which proves that nothing arrived;
+    /// when it breaks; and when the peer replies with another status than 200.
     pub async fn call(
         &self,
         peer: SocketAddr,
         path: &'static str,
         message: &impl Message,
-    ) -> Result<Response<Incoming>, Fault> {
-        let mut sender = self.sender(peer).await?;
+    ) -> Result<Response<Incoming>, Failure> {
+        let mut sender = self.sender(peer).await.map_err(Failure::NotSent)?;
         let request = Request::post(path)
             .body(Full::new(frame::encode(message)))
-            .at("build call", peer)?;
-        let response = sender.send_request(request).await.at(path, peer)?;
+            .at("build call", peer)
+            .map_err(Failure::NotSent)?;
+        let sent = sender.send_request(request).await.at(path, peer);
+        let response = sent.map_err(Failure::Broken)?;
         match response.status() {
             StatusCode::OK => Ok(response),
-            status => Err(Fault::new(path, peer, Status(status))),
+            status => Err(Failure::Broken(Fault::new(path, peer, Status(status)))),
         }
     }
 
@@ -102,7 +104,8 @@
         path: &'static str,
         message: &impl Message,
     ) -> Result<Vec<M>, Fault> {
-        let mut body = self.call(peer, path, message).await?.into_body();
+        let response = self.call(peer, path, message).await;
+        let mut body = response.map_err(Failure::fault)?.into_body();
         let mut reader = frame::Reader::new(frame::MAX_RUN);
         let mut messages = Vec::new();
         while let Some(piece) = body.frame().await {
--- a/crates/daemon/src/prompt.rs
+++ b/crates/daemon/src/prompt.rs
@@ -8,15 +8,18 @@
 /// system prompt that many chats share, so one message is not enough.
 const LEADING: usize = 2;
 
+/// Bytes of text in one token, on average.
+const TOKEN: usize = 4;
+
 /// The facts of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Prompt {
     /// Identifies the chat.
     pub chat: id::ChatHash,
-    /// Whether the chat has had a response before.
-    pub returning: bool,
-    /// Bytes of the messages; a measure of what a cold cache costs.
-    pub length: usize,
+    /// Earlier responses of the model in the prompt; 0 for a new chat.
+    pub turns: u32,
+    /// Estimated tokens of the prompt; a measure of what a cold cache costs.
+    pub tokens: u32,
 }
 
 #[derive(Deserialize)]
@@ -64,14 +67,19 @@
         Some(chat) => hash::parts(owner.into_iter().chain([chat])),
         None => hash::parts(owner.into_iter().chain(leading(&completion))),
     };
-    let length = completion.messages.iter().map(|m| content(m).len()).sum();
+    let length: usize = completion.messages.iter().map(|m| content(m).len()).sum();
+    let turns = completion.messages.iter().filter(|m| m.role == "assistant");
     Ok(Prompt {
         chat: id::ChatHash(chat),
-        returning: completion.messages.iter().any(|m| m.role == "assistant"),
-        length,
+        turns: count(turns.count()),
+        tokens: count(length / TOKEN),
     })
 }
 
+fn count(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
 fn leading<'a>(completion: &'a Completion<'_>) -> impl Iterator<Item = &'a [u8]> {
     completion
         .messages
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -17,6 +17,8 @@
 use tokio::time;
 use wire::msg;
 
+use crate::failure::Failure;
+
 /// Header with the request id, towards targets and callers.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
@@ -43,17 +45,6 @@
 
 type Http = Client<HttpConnector, Full<Bytes>>;
 
-/// How a request to the target failed.
-#[derive(Debug, thiserror::Error)]
-pub enum Failure {
-    /// The connection was not made, so the target did not run the request.
-    #[error("not sent: {0}")]
-    NotSent(Fault),
-    /// The connection broke; the target may have run the request.
-    #[error("broken: {0}")]
-    Broken(Fault),
-}
-
 /// A reply with an unexpected status.
 #[derive(Debug, thiserror::Error)]
 #[error("target replied with status {0}")]
