--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod holding;
 pub mod ledger;
 pub mod refusal;
+pub mod settle;
--- a/crates/once/tests/session.rs
+++ b/crates/once/tests/session.rs
@@ -29,7 +29,8 @@
             action=release request=1
         delivered 1
             action=forget request=1
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 #[test]
@@ -54,7 +55,8 @@
             action=release request=1
             action=ask op=write row="claim/orders/gifts/die-7" state=done if=1
         table: written as version 2
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 #[test]
@@ -86,5 +88,6 @@
         table: no reply
             action=ask op=read row="claim/orders/gifts/die-7"
         table: read version 2 done by agent-a.1 nonce 11
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
