--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -93,19 +93,17 @@
         }
     }
 
-    /// Sends a call and returns the messages of the whole response.
+    /// Reads the messages of a whole response.
     ///
     /// # Errors
     ///
-    /// As [`Links::call`], and when the body is cut or not valid.
-    pub async fn messages<M: Message + Default>(
-        &self,
+    /// When the body is cut or not valid.
+    pub async fn read_all<M: Message + Default>(
         peer: SocketAddr,
         path: &'static str,
-        message: &impl Message,
+        response: Response<Incoming>,
     ) -> Result<Vec<M>, Fault> {
-        let response = self.call(peer, path, message).await;
-        let mut body = response.map_err(Failure::fault)?.into_body();
+        let mut body = response.into_body();
         let mut reader = frame::Reader::new(frame::MAX_RUN);
         let mut messages = Vec::new();
         while let Some(piece) = body.frame().await {
@@ -120,18 +118,17 @@
         Ok(messages)
     }
 
-    /// Sends a call and returns the one message of its response.
+    /// Reads the one message of a response.
     ///
     /// # Errors
     ///
-    /// As [`Links::messages`], and when there is no message.
-    pub async fn message<M: Message + Default>(
-        &self,
+    /// As [`Links::read_all`], and when there is no message.
+    pub async fn read<M: Message + Default>(
         peer: SocketAddr,
         path: &'static str,
-        message: &impl Message,
+        response: Response<Incoming>,
     ) -> Result<M, Fault> {
-        let mut messages = self.messages(peer, path, message).await?;
+        let mut messages = Self::read_all(peer, path, response).await?;
         messages.pop().ok_or(Empty).at(path, peer)
     }
 
