--- /dev/null
+++ b/crates/admit/src/budget.rs
@@ -0,0 +1,44 @@
+//! The retry budget of a router.
+
+/// Attempts that one request may have, the first included.
+pub const MAX_ATTEMPTS: u32 = 3;
+
+/// Tokens that one retry costs; a request earns one, so that retries are at
+/// most a tenth of the requests.
+const RETRY_COST: u32 = 10;
+
+/// Retries that may be saved up, for a router with little traffic.
+const SAVED_RETRIES: u32 = 10;
+
+/// A token bucket that keeps refusals from multiplying the load.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    tokens: u32,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            tokens: SAVED_RETRIES * RETRY_COST,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Starts with all saved retries.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes a new request.
+    pub fn request(&mut self) {
+        self.tokens = (self.tokens + 1).min(SAVED_RETRIES * RETRY_COST);
+    }
+
+    /// Takes one retry from the budget; returns whether there was one.
+    pub fn retry(&mut self) -> bool {
+        let left = self.tokens.checked_sub(RETRY_COST);
+        self.tokens = left.unwrap_or(self.tokens);
+        left.is_some()
+    }
+}
--- /dev/null
+++ b/crates/admit/src/fair.rs
@@ -0,0 +1,278 @@
+//! Start-time fair queueing by team, then by priority, then by deadline.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use base::{id, span, time};
+
+use crate::ticket::Ticket;
+
+/// Virtual time that one request of a team of weight 1 takes.
+const UNIT: u64 = 1 << 20;
+
+/// How long a team without requests counts as active, and the length of each
+/// of the two periods over which the peak of the other teams is kept.
+const PERIOD: span::Span = span::Span::from_secs(15);
+
+/// How long a team counts as pressing after one of its requests had to wait.
+const PRESSING: span::Span = span::Span::from_secs(5);
+
+/// Orders the queue of one team.
+type Key = (Reverse<u32>, time::Mono, u64);
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    until: time::Mono,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Team {
+    weight: u64,
+    running: u32,
+    queue: BTreeMap<Key, Waiting>,
+    /// Virtual start of the next request.
+    start: u64,
+    /// Virtual finish of the latest request.
+    finish: u64,
+    /// When it last offered, ran or finished a request.
+    active: time::Mono,
+    /// Until when its requests leave room for the other teams.
+    pressing: time::Mono,
+    /// Refusals since its latest dispatch.
+    refused: u32,
+}
+
+/// The running and the waiting requests of one target.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Fair {
+    teams: BTreeMap<id::TeamId, Team>,
+    running: BTreeMap<id::RequestId, id::TeamId>,
+    waiting: BTreeMap<id::RequestId, (id::TeamId, Key)>,
+    expiries: BTreeSet<(time::Mono, id::RequestId)>,
+    /// Virtual time: the start of the latest dispatch.
+    clock: u64,
+    /// Numbers the arrivals.
+    order: u64,
+    /// Highest number of requests beside those of the largest team, in the
+    /// present and in the previous period.
+    peaks: [u32; 2],
+    turned: time::Mono,
+}
+
+impl Fair {
+    pub(crate) fn running(&self) -> u32 {
+        count(self.running.len())
+    }
+
+    pub(crate) fn queued(&self) -> u32 {
+        count(self.waiting.len())
+    }
+
+    pub(crate) fn queued_of(&self, team: &id::TeamId) -> u32 {
+        self.teams
+            .get(team)
+            .map_or(0, |team| count(team.queue.len()))
+    }
+
+    pub(crate) fn refused_of(&self, team: &id::TeamId) -> u32 {
+        self.teams.get(team).map_or(0, |team| team.refused)
+    }
+
+    pub(crate) fn knows(&self, id: id::RequestId) -> bool {
+        self.is_running(id) || self.waiting.contains_key(&id)
+    }
+
+    pub(crate) fn is_running(&self, id: id::RequestId) -> bool {
+        self.running.contains_key(&id)
+    }
+
+    pub(crate) fn next_expiry(&self) -> Option<time::Mono> {
+        self.expiries.first().map(|(until, _)| *until)
+    }
+
+    /// Returns the first queued request whose time is over.
+    pub(crate) fn expired(&self, now: time::Mono) -> Option<&Ticket> {
+        let (until, id) = self.expiries.first()?;
+        let (team, key) = self.waiting.get(id)?;
+        let waiting = self.teams.get(team)?.queue.get(key)?;
+        (*until <= now).then_some(&waiting.ticket)
+    }
+
+    pub(crate) fn first_queued(&self) -> Option<id::RequestId> {
+        self.waiting.keys().next().copied()
+    }
+
+    /// Adds a request to its team's queue.
+    pub(crate) fn push(&mut self, now: time::Mono, ticket: Ticket, until: time::Mono) {
+        let clock = self.clock;
+        let team = self.teams.entry(ticket.team.clone()).or_default();
+        team.weight = u64::from(ticket.weight.max(1));
+        team.active = now;
+        if team.queue.is_empty() {
+            team.start = team.finish.max(clock);
+        }
+        self.order += 1;
+        let key = (Reverse(ticket.priority), ticket.deadline, self.order);
+        self.waiting.insert(ticket.id, (ticket.team.clone(), key));
+        self.expiries.insert((until, ticket.id));
+        team.queue.insert(key, Waiting { ticket, until });
+    }
+
+    /// Removes a queued request.
+    pub(crate) fn remove(&mut self, id: id::RequestId) -> Option<Ticket> {
+        let (team, key) = self.waiting.remove(&id)?;
+        let waiting = self.teams.get_mut(&team)?.queue.remove(&key)?;
+        self.expiries.remove(&(waiting.until, id));
+        Some(waiting.ticket)
+    }
+
+    /// Notes that a request of the team had to wait.
+    pub(crate) fn press(&mut self, now: time::Mono, team: &id::TeamId) {
+        if let Some(team) = self.teams.get_mut(team) {
+            team.pressing = now + PRESSING;
+        }
+    }
+
+    /// Notes that a request of the team was refused.
+    pub(crate) fn refuse(&mut self, team: &id::TeamId) {
+        if let Some(team) = self.teams.get_mut(team) {
+            team.refused = team.refused.saturating_add(1);
+        }
+    }
+
+    /// Returns the last queued request of the team with the longest queue
+    /// relative to its weight.
+    pub(crate) fn longest(&self) -> Option<id::RequestId> {
+        let longest = self
+            .teams
+            .values()
+            .filter(|team| !team.queue.is_empty())
+            .max_by_key(|team| team.queue.len() as u64 * UNIT / team.weight)?;
+        longest.queue.values().next_back().map(|w| w.ticket.id)
+    }
+
+    /// Returns the last queued request of a team.
+    pub(crate) fn last_of(&self, team: &id::TeamId) -> Option<id::RequestId> {
+        let team = self.teams.get(team)?;
+        team.queue.values().next_back().map(|w| w.ticket.id)
+    }
+
+    /// Returns the sum of the weights of the teams that wait, relative to that
+    /// of one team; at least 1.
+    pub(crate) fn contention(&self, team: &id::TeamId) -> u64 {
+        let own = self.teams.get(team).map_or(1, |team| team.weight.max(1));
+        let others: u64 = self
+            .teams
+            .iter()
+            .filter(|(name, other)| *name != team && !other.queue.is_empty())
+            .map(|(_, other)| other.weight)
+            .sum();
+        (own + others).div_ceil(own)
+    }
+
+    /// Dispatches the next request, if one may run below `cap`.
+    pub(crate) fn dispatch(&mut self, now: time::Mono, cap: u32) -> Option<id::RequestId> {
+        if self.running() >= cap || self.waiting.is_empty() {
+            return None;
+        }
+        self.turn(now);
+        let weights: u64 = self.teams.values().map(|team| team.weight).sum();
+        let beside = self.beside_largest(cap, weights);
+        let unused = self.peaks[0].max(self.peaks[1]).saturating_sub(beside);
+        let name = self
+            .teams
+            .iter()
+            .filter(|(_, team)| !team.queue.is_empty())
+            .filter(|(_, team)| self.may_run(now, team, cap, weights, unused))
+            .min_by_key(|(_, team)| team.start)
+            .map(|(name, _)| name.clone())?;
+        let id = self.start(now, &name)?;
+        self.note_peak(cap, weights);
+        Some(id)
+    }
+
+    /// Returns whether a team may take one more of the `cap` places.
+    ///
+    /// A team within its share may. A team above it that presses for more
+    /// leaves room for what the other teams used lately and one more, so that
+    /// their requests find a place at once.
+    fn may_run(&self, now: time::Mono, team: &Team, cap: u32, weights: u64, unused: u32) -> bool {
+        if team.running < share(team, cap, weights) || now >= team.pressing {
+            return true;
+        }
+        let others_active = self.teams.len() > 1;
+        let reserve = if others_active {
+            (unused + 1).min(cap / 2)
+        } else {
+            0
+        };
+        self.running() + reserve < cap
+    }
+
+    fn start(&mut self, now: time::Mono, name: &id::TeamId) -> Option<id::RequestId> {
+        let team = self.teams.get_mut(name)?;
+        let (_, waiting) = team.queue.pop_first()?;
+        let id = waiting.ticket.id;
+        self.clock = self.clock.max(team.start);
+        team.finish = team.start + UNIT / team.weight.min(UNIT);
+        team.start = team.finish;
+        team.running += 1;
+        team.active = now;
+        team.refused = 0;
+        self.waiting.remove(&id);
+        self.expiries.remove(&(waiting.until, id));
+        self.running.insert(id, name.clone());
+        Some(id)
+    }
+
+    /// Removes a running request; returns whether there was one.
+    pub(crate) fn finish(&mut self, now: time::Mono, id: id::RequestId) -> bool {
+        let Some(name) = self.running.remove(&id) else {
+            return false;
+        };
+        if let Some(team) = self.teams.get_mut(&name) {
+            team.running -= 1;
+            team.active = now;
+        }
+        true
+    }
+
+    /// Begins a new period when the present one is over, and forgets teams
+    /// that have been without requests for a period.
+    fn turn(&mut self, now: time::Mono) {
+        if now.since(self.turned) < PERIOD {
+            return;
+        }
+        self.turned = now;
+        self.peaks = [0, self.peaks[0]];
+        self.teams.retain(|_, team| {
+            team.running > 0 || !team.queue.is_empty() || now.since(team.active) < PERIOD
+        });
+    }
+
+    /// Returns the number of running requests within the shares of their
+    /// teams, without those of the largest team.
+    fn beside_largest(&self, cap: u32, weights: u64) -> u32 {
+        let within = |team: &Team| team.running.min(share(team, cap, weights));
+        let all: u32 = self.teams.values().map(within).sum();
+        let largest = self.teams.values().max_by_key(|team| team.running);
+        all - largest.map_or(0, within)
+    }
+
+    fn note_peak(&mut self, cap: u32, weights: u64) {
+        self.peaks[0] = self.peaks[0].max(self.beside_largest(cap, weights));
+    }
+}
+
+/// Returns how many of the `cap` places a team may always use.
+fn share(team: &Team, cap: u32, weights: u64) -> u32 {
+    let places = u64::from(cap) * team.weight / weights.max(1);
+    u32::try_from(places).unwrap_or(cap).max(1)
+}
+
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Decides, beside one target, which requests run, wait or are refused.
+//!
+//! The agent is the only process that sees every request to its target, so the
+//! bound is decided here and not in the routers. All types are state machines:
+//! the caller passes the time, and a seed where jitter is needed.
+//!
+//! See [the design page](../../../docs/design.md), section 2.5.
+
+pub mod bound;
+pub mod budget;
+mod fair;
+pub mod gate;
+pub mod group;
+mod jitter;
+pub mod quarantine;
+pub mod ticket;
--- /dev/null
+++ b/crates/admit/tests/common/mod.rs
@@ -0,0 +1,80 @@
+//! Builders for tickets, members and gates.
+#![allow(dead_code)] // Each test file is a crate of its own and uses a part.
+
+use admit::{
+    bound::Rule,
+    gate::{Gate, Queue, Settings},
+    group::{Member, Report, Standing},
+    ticket::{Event, Ticket},
+};
+use base::{id, span::Span, time::Mono};
+
+pub fn process(index: u32) -> id::ProcessId {
+    format!("agent-{index}").parse().unwrap()
+}
+
+pub fn target(index: u32) -> id::TargetId {
+    format!("runner-{index}").parse().unwrap()
+}
+
+/// Returns the point this many milliseconds after the start.
+pub fn at(millis: u64) -> Mono {
+    Mono(0) + Span::from_millis(millis)
+}
+
+/// Returns a ticket with an hour to live.
+pub fn ticket(id: u128, team: &str) -> Ticket {
+    Ticket {
+        id: id::RequestId(id),
+        team: team.parse().unwrap(),
+        weight: 1,
+        priority: 0,
+        deadline: at(3_600_000),
+    }
+}
+
+pub fn report(index: u32, sequence: u64, load: u32) -> Report {
+    Report {
+        process: process(index),
+        incarnation: id::Incarnation(1),
+        sequence: id::Sequence(sequence),
+        load,
+        age: Span::ZERO,
+    }
+}
+
+pub fn member(index: u32, standing: Standing, load: Option<u32>) -> Member {
+    Member {
+        process: process(index),
+        standing,
+        report: load.map(|load| report(index, 1, load)),
+    }
+}
+
+/// Returns settings with a fixed cap: the floor equals the slots.
+pub fn fixed(cap: u32) -> Settings {
+    Settings {
+        bound: Rule {
+            floor: cap,
+            slots: cap,
+            ..Rule::default()
+        },
+        queue: Queue::default(),
+    }
+}
+
+/// Returns the gate of agent 0.
+pub fn gate(settings: Settings) -> Gate {
+    Gate::new(process(0), settings, 1)
+}
+
+/// Returns the ids that the events dispatch.
+pub fn dispatched(events: &[Event]) -> Vec<u128> {
+    events
+        .iter()
+        .filter_map(|event| match event {
+            Event::Run(id) => Some(id.0),
+            Event::Refused { .. } => None,
+        })
+        .collect()
+}
