--- /dev/null
+++ b/crates/daemon/src/agent.rs
@@ -0,0 +1,193 @@
+//! The daemon in the role of an agent.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+};
+
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use base::fault::Fault;
+use conf::settings;
+use futures_util::FutureExt;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use once::event;
+use prost::Message;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use wire::{convert, frame, msg};
+
+use crate::{
+    agent_core::{Attached, Core, Event, Parts},
+    body, health,
+    link::Links,
+    listen,
+    metrics::Metrics,
+    node::{self, Node, Signal},
+    peers, reply, serve,
+    target::Target,
+};
+
+struct Agent {
+    events: mpsc::UnboundedSender<Event>,
+    stamp: Arc<ArcSwap<msg::Stamp>>,
+    links: AtomicU64,
+}
+
+impl Agent {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<body::Body> {
+        let answered = match request.uri().path() {
+            "/run" => self.run(request).await,
+            "/settle" => self.settle(request).await,
+            "/cancel" => self.cancel(request).await,
+            "/exchange" => self.exchange(request).await,
+            _ => Ok(peers::status(StatusCode::NOT_FOUND)),
+        };
+        answered.unwrap_or_else(|fault| peers::invalid(&fault))
+    }
+
+    fn link(&self) -> event::Link {
+        event::Link(self.links.fetch_add(1, Ordering::Relaxed))
+    }
+
+    async fn run(&self, request: Request<Incoming>) -> Result<Response<body::Body>, Fault> {
+        let run: msg::Run = peers::message(request, frame::MAX_RUN).await?;
+        let id = run.id.clone();
+        Ok(self.stream(&id, |link, reply| Event::Run(Box::new(run), link, reply)))
+    }
+
+    async fn settle(&self, request: Request<Incoming>) -> Result<Response<body::Body>, Fault> {
+        let settle: msg::Settle = peers::message(request, frame::MAX_SMALL).await?;
+        let id = settle.id.clone();
+        Ok(self.stream(&id, |link, reply| Event::Settle(settle, link, reply)))
+    }
+
+    fn stream(
+        &self,
+        id: &[u8],
+        event: impl FnOnce(event::Link, oneshot::Sender<Attached>) -> Event,
+    ) -> Response<body::Body> {
+        let (reply, attached) = oneshot::channel();
+        let link = self.link();
+        self.events.send(event(link, reply)).ok();
+        let id = convert::request_id(id).unwrap_or_default();
+        let body = reply::body(id, link, attached, self.stamp.clone(), self.events.clone());
+        Response::new(body)
+    }
+
+    async fn cancel(&self, request: Request<Incoming>) -> Result<Response<body::Body>, Fault> {
+        let cancel: msg::Cancel = peers::message(request, frame::MAX_SMALL).await?;
+        if let Ok(id) = convert::request_id(&cancel.id) {
+            self.events.send(Event::Cancel(id)).ok();
+        }
+        Ok(peers::status(StatusCode::OK))
+    }
+
+    async fn exchange(&self, request: Request<Incoming>) -> Result<Response<body::Body>, Fault> {
+        let events = &self.events;
+        exchange(request, |signal| events.send(Event::Node(signal)).is_ok()).await
+    }
+}
+
+/// Answers an exchange that another process started.
+pub(crate) async fn exchange(
+    request: Request<Incoming>,
+    signal: impl FnOnce(Signal) -> bool,
+) -> Result<Response<body::Body>, Fault> {
+    let message: msg::Exchange = peers::message(request, frame::MAX_SMALL).await?;
+    debug_assert!(message.encoded_len() <= frame::MAX_SMALL);
+    let (reply, answer) = oneshot::channel();
+    signal(Signal::Received(message, reply));
+    Ok(match answer.await {
+        Ok(answer) => peers::reply(&answer),
+        Err(_) => peers::status(StatusCode::SERVICE_UNAVAILABLE),
+    })
+}
+
+/// Starts an agent on the current runtime; the returned future ends when the
+/// process may exit.
+///
+/// Cancelling `stop` begins a graceful shutdown: new work is refused at once
+/// and requests in flight finish.
+///
+/// # Errors
+///
+/// When an address cannot be bound or a certificate cannot be read.
+pub async fn start(
+    settings: settings::Settings,
+    stop: CancellationToken,
+) -> anyhow::Result<impl Future<Output = ()> + Send> {
+    let settings = Arc::new(settings);
+    let own = settings.agent.clone().context("settings have no agent")?;
+    let metrics = Arc::new(Metrics::new(settings.statsd)?);
+    let links = Arc::new(Links::new(listen::connector(&settings)?));
+    let (events, received) = mpsc::unbounded_channel();
+    let stamp = Arc::new(ArcSwap::from_pointee(msg::Stamp::default()));
+    let health = Arc::new(health::Health::default());
+    let agent = Arc::new(Agent {
+        events: events.clone(),
+        stamp: stamp.clone(),
+        links: AtomicU64::new(1),
+    });
+
+    let handler: serve::Handler = Arc::new(move |request| agent.clone().handle(request).boxed());
+    let servers = TaskTracker::new();
+    let closed = CancellationToken::new();
+    servers.spawn(listen::peers(&settings, handler).await?.run(closed.clone()));
+    let pages = listen::health(&settings, health::handler(health.clone())).await?;
+    servers.spawn(pages.run(closed.clone()));
+
+    let control = thread::Builder::new().name("control".to_owned());
+    let (done, ended) = oneshot::channel();
+    let traffic = tokio::runtime::Handle::current();
+    let core_settings = settings.clone();
+    let core_events = events.clone();
+    let ready = health.clone();
+    control.spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime without threads needs only file descriptors");
+        runtime.block_on(async move {
+            let incarnation = node::incarnation();
+            let signals = listen::forward(core_events.clone(), Event::Node);
+            let mut node = Node::new(core_settings.clone(), incarnation, links, signals);
+            if let Some(conf) = listen::bootstrap(&core_settings) {
+                node.adopt(conf);
+            }
+            ready.set(health::State::Ready);
+            let parts = Parts {
+                node,
+                incarnation,
+                target: Target::new(own.address),
+                traffic,
+                asks: listen::no_table(core_events.clone()),
+                events: core_events,
+                stamp,
+                metrics,
+            };
+            Core::new(parts, own).run(received).await;
+        });
+        done.send(()).ok();
+    })?;
+
+    Ok(async move {
+        let mut ended = ended;
+        tokio::select! {
+            () = stop.cancelled() => {}
+            _ = &mut ended => return,
+        }
+        health.set(health::State::Leaving);
+        events.send(Event::Stop).ok();
+        tokio::time::timeout(settings.drain_time.duration(), ended)
+            .await
+            .ok();
+        closed.cancel();
+        servers.close();
+        servers.wait().await;
+    })
+}
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -402,8 +402,14 @@
             .iter()
             .map(|rejected| format!("{}:{}", rejected.target, rejected.cause))
             .collect();
-        let target = choice.target.as_ref().map_or("none", |target| target.id.as_str());
-        let previous = choice.previous.as_ref().map_or("none", |target| target.id.as_str());
+        let target = choice
+            .target
+            .as_ref()
+            .map_or("none", |target| target.id.as_str());
+        let previous = choice
+            .previous
+            .as_ref()
+            .map_or("none", |target| target.id.as_str());
         tracing::info!(event = "route", request = %self.id(), team = %self.accepted.team,
             service = %self.accepted.service, chat = %self.accepted.chat, target,
             reason = %choice.reason, previous, attempt = self.request.attempts() + 1,
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -96,7 +96,12 @@
     conf: &'a state::Configuration,
     headers: &HeaderMap,
 ) -> Result<&'a state::Team, Problem> {
-    let missing = || Problem::new(Code::Unauthorized, "send the team key as \"Authorization: Bearer KEY\"");
+    let missing = || {
+        Problem::new(
+            Code::Unauthorized,
+            "send the team key as \"Authorization: Bearer KEY\"",
+        )
+    };
     let value = headers.get(header::AUTHORIZATION).ok_or_else(missing)?;
     let key = value
         .to_str()
@@ -117,10 +122,12 @@
 /// When it is too large, too slow or broken off.
 pub async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Problem> {
     let collect = Limited::new(body, limits.body).collect();
-    let collected = time::timeout(limits.body_time, collect).await.map_err(|_| {
-        let detail = format!("the body did not arrive within {:?}", limits.body_time);
-        Problem::new(Code::BodyTimeout, detail)
-    })?;
+    let collected = time::timeout(limits.body_time, collect)
+        .await
+        .map_err(|_| {
+            let detail = format!("the body did not arrive within {:?}", limits.body_time);
+            Problem::new(Code::BodyTimeout, detail)
+        })?;
     match collected {
         Ok(body) => Ok(body.to_bytes()),
         Err(cause) if cause.is::<LengthLimitError>() => {
@@ -149,14 +156,24 @@
 ) -> Result<Accepted, Problem> {
     let rule = route(conf, parts, &body)?;
     let service = conf.services().get(&rule.service).ok_or_else(|| {
-        let detail = format!("rule {} names service {}, which does not exist", rule.id, rule.service);
+        let detail = format!(
+            "rule {} names service {}, which does not exist",
+            rule.id, rule.service
+        );
         Problem::new(Code::NoRoute, detail)
     })?;
     let engine = service.kind == state::Kind::Engine;
     let key = idempotency_key(&parts.headers)?;
     let class = class(conf.class(rule), key)?;
-    let key = if class == msg::Class::Keyed { key.unwrap_or("") } else { "" };
-    let explicit = parts.headers.get(CHAT_ID).map(header::HeaderValue::as_bytes);
+    let key = if class == msg::Class::Keyed {
+        key.unwrap_or("")
+    } else {
+        ""
+    };
+    let explicit = parts
+        .headers
+        .get(CHAT_ID)
+        .map(header::HeaderValue::as_bytes);
     let facts = match engine {
         true => prompt::read(&body, &team.id, &service.id, explicit)
             .map_err(|cause| Problem::new(Code::BadRequest, cause.to_string()))?,
@@ -175,7 +192,7 @@
         team: team.id.to_string(),
         chat: facts.chat.0,
         priority: share.priority.get().into(),
-        weight: share.weight.get().into(),
+        weight: share.weight.get(),
         class: class.into(),
         key: key.to_owned(),
         digest: digest(class, parts, path, &body),
@@ -214,7 +231,11 @@
     let found = conf.route(parts.method.as_str(), path, model.as_deref());
     found.map(AsRef::as_ref).ok_or_else(|| {
         let model = model.map(|name| format!(" with model {name:?}"));
-        let detail = format!("no rule for {} {path}{}", parts.method, model.unwrap_or_default());
+        let detail = format!(
+            "no rule for {} {path}{}",
+            parts.method,
+            model.unwrap_or_default()
+        );
         Problem::new(Code::NoRoute, detail)
     })
 }
@@ -303,9 +324,15 @@
 
 fn deadline(headers: &HeaderMap, limits: &Limits) -> span::Span {
     text(headers, &PREFER)
-        .and_then(|prefer| prefer.split(',').find_map(|item| item.trim().strip_prefix("wait=")))
+        .and_then(|prefer| {
+            prefer
+                .split(',')
+                .find_map(|item| item.trim().strip_prefix("wait="))
+        })
         .and_then(|seconds| seconds.parse().ok())
-        .map_or(limits.deadline, |seconds| limits.deadline.min(span::Span::from_secs(seconds)))
+        .map_or(limits.deadline, |seconds| {
+            limits.deadline.min(span::Span::from_secs(seconds))
+        })
 }
 
 /// Makes a request id; the caller's own is not used, because it may repeat.
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -108,8 +108,12 @@
             self.target.import(chat, cache).await
         };
         match moved.await {
-            Ok(()) => tracing::info!(event = "cache_imported", request = %self.id, %chat, from = %previous),
-            Err(fault) => tracing::info!(event = "cache_not_imported", request = %self.id, %chat, cause = %fault),
+            Ok(()) => {
+                tracing::info!(event = "cache_imported", request = %self.id, %chat, from = %previous)
+            }
+            Err(fault) => {
+                tracing::info!(event = "cache_not_imported", request = %self.id, %chat, cause = %fault)
+            }
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,14 +2,30 @@
 //!
 //! See [the design page](../../../docs/design.md), section 2.
 
+pub mod agent;
+pub mod agent_core;
 pub mod body;
+pub mod failure;
+pub mod forward;
+pub mod front;
+pub mod health;
 pub mod hint;
+pub mod job;
 pub mod link;
+pub mod listen;
 pub mod logs;
 pub mod metrics;
+pub mod node;
 pub mod outlet;
+pub mod peers;
 pub mod problem;
 pub mod prompt;
+pub mod refusal;
+pub mod replies;
+pub mod reply;
+pub mod router;
+pub mod router_core;
 pub mod serve;
+pub mod snapshot;
 pub mod target;
 pub mod tls;
--- /dev/null
+++ b/crates/daemon/src/reply.rs
@@ -0,0 +1,119 @@
+//! The reply stream of an agent to a router.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use base::{fault::Fault, id};
+use bytes::Bytes;
+use futures_util::stream;
+use once::event;
+use tokio::sync::{mpsc, oneshot};
+use wire::{frame, msg};
+
+use crate::{
+    agent_core::{Attached, Event},
+    body,
+    outlet::{Outlet, Piece, Reader},
+};
+
+/// The state of one stream. Dropping it before the end of the reply tells the
+/// control thread that the link is lost.
+struct Reply {
+    id: id::RequestId,
+    link: event::Link,
+    stage: Stage,
+    stamp: Arc<ArcSwap<msg::Stamp>>,
+    events: mpsc::UnboundedSender<Event>,
+}
+
+enum Stage {
+    Waiting(oneshot::Receiver<Attached>),
+    Reading(Arc<Outlet>, Reader),
+    Ended,
+}
+
+/// Makes the body of a `/run` or `/settle` response.
+pub fn body(
+    id: id::RequestId,
+    link: event::Link,
+    attached: oneshot::Receiver<Attached>,
+    stamp: Arc<ArcSwap<msg::Stamp>>,
+    events: mpsc::UnboundedSender<Event>,
+) -> body::Body {
+    let reply = Reply {
+        id,
+        link,
+        stage: Stage::Waiting(attached),
+        stamp,
+        events,
+    };
+    body::stream(stream::unfold(reply, next))
+}
+
+async fn next(mut reply: Reply) -> Option<(Result<Bytes, Fault>, Reply)> {
+    let message = reply.next().await?;
+    Some((Ok(frame::encode(&message)), reply))
+}
+
+impl Reply {
+    async fn next(&mut self) -> Option<msg::Reply> {
+        loop {
+            match &mut self.stage {
+                Stage::Waiting(attached) => match attached.await {
+                    Ok(Attached::Outlet(outlet, reader)) => {
+                        self.stage = Stage::Reading(outlet, reader);
+                    }
+                    Ok(Attached::Refused(refused)) => {
+                        return Some(self.last(msg::Part::Refused(refused)));
+                    }
+                    Ok(Attached::Broken(broken)) => {
+                        return Some(self.last(msg::Part::Broken(broken)));
+                    }
+                    // The control thread has ended; the router settles.
+                    Err(_) => return None,
+                },
+                Stage::Reading(outlet, reader) => {
+                    let piece = outlet.next(*reader).await;
+                    return self.piece(piece);
+                }
+                Stage::Ended => return None,
+            }
+        }
+    }
+
+    fn piece(&mut self, piece: Piece) -> Option<msg::Reply> {
+        match piece {
+            Piece::Head(head) => Some(msg::Reply {
+                stamp: Some((**self.stamp.load()).clone()),
+                part: Some(msg::Part::Head(head)),
+            }),
+            Piece::Data(data) => Some(msg::Reply {
+                stamp: None,
+                part: Some(msg::Part::Data(data)),
+            }),
+            Piece::End(total) => Some(self.last(msg::Part::End(msg::End { total }))),
+            Piece::Broken(broken) => Some(self.last(msg::Part::Broken(broken))),
+            Piece::Refused(refused) => Some(self.last(msg::Part::Refused(refused))),
+            Piece::Superseded => {
+                self.stage = Stage::Ended;
+                None
+            }
+        }
+    }
+
+    fn last(&mut self, part: msg::Part) -> msg::Reply {
+        self.stage = Stage::Ended;
+        msg::Reply {
+            stamp: Some((**self.stamp.load()).clone()),
+            part: Some(part),
+        }
+    }
+}
+
+impl Drop for Reply {
+    fn drop(&mut self) {
+        if !matches!(self.stage, Stage::Ended) {
+            self.events.send(Event::LinkLost(self.id, self.link)).ok();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router_core.rs
@@ -0,0 +1,301 @@
+//! The control state of a router: it publishes what the traffic threads use.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use arc_swap::ArcSwap;
+use base::{id, span, time};
+use fleet::{convert, member};
+use place::{policy, view};
+use tokio::sync::mpsc;
+use wire::msg;
+
+use crate::{
+    health,
+    node::{Node, Signal},
+    snapshot::{Agent, Group, Snapshot},
+};
+
+/// Load reports that travel with a request.
+const REPORTS: usize = 8;
+
+/// Longest time between two publications; ages of reports change meanwhile.
+const PUBLISH_INTERVAL: span::Span = span::Span::from_millis(200);
+
+/// What the traffic threads tell the control thread.
+#[derive(Debug)]
+pub enum Event {
+    /// Concerns the common state.
+    Node(Signal),
+    /// A reply had this stamp.
+    Stamp(msg::Stamp),
+    /// A request was sent to an agent.
+    Sent(id::ProcessId),
+    /// A call to an agent failed.
+    Failed(id::ProcessId, member::Failure),
+    /// The process is to stop.
+    Stop,
+}
+
+/// What a router's control state is made of.
+pub struct Parts {
+    /// Common state.
+    pub node: Node,
+    /// Where the snapshots go.
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Shown to the load balancer.
+    pub health: Arc<health::Health>,
+    /// How targets are chosen.
+    pub tuning: policy::Tuning,
+}
+
+/// The control state; owned by the control thread.
+pub struct Core {
+    parts: Parts,
+    /// Epochs of the agents' ledgers, with the incarnation they belong to.
+    epochs: BTreeMap<id::ProcessId, (id::Incarnation, u64)>,
+    /// Loads from stamps, queued requests included, with what was sent since.
+    loads: BTreeMap<id::ProcessId, Stamped>,
+    dirty: BTreeSet<id::ServiceId>,
+    all_dirty: bool,
+    published: time::Mono,
+    leaving: bool,
+    /// When each agent came up, as this router saw it.
+    up: BTreeMap<id::ProcessId, (id::Incarnation, time::Mono)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stamped {
+    at: time::Mono,
+    load: u32,
+    cap: u32,
+    sent: u32,
+}
+
+impl Core {
+    /// Makes the state of a starting router.
+    pub fn new(parts: Parts) -> Self {
+        Self {
+            parts,
+            epochs: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            all_dirty: true,
+            published: time::Mono::default(),
+            leaving: false,
+            up: BTreeMap::new(),
+        }
+    }
+
+    /// Runs until all senders of events are gone.
+    pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
+        loop {
+            self.publish();
+            let now = self.now();
+            let due = self.parts.node.due().min(self.published + PUBLISH_INTERVAL);
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.event(event),
+                    None => return,
+                },
+                () = tokio::time::sleep(due.since(now).duration()) => self.all_dirty = true,
+            }
+            while let Ok(event) = events.try_recv() {
+                self.event(event);
+            }
+            self.all_dirty |= self.parts.node.tick();
+        }
+    }
+
+    fn now(&self) -> time::Mono {
+        self.parts.node.clock.now()
+    }
+
+    fn event(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Node(signal) => {
+                let changed = self.parts.node.signal(signal);
+                self.all_dirty |= changed.members;
+            }
+            Event::Stamp(stamp) => self.stamp(now, &stamp),
+            Event::Sent(agent) => {
+                if let Some(known) = self.loads.get_mut(&agent) {
+                    known.sent += 1;
+                }
+                self.touch(now, &agent);
+            }
+            Event::Failed(agent, failure) => {
+                if self
+                    .parts
+                    .node
+                    .exchange
+                    .members
+                    .failure(now, &agent, failure)
+                {
+                    tracing::warn!(event = "agent_demoted", agent = %agent);
+                }
+                self.touch(now, &agent);
+            }
+            Event::Stop => {
+                self.leaving = true;
+                self.all_dirty = true;
+            }
+        }
+    }
+
+    fn stamp(&mut self, now: time::Mono, stamp: &msg::Stamp) {
+        let Ok(known) = convert::stamp(stamp) else {
+            return;
+        };
+        self.parts.node.exchange.members.success(&known.process);
+        self.parts.node.signal(Signal::Stamp(stamp.clone()));
+        self.epochs
+            .insert(known.process.clone(), (known.incarnation, stamp.epoch));
+        let load = Stamped {
+            at: now,
+            load: known.load,
+            cap: known.cap,
+            sent: 0,
+        };
+        self.loads.insert(known.process.clone(), load);
+        self.touch(now, &known.process);
+    }
+
+    fn touch(&mut self, now: time::Mono, agent: &id::ProcessId) {
+        let row = self.parts.node.exchange.members.get(now, agent);
+        let service = row.and_then(|row| row.member.service);
+        self.dirty.extend(service);
+    }
+
+    fn publish(&mut self) {
+        let now = self.now();
+        let dirty = std::mem::take(&mut self.dirty);
+        let all = std::mem::take(&mut self.all_dirty);
+        if dirty.is_empty() && !all {
+            return;
+        }
+        self.published = now;
+        let standing = match (self.leaving, self.parts.node.conf.version().0) {
+            (true, _) => member::Standing::Leaving,
+            (false, 0) => member::Standing::Listed,
+            (false, _) => member::Standing::Up,
+        };
+        self.parts.node.tell(standing, 0, 0);
+        let previous = self.parts.snapshot.load_full();
+        let mut groups = previous.groups.clone();
+        let rows = self.parts.node.exchange.members.targets(now);
+        let services: BTreeSet<id::ServiceId> = rows
+            .iter()
+            .filter_map(|row| row.member.service.clone())
+            .collect();
+        groups.retain(|service, _| services.contains(service));
+        for service in services {
+            if all || dirty.contains(&service) {
+                let group = self.group(now, &service, &rows);
+                groups.insert(service, Arc::new(group));
+            }
+        }
+        let ready = self.parts.node.conf.version().0 > 0;
+        if ready {
+            self.parts.health.set(health::State::Ready);
+        }
+        self.parts.snapshot.store(Arc::new(Snapshot {
+            conf: self.parts.node.conf.clone(),
+            groups,
+            stamp: self.parts.node.stamp(),
+            ready,
+            leaving: self.leaving,
+        }));
+    }
+
+    fn group(&mut self, now: time::Mono, service: &id::ServiceId, rows: &[member::Row]) -> Group {
+        let mut targets = Vec::new();
+        let mut agents = BTreeMap::new();
+        for row in rows {
+            let own = row.member.service.as_ref() == Some(service);
+            let (true, Some(target)) = (own, &row.member.target) else {
+                continue;
+            };
+            targets.push(self.target(now, target, row));
+            agents.insert(row.member.process.clone(), self.agent(row));
+        }
+        let own = &self.parts.node.settings.process;
+        let members = &self.parts.node.exchange.members;
+        let loads = members.freshest(now, service, own, REPORTS);
+        Group {
+            view: view::View::new(targets, self.parts.tuning),
+            agents,
+            loads: loads.iter().map(convert::load_record).collect(),
+        }
+    }
+
+    fn agent(&self, row: &member::Row) -> Agent {
+        let epoch = self
+            .epochs
+            .get(&row.member.process)
+            .filter(|(incarnation, _)| *incarnation == row.member.incarnation)
+            .map_or(0, |(_, epoch)| *epoch);
+        Agent {
+            address: row.member.address,
+            incarnation: row.member.incarnation,
+            epoch,
+        }
+    }
+
+    fn target(
+        &mut self,
+        now: time::Mono,
+        target: &id::TargetId,
+        row: &member::Row,
+    ) -> view::Target {
+        let process = &row.member.process;
+        let conf = &self.parts.node.conf;
+        let weight = conf
+            .target_override(target)
+            .map_or(row.member.weight, |entry| {
+                entry.weight.map_or(0, |weight| weight.get())
+            });
+        // The younger of the last stamp and the last report counts.
+        let reported = now.0.saturating_sub(row.age.as_micros());
+        let stamped = self.loads.get(process).copied();
+        let (load, cap) = match stamped {
+            Some(known) if known.at.0 >= reported => (known.load + known.sent, known.cap),
+            Some(known) => (row.member.load + known.sent, row.member.cap),
+            None => (row.member.load, row.member.cap),
+        };
+        view::Target {
+            id: target.clone(),
+            process: process.clone(),
+            weight,
+            centre: row.member.centre.clone(),
+            standing: self.standing(now, row),
+            load,
+            cap,
+        }
+    }
+
+    fn standing(&mut self, now: time::Mono, row: &member::Row) -> view::Standing {
+        let incarnation = row.member.incarnation;
+        let since = self
+            .up
+            .entry(row.member.process.clone())
+            .and_modify(|up| {
+                if up.0 != incarnation {
+                    *up = (incarnation, now);
+                }
+            })
+            .or_insert((incarnation, now));
+        match row.standing {
+            member::Standing::Listed => view::Standing::Listed,
+            member::Standing::Warming => view::Standing::Warming {
+                age: now.since(since.1),
+            },
+            member::Standing::Up => view::Standing::Up,
+            member::Standing::Leaving => view::Standing::Leaving,
+            member::Standing::Down => view::Standing::Down,
+        }
+    }
+}
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -78,6 +78,16 @@
 }
 
 impl State {
+    /// Tells whether the target runs the request.
+    pub fn runs(self) -> bool {
+        self.running()
+    }
+
+    /// Tells whether the outcome is unknown.
+    pub fn failed(self) -> bool {
+        matches!(self, Self::Broken(_))
+    }
+
     fn finished(self) -> bool {
         matches!(self, Self::Done | Self::Broken(_) | Self::Tombstone)
     }
@@ -194,6 +204,11 @@
         self.entries.get(&id).map(|entry| entry.state)
     }
 
+    /// Returns the reply stream of a request, if it has one.
+    pub fn link(&self, id: id::RequestId) -> Option<Link> {
+        self.entries.get(&id)?.link
+    }
+
     /// Returns the number of entries, finished ones included.
     pub fn len(&self) -> usize {
         self.entries.len()
