--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Load generator, scenarios and reports; no part of a shipped binary.
+
+pub mod deploy;
