--- a/crates/conf/src/map.rs
+++ b/crates/conf/src/map.rs
@@ -117,6 +117,12 @@
         found
     }
 
+    /// Returns the number of entries in chunks that `other` does not share: the
+    /// entries that were copied for the changes between the two.
+    pub fn copied(&self, other: &Self) -> usize {
+        self.own_entries(other).count()
+    }
+
     fn own_entries<'a>(&'a self, other: &'a Self) -> impl Iterator<Item = (&'a K, &'a Arc<V>)> {
         self.chunks
             .iter()
