--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -37,6 +37,9 @@
 /// when the target is found to have crashed.
 const CRASH_WINDOW: span::Span = span::Span::from_secs(2);
 
+/// Time for which a leaving agent tries to declare claims abandoned.
+const ABANDON_WAIT: span::Span = span::Span::from_secs(10);
+
 /// Less loaded agents that a refusal names.
 const NAMED_PEERS: usize = 2;
 
@@ -127,7 +130,8 @@
     healthy: bool,
     misses: u32,
     health_due: time::Mono,
-    leaving: bool,
+    /// When the process began to leave.
+    left: Option<time::Mono>,
     joined: time::Mono,
 }
 
@@ -152,7 +156,7 @@
             healthy: false,
             misses: 0,
             health_due: now,
-            leaving: false,
+            left: None,
             joined: now,
             parts,
             agent,
@@ -177,13 +181,24 @@
             }
             self.tick();
             self.publish();
-            if self.leaving && self.ledger.drained() {
+            if self.drained() {
                 tracing::info!(event = "drained", target = %self.agent.target);
                 return;
             }
         }
     }
 
+    /// Tells whether the process may exit. Claims of requests that never ran
+    /// are worth a short wait only: an undeclared one makes a later use of its
+    /// key end as unknown, never run twice.
+    fn drained(&self) -> bool {
+        let Some(since) = self.left else {
+            return false;
+        };
+        let finished = self.ledger.live() == 0 && self.ledger.unrecorded() == 0;
+        self.ledger.drained() || (finished && self.now().since(since) > ABANDON_WAIT)
+    }
+
     fn now(&self) -> time::Mono {
         self.parts.node.clock.now()
     }
@@ -310,10 +325,10 @@
     }
 
     fn leave(&mut self, now: time::Mono) {
-        if self.leaving {
+        if self.left.is_some() {
             return;
         }
-        self.leaving = true;
+        self.left = Some(now);
         tracing::info!(event = "leaving", target = %self.agent.target, open = self.ledger.live());
         let actions = self.ledger.leave(now);
         self.act(now, actions);
@@ -851,7 +866,7 @@
         } else {
             self.joined = now;
         }
-        if !self.leaving {
+        if self.left.is_none() {
             let standing = match healthy {
                 true => group::Standing::Up,
                 false => group::Standing::Down,
@@ -880,7 +895,7 @@
         let warm_up = self
             .service()
             .map_or(span::Span::ZERO, |service| service.warm_up);
-        if self.leaving {
+        if self.left.is_some() {
             member::Standing::Leaving
         } else if !self.healthy {
             member::Standing::Down
