--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -63,16 +63,7 @@
 
 /// Decodes `%XX`; an incomplete escape is kept as it is.
 pub fn decode(text: &str) -> String {
-    let bytes = text.as_bytes();
-    let mut decoded = Vec::with_capacity(bytes.len());
-    let mut at = 0;
-    while at < bytes.len() {
-        let escape = (bytes[at] == b'%')
-            .then(|| text.get(at + 1..at + 3))
-            .flatten()
-            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
-        decoded.push(escape.unwrap_or(bytes[at]));
-        at += if escape.is_some() { 3 } else { 1 };
-    }
-    String::from_utf8_lossy(&decoded).into_owned()
+    percent_encoding::percent_decode_str(text)
+        .decode_utf8_lossy()
+        .into_owned()
 }
