--- a/crates/bench/examples/stand.rs
+++ b/crates/bench/examples/stand.rs
@@ -1,43 +1,46 @@
-//! Runs one stand-in as a process of its own:
-//! `stand engine|service|table|weights ADDRESS`.
-//!
-//! Faults are switched over HTTP, see [`fakes::control`].
+//! Runs one stand-in as a process of its own: `stand KIND [--listen ADDRESS]
+//! [--options JSON]`. Prints its address on one line and runs until it is
+//! ended or its standard input closes, so that it does not outlive a test.
 
 use std::net::SocketAddr;
 
-use anyhow::{Context, bail};
-use fakes::{engine, service, table, weights};
+use anyhow::Context;
+use bpaf::Parser;
+use fakes::stand;
+use tokio::io::AsyncReadExt;
 
-const USAGE: &str = "usage: stand engine|service|table|weights ADDRESS";
+struct Arguments {
+    listen: SocketAddr,
+    options: String,
+    kind: stand::Kind,
+}
 
-#[tokio::main]
-async fn main() -> anyhow::Result<()> {
-    let mut arguments = std::env::args().skip(1);
-    let kind = arguments.next().context(USAGE)?;
-    let listen: SocketAddr = arguments.next().context(USAGE)?.parse().context(USAGE)?;
-    match kind.as_str() {
-        "engine" => {
-            let engine = engine::Engine::start(listen, engine::Options::default())?;
-            wait(engine.address()).await
-        }
-        "service" => {
-            let service = service::Service::start(listen, service::Options::default())?;
-            wait(service.address()).await
-        }
-        "table" => {
-            let table = table::Table::start(listen, &table::Options::default())?;
-            wait(table.address()).await
-        }
-        "weights" => {
-            let weights = weights::Weights::start(listen, weights::Options::default())?;
-            wait(weights.address()).await
-        }
-        other => bail!("{other:?} is not a stand-in; {USAGE}"),
-    }
+fn arguments() -> bpaf::OptionParser<Arguments> {
+    let listen = bpaf::long("listen")
+        .help("Address to listen on; port 0 selects a free port")
+        .argument("ADDRESS")
+        .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let options = bpaf::long("options")
+        .help("Options of the stand-in")
+        .argument("JSON")
+        .fallback("{}".to_owned());
+    let kind = bpaf::positional("KIND").help("engine, service, table, objects, list or weights");
+    bpaf::construct!(Arguments {
+        listen,
+        options,
+        kind
+    })
+    .to_options()
+    .descr("Runs a stand-in for a part of the platform")
 }
 
-async fn wait(address: SocketAddr) -> anyhow::Result<()> {
-    println!("listening on {address}");
-    tokio::signal::ctrl_c().await?;
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> anyhow::Result<()> {
+    let arguments = arguments().run();
+    let stand = stand::Stand::start(arguments.kind, arguments.listen, &arguments.options)
+        .context("cannot start the stand-in")?;
+    println!("{}", stand.address());
+    let mut input = Vec::new();
+    tokio::io::stdin().read_to_end(&mut input).await?;
     Ok(())
 }
--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -4,6 +4,7 @@
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
+    time::{Duration, Instant},
 };
 
 use anyhow::Context;
@@ -12,9 +13,11 @@
 use daemon::{agent, router};
 use fakes::{engine, service, table};
 use place::policy;
-use tokio::task::JoinHandle;
+use tokio::{task::JoinHandle, time};
 use tokio_util::sync::CancellationToken;
 
+use crate::client;
+
 /// A deployment's size and names.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -340,15 +343,25 @@
         })
     }
 
-    /// Starts a router.
+    /// Makes the settings of a router.
     ///
     /// # Errors
     ///
-    /// When an address cannot be bound.
-    pub async fn start_router(&self, number: usize) -> anyhow::Result<Process> {
+    /// When no port is free.
+    pub fn router_settings(&self, number: usize) -> anyhow::Result<settings::Settings> {
         let mut settings = self.settings(&format!("router-{number}"), number)?;
         settings.listen.callers = Some(free_address()?);
         settings.listen.operators = Some(free_address()?);
+        Ok(settings)
+    }
+
+    /// Starts a router.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound.
+    pub async fn start_router(&self, number: usize) -> anyhow::Result<Process> {
+        let settings = self.router_settings(number)?;
         let stop = CancellationToken::new();
         let running = router::start(settings.clone(), self.options.tuning, stop.clone()).await?;
         Ok(Process {
@@ -408,19 +421,19 @@
         })
     }
 
-    /// Starts the agent of a target that runs already.
+    /// Makes the settings of the agent of a target.
     ///
     /// # Errors
     ///
-    /// When an address cannot be bound.
-    pub async fn start_agent(
+    /// When no port is free.
+    pub fn agent_settings(
         &self,
         name: &str,
         number: usize,
         service: &str,
         kind: state::Kind,
         address: SocketAddr,
-    ) -> anyhow::Result<Process> {
+    ) -> anyhow::Result<settings::Settings> {
         let mut settings = self.settings(&format!("agent-{name}"), number)?;
         settings.role = settings::Role::Agent;
         settings.hint_secret = None;
@@ -433,6 +446,23 @@
             weight: value::Weight::default(),
             orders: (kind == state::Kind::Engine).then_some(address),
         });
+        Ok(settings)
+    }
+
+    /// Starts the agent of a target that runs already.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound.
+    pub async fn start_agent(
+        &self,
+        name: &str,
+        number: usize,
+        service: &str,
+        kind: state::Kind,
+        address: SocketAddr,
+    ) -> anyhow::Result<Process> {
+        let settings = self.agent_settings(name, number, service, kind, address)?;
         let stop = CancellationToken::new();
         let running = agent::start(settings.clone(), stop.clone()).await?;
         Ok(Process {
@@ -451,18 +481,56 @@
     }
 
     /// Stops all daemons gracefully.
-    pub async fn stop(self) {
-        let routers = self.routers;
-        let agents = self.engines.into_iter().map(|slot| slot.agent);
-        let agents = agents.chain(self.instances.into_iter().map(|slot| slot.agent));
+    pub async fn stop(mut self) {
+        let routers = std::mem::take(&mut self.routers);
+        let engines = std::mem::take(&mut self.engines);
+        let instances = std::mem::take(&mut self.instances);
+        let (agents, _engines): (Vec<_>, Vec<_>) = engines
+            .into_iter()
+            .map(|slot| (slot.agent, slot.engine))
+            .unzip();
+        let (others, _services): (Vec<_>, Vec<_>) = instances
+            .into_iter()
+            .map(|slot| (slot.agent, slot.service))
+            .unzip();
+        let agents = agents.into_iter().chain(others);
         for process in routers.into_iter().chain(agents) {
             process.stop.cancel();
             process.task.await.ok();
         }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
         std::fs::remove_file(&self.bootstrap).ok();
     }
 }
 
+/// Time for a deployment to answer its first request.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Waits until a router answers a request with success.
+///
+/// # Errors
+///
+/// When it does not in time.
+pub async fn ready(router: SocketAddr, call: &client::Call) -> anyhow::Result<()> {
+    let caller = client::Caller::default();
+    let end = Instant::now() + READY_TIMEOUT;
+    loop {
+        let received = caller.send(router, call.clone()).await;
+        if received.status.is_some_and(|status| status.is_success()) {
+            return Ok(());
+        }
+        if Instant::now() > end {
+            let body = String::from_utf8_lossy(&received.body).into_owned();
+            anyhow::bail!("router {router} is not ready: {:?} {body}", received.status);
+        }
+        time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Signs location hints in examples and measurements.
 const SECRET: &str = "an example secret that signs hints";
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod outlet;
 pub mod peers;
 pub mod problem;
+pub mod process;
 pub mod prompt;
 pub mod refusal;
 pub mod replies;
