Keep less memory for each open and finished stream

Change: small pieces are copied, a response that its reply stream has taken is dropped when an engine can resume it or it may run again, and the read buffer towards the target is 4 KiB.

--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -53,6 +53,9 @@
     front: SocketAddr,
     call: Call,
     direct: Call,
+    /// As the two above, with one token: many requests a second.
+    short: Call,
+    short_direct: Call,
 }
 
 /// Results of one way.
@@ -97,10 +100,11 @@
             busy.1 / 1024
         );
     }
-    let saturated = drive(bench.front, &bench.call, 400, None, time).await;
+    let saturated = drive(bench.front, &bench.short, 400, None, time).await;
     let half = saturated.rate() / 2.0;
-    let direct = drive(bench.engine.address(), &bench.direct, 400, Some(half), time).await;
-    let path = drive(bench.front, &bench.call, 400, Some(half), time).await;
+    let engine = bench.engine.address();
+    let direct = drive(engine, &bench.short_direct, 400, Some(half), time).await;
+    let path = drive(bench.front, &bench.short, 400, Some(half), time).await;
     let added = added(&direct, &path, 99.0);
     println!(
         "half saturated_rps={:.0} rps={half:.0} direct_p99_us={} path_p99_us={} added_p99_us={added} goal_us={}",
@@ -245,18 +249,20 @@
     agent.log = options.log.clone();
     agent.seeds = vec![router.advertise];
     let front = router.listen.callers.expect("a router accepts callers");
-    let call = Call::post(
-        "/v1/chat/completions",
-        &deploy::key("sales-hampers"),
-        client::chat("drafting", &[("user", "Draft a short brief.")], TOKENS),
-    );
+    let call = |tokens| {
+        let messages = [("user", "Draft a short brief.")];
+        let body = client::chat("drafting", &messages, tokens);
+        Call::post("/v1/chat/completions", &deploy::key("sales-hampers"), body)
+    };
     let bench = Bench {
-        direct: call.clone().with("x-request-id", "0"),
+        direct: call(TOKENS).with("x-request-id", "0"),
+        short: call(1),
+        short_direct: call(1).with("x-request-id", "0"),
         engine,
         router: Daemon::start(&router)?,
         agent: Daemon::start(&agent)?,
         front,
-        call,
+        call: call(TOKENS),
     };
     deploy::ready(front, &bench.call).await?;
     // The bootstrap file must outlive the start of the daemons.
--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -67,6 +67,8 @@
     Cancel(id::RequestId),
     /// A reply stream ended before its reply did.
     LinkLost(id::RequestId, event::Link),
+    /// A reply stream has taken a whole response.
+    Delivered(id::RequestId),
     /// A job reports.
     Job(id::RequestId, u64, Report),
     /// The target was checked; none when it did not answer in time.
@@ -227,8 +229,12 @@
         }
         let events = self.gate.expire(now);
         self.gated(now, events);
+        let epoch = self.ledger.epoch();
         let actions = self.ledger.expire(now);
         self.act(now, actions);
+        if self.ledger.epoch() != epoch {
+            self.open.retain(|id, _| self.ledger.state(*id).is_some());
+        }
         self.broken.retain(|(at, _)| now.since(*at) < CRASH_WINDOW);
     }
 
@@ -309,6 +315,7 @@
                 let actions = self.ledger.link_lost(now, id, link);
                 self.act(now, actions);
             }
+            Event::Delivered(id) => self.delivered(now, id),
             Event::Job(id, job, report) => self.report(now, id, job, report),
             Event::Health(answer) => self.checked(now, answer),
             Event::Claim(ask, answer) => {
@@ -324,6 +331,18 @@
         }
     }
 
+    /// Drops the bytes of a response that its reply stream has taken. What may
+    /// still be lost in the link can be had again: an engine resumes the
+    /// stream, and a repeatable request may run again. Other responses are kept
+    /// until the ledger forgets the request.
+    fn delivered(&mut self, now: time::Mono, id: id::RequestId) {
+        let repeatable = |open: &Open| open.run.class() == msg::Class::Repeatable;
+        if self.open.get(&id).is_some_and(repeatable) {
+            let actions = self.ledger.delivered(id);
+            self.act(now, actions);
+        }
+    }
+
     fn leave(&mut self, now: time::Mono) {
         if self.left.is_some() {
             return;
@@ -483,14 +502,26 @@
             } => self.attach(id, link, of, offset),
             action::Action::Replay { id, link, response } => self.replay(id, link, response),
             action::Action::Break { id, link, cause } => self.fail(id, link, cause),
-            action::Action::Forget(id) => {
-                if let Some(open) = self.open.remove(&id) {
-                    open.outlet.stop();
-                }
-            }
+            action::Action::Forget(id) => self.forget(id),
         }
     }
 
+    /// Drops the bytes of a request. What is left serves to resume an engine's
+    /// stream and goes when the ledger has forgotten the request.
+    fn forget(&mut self, id: id::RequestId) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        open.outlet.stop();
+        let (_, end) = open.outlet.held();
+        open.outlet = Arc::new(Outlet::new(Window::RESUMABLE, end));
+        open.run = Arc::new(msg::Run {
+            skip: open.run.skip,
+            class: open.run.class,
+            ..msg::Run::default()
+        });
+    }
+
     fn admit(&mut self, now: time::Mono, id: id::RequestId) {
         let Some(open) = self.open.get(&id) else {
             return;
--- a/crates/daemon/src/outlet.rs
+++ b/crates/daemon/src/outlet.rs
@@ -29,7 +29,7 @@
     /// For an engine, which resumes a stream at any offset.
     pub const RESUMABLE: Self = Self {
         ahead: 16 * 1024,
-        behind: 2 * 1024,
+        behind: 0,
     };
     /// For a plain service: a reader may have lost what was in its link, which
     /// is at most the stream window and the send buffer, 16 KiB each.
@@ -175,7 +175,7 @@
             return;
         }
         state.end += bytes.len() as u64;
-        state.pieces.push_back(bytes);
+        state.pieces.push_back(own(bytes));
         drop(state);
         self.readable.notify_waiters();
     }
@@ -357,6 +357,16 @@
     }
 }
 
+/// Copies a small piece, which would keep the whole read buffer of its
+/// connection in memory.
+fn own(bytes: Bytes) -> Bytes {
+    const SMALL: usize = 4096;
+    match bytes.len() < SMALL {
+        true => Bytes::copy_from_slice(&bytes),
+        false => bytes,
+    }
+}
+
 fn position_after(readers: &mut BTreeMap<u64, Position>, reader: Reader, data: &msg::Data) {
     if let Some(position) = readers.get_mut(&reader.0) {
         position.next += data.bytes.len() as u64;
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -91,7 +91,10 @@
                 stamp: None,
                 part: Some(msg::Part::Data(data)),
             }),
-            Piece::End(total) => Some(self.last(msg::Part::End(msg::End { total }))),
+            Piece::End(total) => {
+                self.events.send(Event::Delivered(self.id)).ok();
+                Some(self.last(msg::Part::End(msg::End { total })))
+            }
             Piece::Broken(broken) => Some(self.last(msg::Part::Broken(broken))),
             Piece::Refused(refused) => Some(self.last(msg::Part::Refused(refused))),
             Piece::Superseded => {
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -34,6 +34,10 @@
 /// Time for short calls: load, health, cancel, orders.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Read buffer of one connection, in bytes. Each open stream has a connection,
+/// and a token takes a few hundred bytes.
+const READ_BUFFER: usize = 4096;
+
 /// Age after which an idle connection is not used again.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
@@ -67,6 +71,7 @@
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(idle)
         .retry_canceled_requests(false)
+        .http1_read_buf_exact_size(READ_BUFFER)
         .build(connector)
 }
 
