--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,130 @@
+//! One HTTP/1.1 exchange with a service of the platform.
+
+use std::net::SocketAddr;
+
+use base::span;
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{self, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+
+use crate::error::Error;
+
+/// Longest reply that is read, in bytes.
+const MAX_REPLY: usize = 64 * 1024 * 1024;
+
+/// Time to come back when the service names none.
+const DEFAULT_AFTER: span::Span = span::Span::from_secs(1);
+
+/// A whole reply with a status that the protocol allows.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Sends requests to one service.
+#[derive(Clone, Debug)]
+pub struct Client {
+    peer: SocketAddr,
+    timeout: span::Span,
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Makes a client; connections are opened when needed and kept for reuse.
+    pub fn new(peer: SocketAddr, timeout: span::Span) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        // Shorter than the whole timeout, so that a connection that is not made
+        // is reported as such and not as a lost reply.
+        connector.set_connect_timeout(Some(timeout.duration() / 2));
+        // The pool repeats a request only when it was not written at all, which
+        // is safe for writes too.
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        Self {
+            peer,
+            timeout,
+            inner,
+        }
+    }
+
+    /// Returns the service's address.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Sends a request for a path; statuses other than 2xx and those in
+    /// `allowed` are errors.
+    pub async fn send(
+        &self,
+        request: http::request::Builder,
+        path: &str,
+        body: Bytes,
+        allowed: &[StatusCode],
+    ) -> Result<Reply, Error> {
+        let uri: Uri = format!("http://{}{path}", self.peer)
+            .parse()
+            .map_err(|error| Error::Request(Box::new(error)))?;
+        let request = request
+            .uri(uri)
+            .body(Full::new(body))
+            .map_err(|error| Error::Request(Box::new(error)))?;
+        match tokio::time::timeout(self.timeout.duration(), self.exchange(request)).await {
+            Ok(reply) => check(reply?, allowed),
+            Err(_) => Err(Error::Timeout(self.timeout)),
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Reply, Error> {
+        let response = self.inner.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                Error::Connect(error)
+            } else {
+                Error::Broken(Box::new(error))
+            }
+        })?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_REPLY).collect().await;
+        Ok(Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.map_err(Error::Broken)?.to_bytes(),
+        })
+    }
+}
+
+fn check(reply: Reply, allowed: &[StatusCode]) -> Result<Reply, Error> {
+    let status = reply.status;
+    if status.is_success() || allowed.contains(&status) {
+        return Ok(reply);
+    }
+    let text = || String::from_utf8_lossy(&reply.body).into_owned();
+    Err(match status {
+        StatusCode::TOO_MANY_REQUESTS => Error::Limited(after(&reply.headers)),
+        StatusCode::SERVICE_UNAVAILABLE => Error::Down(after(&reply.headers)),
+        status if status.is_client_error() => Error::Rejected(status, text()),
+        status => Error::Failed(status, text()),
+    })
+}
+
+fn after(headers: &HeaderMap) -> span::Span {
+    let seconds = headers
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    seconds.map_or(DEFAULT_AFTER, span::Span::from_secs)
+}
+
+/// Escapes a key for a path or a query.
+pub fn escape(key: &str) -> String {
+    percent_encoding::utf8_percent_encode(key, percent_encoding::NON_ALPHANUMERIC).to_string()
+}
--- /dev/null
+++ b/crates/store/src/list.rs
@@ -0,0 +1,107 @@
+//! The client of the platform's instance list.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::{
+    fault::{At, Fault},
+    id, span,
+};
+use bytes::Bytes;
+use http::Request;
+use serde::Deserialize;
+
+use crate::{
+    control::{Access, Policy},
+    error::Error,
+    guard::Guard,
+    http::Client,
+};
+
+/// How a client reaches the instance list.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Address of the instance list.
+    pub peer: SocketAddr,
+    /// Time for one attempt.
+    pub timeout: span::Span,
+    /// Rates, retries and breaker.
+    pub policy: Policy,
+}
+
+impl Options {
+    /// Returns the default options for an instance list.
+    pub fn new(peer: SocketAddr) -> Self {
+        Self {
+            peer,
+            timeout: span::Span::from_secs(2),
+            policy: Policy::default(),
+        }
+    }
+}
+
+/// Whether an instance is to stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// It stays.
+    Live,
+    /// It will be removed and must get no new work.
+    Leaving,
+}
+
+/// One instance.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Instance {
+    /// The process in the instance's slot.
+    pub id: id::ProcessId,
+    /// The address of that process.
+    pub address: SocketAddr,
+    /// The data centre.
+    pub data_centre: id::DataCentre,
+    /// The service that the instance's target belongs to; a router has none.
+    #[serde(default)]
+    pub service: Option<id::ServiceId>,
+    /// Whether the instance is to stay.
+    pub state: State,
+}
+
+/// The list as the platform reports it, which lags by seconds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+pub struct Page {
+    /// All instances.
+    pub instances: Vec<Instance>,
+    /// Increases with each change; a page with a lower revision than one seen
+    /// before is out of date.
+    pub revision: u64,
+}
+
+#[derive(Debug)]
+struct Inner {
+    client: Client,
+    guard: Guard,
+}
+
+/// A client of the instance list; clones share the connections and the limits.
+#[derive(Clone, Debug)]
+pub struct Instances(Arc<Inner>);
+
+impl Instances {
+    /// Makes a client; it connects with the first call.
+    pub fn new(options: Options) -> Self {
+        Self(Arc::new(Inner {
+            client: Client::new(options.peer, options.timeout),
+            guard: Guard::new(options.policy),
+        }))
+    }
+
+    /// Reads the list; the cause of a fault is an [`Error`].
+    pub async fn read(&self) -> Result<Page, Fault> {
+        let Inner { client, guard } = &*self.0;
+        let attempt = || client.send(Request::builder(), "/v1/instances", Bytes::new(), &[]);
+        let reply = guard.call(Access::Read, attempt).await;
+        let page = reply.and_then(|reply| {
+            serde_json::from_slice(&reply.body).map_err(|error| Error::Reply(Box::new(error)))
+        });
+        page.at("read instances", client.peer())
+    }
+}
--- /dev/null
+++ b/crates/store/src/object.rs
@@ -0,0 +1,185 @@
+//! The client of the object store.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::{
+    fault::{At, Fault},
+    span,
+};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+
+use crate::{
+    control::{Access, Policy},
+    error::Error,
+    guard::Guard,
+    http::{self as exchange, Client},
+    share::Rates,
+};
+
+/// Time to come back when a write was not sent for a reason that names none.
+const DEFAULT_AFTER: span::Span = span::Span::from_secs(1);
+
+/// How a client reaches the object store.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Address of the object store.
+    pub peer: SocketAddr,
+    /// Time for one attempt.
+    pub timeout: span::Span,
+    /// Rates, retries and breaker.
+    pub policy: Policy,
+}
+
+impl Options {
+    /// Returns the default options for an object store.
+    pub fn new(peer: SocketAddr) -> Self {
+        Self {
+            peer,
+            timeout: span::Span::from_secs(5),
+            policy: Policy::default(),
+        }
+    }
+}
+
+/// Identifies the content of an object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tag(String);
+
+/// One object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Identifies the content, for a condition on it.
+    pub tag: Tag,
+    /// The content.
+    pub bytes: Bytes,
+}
+
+/// A condition on a write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// None.
+    Any,
+    /// The object must be absent.
+    Absent,
+    /// The object must have this content.
+    Matches(Tag),
+}
+
+/// How a write ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// It was carried out; a deleted object has no tag.
+    Written(Option<Tag>),
+    /// The condition did not hold; nothing was changed.
+    Conflict,
+    /// It was not carried out: it was not sent, or the store refused it.
+    NotSent {
+        /// Why.
+        fault: Fault,
+        /// When to come back.
+        after: span::Span,
+    },
+    /// The reply was lost: it may have been carried out.
+    Unknown(Fault),
+}
+
+#[derive(Debug)]
+struct Inner {
+    client: Client,
+    guard: Guard,
+}
+
+/// A client of the object store; clones share the connections and the limits.
+#[derive(Clone, Debug)]
+pub struct Objects(Arc<Inner>);
+
+impl Objects {
+    /// Makes a client; it connects with the first call.
+    pub fn new(options: Options) -> Self {
+        Self(Arc::new(Inner {
+            client: Client::new(options.peer, options.timeout),
+            guard: Guard::new(options.policy),
+        }))
+    }
+
+    /// Changes this process's share of the rates.
+    pub fn rates(&self, rates: Rates) {
+        self.0.guard.rates(rates);
+    }
+
+    /// Reads an object; the cause of a fault is an [`Error`].
+    pub async fn get(&self, key: &str) -> Result<Option<Object>, Fault> {
+        let Inner { client, guard } = &*self.0;
+        let path = path(key);
+        let allowed = &[StatusCode::NOT_FOUND];
+        let attempt = || client.send(Request::builder(), &path, Bytes::new(), allowed);
+        let reply = guard.call(Access::Read, attempt).await;
+        let object = reply.and_then(|reply| match reply.status {
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => object(reply).map(Some),
+        });
+        object.at("read object", client.peer())
+    }
+
+    /// Writes an object.
+    pub async fn put(&self, key: &str, bytes: Bytes, condition: &Condition) -> Outcome {
+        self.write(Method::PUT, key, bytes, condition).await
+    }
+
+    /// Deletes an object; deleting an absent one succeeds.
+    pub async fn delete(&self, key: &str, condition: &Condition) -> Outcome {
+        self.write(Method::DELETE, key, Bytes::new(), condition)
+            .await
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        key: &str,
+        bytes: Bytes,
+        condition: &Condition,
+    ) -> Outcome {
+        let Inner { client, guard } = &*self.0;
+        let path = path(key);
+        let allowed = &[StatusCode::PRECONDITION_FAILED, StatusCode::NOT_FOUND];
+        let attempt = || {
+            let request = Request::builder().method(method.clone());
+            let request = match condition {
+                Condition::Any => request,
+                Condition::Absent => request.header(header::IF_NONE_MATCH, "*"),
+                Condition::Matches(tag) => request.header(header::IF_MATCH, &tag.0),
+            };
+            client.send(request, &path, bytes.clone(), allowed)
+        };
+        let peer = client.peer();
+        match guard.call(Access::Write, attempt).await {
+            Ok(reply) if reply.status == StatusCode::PRECONDITION_FAILED => Outcome::Conflict,
+            Ok(reply) => Outcome::Written(tag(&reply.headers)),
+            Err(error) if error.may_have_run() => {
+                Outcome::Unknown(Fault::new("write object", peer, error))
+            }
+            Err(error) => Outcome::NotSent {
+                after: error.after().unwrap_or(DEFAULT_AFTER),
+                fault: Fault::new("write object", peer, error),
+            },
+        }
+    }
+}
+
+fn path(key: &str) -> String {
+    format!("/v1/objects/{}", exchange::escape(key))
+}
+
+fn tag(headers: &HeaderMap) -> Option<Tag> {
+    let tag = headers.get(header::ETAG)?;
+    Some(Tag(tag.to_str().ok()?.to_owned()))
+}
+
+fn object(reply: exchange::Reply) -> Result<Object, Error> {
+    let tag = tag(&reply.headers).ok_or_else(|| Error::Reply("no ETag".into()))?;
+    Ok(Object {
+        tag,
+        bytes: reply.body,
+    })
+}
--- /dev/null
+++ b/crates/store/src/table.rs
@@ -0,0 +1,335 @@
+//! The client of the transactional table.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::{
+    fault::{At, Fault},
+    span,
+};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{
+    breaker,
+    control::{Access, Policy},
+    error::Error,
+    guard::Guard,
+    http::{self as exchange, Client},
+    share::Rates,
+};
+
+/// Time to come back when a transaction was not sent for a reason that names
+/// none.
+const DEFAULT_AFTER: span::Span = span::Span::from_secs(1);
+
+/// Rows of one request of a scan.
+const PAGE: usize = 500;
+
+/// How a client reaches the table.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Address of the table.
+    pub peer: SocketAddr,
+    /// Time for one attempt.
+    pub timeout: span::Span,
+    /// Rates, retries and breaker.
+    pub policy: Policy,
+}
+
+impl Options {
+    /// Returns the default options for a table.
+    pub fn new(peer: SocketAddr) -> Self {
+        Self {
+            peer,
+            timeout: span::Span::from_secs(2),
+            policy: Policy::default(),
+        }
+    }
+}
+
+/// The version of a row, set by the table.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct RowVersion(pub u64);
+
+/// One row.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The key.
+    pub key: String,
+    /// The version, for a condition on it.
+    pub version: RowVersion,
+    /// The content.
+    pub value: serde_json::Value,
+}
+
+impl Row {
+    /// Reads the content as a type.
+    pub fn decode<T: DeserializeOwned>(&self) -> Result<T, Fault> {
+        T::deserialize(&self.value).at("decode row", &self.key)
+    }
+}
+
+/// A condition on a row; when it does not hold, nothing of the transaction is
+/// carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Condition {
+    /// Whether the row must be absent (true) or present (false).
+    Absent(bool),
+    /// The row must have this version.
+    Version(RowVersion),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Action {
+    Put,
+    Delete,
+    Check,
+}
+
+/// One operation of a transaction; a key occurs in one operation at most.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Op {
+    op: Action,
+    key: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<serde_json::Value>,
+    #[serde(rename = "if", skip_serializing_if = "Option::is_none")]
+    condition: Option<Condition>,
+}
+
+impl Op {
+    fn write<T: Serialize>(
+        key: impl Into<String>,
+        value: &T,
+        condition: Option<Condition>,
+    ) -> Result<Self, Fault> {
+        let key = key.into();
+        Ok(Self {
+            op: Action::Put,
+            value: Some(serde_json::to_value(value).at("encode row", &key)?),
+            key,
+            condition,
+        })
+    }
+
+    /// Writes a row that must be absent.
+    pub fn insert<T: Serialize>(key: impl Into<String>, value: &T) -> Result<Self, Fault> {
+        Self::write(key, value, Some(Condition::Absent(true)))
+    }
+
+    /// Writes a row that must have a version.
+    pub fn replace<T: Serialize>(
+        key: impl Into<String>,
+        version: RowVersion,
+        value: &T,
+    ) -> Result<Self, Fault> {
+        Self::write(key, value, Some(Condition::Version(version)))
+    }
+
+    /// Writes a row whatever it holds.
+    pub fn put<T: Serialize>(key: impl Into<String>, value: &T) -> Result<Self, Fault> {
+        Self::write(key, value, None)
+    }
+
+    /// Deletes a row that must have a version.
+    pub fn delete(key: impl Into<String>, version: RowVersion) -> Self {
+        Self {
+            op: Action::Delete,
+            key: key.into(),
+            value: None,
+            condition: Some(Condition::Version(version)),
+        }
+    }
+
+    /// Checks a condition and changes nothing.
+    pub fn check(key: impl Into<String>, condition: Condition) -> Self {
+        Self {
+            op: Action::Check,
+            key: key.into(),
+            value: None,
+            condition: Some(condition),
+        }
+    }
+
+    /// Returns the key.
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+}
+
+/// The condition that did not hold.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Conflict {
+    /// Position of the operation.
+    pub failed: usize,
+    /// The row as it is, if there is one.
+    pub row: Option<Row>,
+}
+
+/// How a transaction ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// It was carried out; the versions are in the order of the operations,
+    /// and 0 where there is no row.
+    Committed(Vec<RowVersion>),
+    /// A condition did not hold; nothing was changed.
+    Conflict(Conflict),
+    /// It was not carried out: it was not sent, or the table refused it.
+    NotSent {
+        /// Why.
+        fault: Fault,
+        /// When to come back.
+        after: span::Span,
+    },
+    /// The reply was lost: it may have been carried out, or may still be. The
+    /// caller finds out by reading a row back.
+    Unknown(Fault),
+}
+
+/// A part of a scan.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Page {
+    /// Rows in order of key.
+    pub rows: Vec<Row>,
+    /// Whether there are more.
+    pub more: bool,
+}
+
+#[derive(Serialize)]
+struct Transaction<'a> {
+    ops: &'a [Op],
+}
+
+#[derive(Deserialize)]
+struct Committed {
+    versions: Vec<RowVersion>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    client: Client,
+    guard: Guard,
+}
+
+/// A client of the table; clones share the connections and the limits.
+#[derive(Clone, Debug)]
+pub struct Table(Arc<Inner>);
+
+impl Table {
+    /// Makes a client; it connects with the first call.
+    pub fn new(options: Options) -> Self {
+        Self(Arc::new(Inner {
+            client: Client::new(options.peer, options.timeout),
+            guard: Guard::new(options.policy),
+        }))
+    }
+
+    /// Changes this process's share of the rates.
+    pub fn rates(&self, rates: Rates) {
+        self.0.guard.rates(rates);
+    }
+
+    /// Returns the state of the circuit breaker.
+    pub fn breaker(&self) -> breaker::State {
+        self.0.guard.breaker()
+    }
+
+    /// Reads a row; the cause of a fault is an [`Error`].
+    pub async fn read(&self, key: &str) -> Result<Option<Row>, Fault> {
+        let path = format!("/v1/rows/{}", exchange::escape(key));
+        let reply = self.get(&path, &[StatusCode::NOT_FOUND]).await;
+        let row = reply.and_then(|reply| match reply.status {
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => decode(&reply.body).map(Some),
+        });
+        row.at("read row", self.0.client.peer())
+    }
+
+    /// Reads up to `limit` rows whose keys begin with a prefix and follow `after`.
+    pub async fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<Page, Fault> {
+        let prefix = exchange::escape(prefix);
+        let mut path = format!("/v1/rows?prefix={prefix}&limit={limit}");
+        if let Some(after) = after {
+            path = format!("{path}&after={}", exchange::escape(after));
+        }
+        let reply = self.get(&path, &[]).await;
+        let page = reply.and_then(|reply| decode(&reply.body));
+        page.at("scan rows", self.0.client.peer())
+    }
+
+    /// Reads all rows whose keys begin with a prefix, in several requests;
+    /// rows that change meanwhile may be read before or after their change.
+    pub async fn scan(&self, prefix: &str) -> Result<Vec<Row>, Fault> {
+        let mut rows: Vec<Row> = Vec::new();
+        loop {
+            let after = rows.last().map(|row| row.key.clone());
+            let page = self.page(prefix, after.as_deref(), PAGE).await?;
+            let empty = page.rows.is_empty();
+            rows.extend(page.rows);
+            if !page.more || empty {
+                return Ok(rows);
+            }
+        }
+    }
+
+    /// Carries out all operations, or none.
+    ///
+    /// A transaction is repeated only while it is proven that it had no effect.
+    /// When the future is dropped, the outcome is unknown.
+    pub async fn transact(&self, ops: &[Op]) -> Outcome {
+        let peer = self.0.client.peer();
+        let result = match serde_json::to_vec(&Transaction { ops }) {
+            Ok(body) => self.post(body.into()).await,
+            Err(error) => Err(Error::Request(Box::new(error))),
+        };
+        match result {
+            Ok(outcome) => outcome,
+            Err(error) if error.may_have_run() => {
+                Outcome::Unknown(Fault::new("transact", peer, error))
+            }
+            Err(error) => Outcome::NotSent {
+                after: error.after().unwrap_or(DEFAULT_AFTER),
+                fault: Fault::new("transact", peer, error),
+            },
+        }
+    }
+
+    async fn get(&self, path: &str, allowed: &[StatusCode]) -> Result<exchange::Reply, Error> {
+        let Inner { client, guard } = &*self.0;
+        let attempt = || client.send(Request::builder(), path, Bytes::new(), allowed);
+        guard.call(Access::Read, attempt).await
+    }
+
+    async fn post(&self, body: Bytes) -> Result<Outcome, Error> {
+        const JSON: &str = "application/json";
+        let Inner { client, guard } = &*self.0;
+        let attempt = || {
+            let request = Request::builder()
+                .method(Method::POST)
+                .header(http::header::CONTENT_TYPE, JSON);
+            let allowed = &[StatusCode::CONFLICT];
+            client.send(request, "/v1/transactions", body.clone(), allowed)
+        };
+        let reply = guard.call(Access::Write, attempt).await?;
+        match reply.status {
+            StatusCode::CONFLICT => decode(&reply.body).map(Outcome::Conflict),
+            _ => decode::<Committed>(&reply.body)
+                .map(|committed| Outcome::Committed(committed.versions)),
+        }
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &Bytes) -> Result<T, Error> {
+    serde_json::from_slice(body).map_err(|error| Error::Reply(Box::new(error)))
+}
--- /dev/null
+++ b/crates/store/tests/breaker.rs
@@ -0,0 +1,89 @@
+//! Guards the circuit breaker: it must spare a service that is down, notice
+//! that it is back, and never lock up.
+
+use base::{span::Span, time::Mono};
+use store::breaker::{Breaker, Change, Limits, State};
+
+const LIMITS: Limits = Limits {
+    failures: 3,
+    first: Span::from_secs(1),
+    longest: Span::from_secs(4),
+    probe: Span::from_secs(2),
+};
+
+fn at(seconds: u64) -> Mono {
+    Mono(seconds * 1_000_000)
+}
+
+fn open() -> Breaker {
+    let mut breaker = Breaker::new(LIMITS);
+    for _ in 0..3 {
+        breaker.failure(at(0), 1.0);
+    }
+    breaker
+}
+
+#[test]
+fn consecutive_failures() {
+    let mut breaker = Breaker::new(LIMITS);
+    breaker.failure(at(0), 1.0);
+    breaker.failure(at(0), 1.0);
+    assert_eq!(breaker.success(), Change::None);
+    breaker.failure(at(0), 1.0);
+    breaker.failure(at(0), 1.0);
+    assert_eq!(breaker.admit(at(0)), Ok(()), "a success restarts the count");
+    breaker.failure(at(0), 1.0);
+    assert_eq!(breaker.admit(at(0)), Err(Span::from_secs(1)));
+}
+
+#[test]
+fn single_probe() {
+    let mut breaker = open();
+    assert_eq!(breaker.admit(at(1)), Ok(()));
+    assert_eq!(breaker.admit(at(1)), Err(Span::from_secs(2)));
+    assert_eq!(breaker.success(), Change::Closed);
+    assert_eq!(breaker.admit(at(1)), Ok(()));
+}
+
+/// A probe whose caller went away must not block all later ones.
+#[test]
+fn abandoned_probe() {
+    let mut breaker = open();
+    assert_eq!(breaker.admit(at(1)), Ok(()));
+    assert_eq!(breaker.admit(at(3)), Ok(()));
+}
+
+#[test]
+fn longer_intervals() {
+    let mut breaker = open();
+    let mut now = at(0);
+    let mut intervals = Vec::new();
+    for _ in 0..4 {
+        let State::Open { until } = breaker.state() else {
+            panic!("the breaker is open");
+        };
+        intervals.push(until.since(now).as_millis());
+        now = until;
+        assert_eq!(breaker.admit(now), Ok(()));
+        breaker.failure(now, 1.0);
+    }
+    assert_eq!(intervals, [1000, 2000, 4000, 4000]);
+}
+
+/// Calls that were under way when the breaker opened must not postpone the probe.
+#[test]
+fn late_failures() {
+    let mut breaker = open();
+    breaker.failure(at(0), 1.0);
+    breaker.failure(at(0), 1.0);
+    assert_eq!(breaker.admit(at(1)), Ok(()));
+}
+
+#[test]
+fn jittered_probes() {
+    let mut breaker = Breaker::new(LIMITS);
+    for _ in 0..3 {
+        breaker.failure(at(0), 0.0);
+    }
+    assert_eq!(breaker.admit(at(0)), Err(Span::from_millis(500)));
+}
