--- a/crates/bench/examples/measure.rs
+++ b/crates/bench/examples/measure.rs
@@ -2,7 +2,9 @@
 
 use std::env;
 
-use bench::{child, path};
+use bench::{child, path, spread};
+
+const SCENARIOS: &str = "path, spread";
 
 fn main() -> anyhow::Result<()> {
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -10,15 +12,19 @@
         return Ok(());
     }
     let Some((scenario, rest)) = arguments.split_first() else {
-        anyhow::bail!("name a scenario: path");
+        anyhow::bail!("name a scenario: {SCENARIOS}");
     };
-    let runtime = tokio::runtime::Runtime::new()?;
     match scenario.as_str() {
-        "path" => runtime.block_on(path::run(parse(path::options(), rest))),
-        other => anyhow::bail!("scenario {other:?} does not exist; scenarios: path"),
+        "path" => traffic(path::run(parse(path::options(), rest))),
+        "spread" => spread::main(rest),
+        other => anyhow::bail!("scenario {other:?} does not exist; scenarios: {SCENARIOS}"),
     }
 }
 
+fn traffic(measurement: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    tokio::runtime::Runtime::new()?.block_on(measurement)
+}
+
 fn parse<T>(options: bpaf::OptionParser<T>, arguments: &[String]) -> T {
     match options.run_inner(bpaf::Args::from(arguments)) {
         Ok(options) => options,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,4 +3,7 @@
 pub mod child;
 pub mod client;
 pub mod deploy;
+pub mod meter;
 pub mod path;
+pub mod peer;
+pub mod spread;
