Attribute crashes by the set of requests present at each

A suspect that was present at the same crashes as another is kept apart from it instead of being refused.

The entries of a crash travel with the report of the crash and with the resent request.

--- a/crates/admit/src/quarantine.rs
+++ b/crates/admit/src/quarantine.rs
@@ -14,34 +14,25 @@
 const LIMIT: usize = 2;
 
 /// Fingerprints that are remembered at most, about 1 MB.
-const MOST_ENTRIES: usize = 4_096;
+const MOST_RECORDS: usize = 4_096;
+
+/// Crashes that are remembered for one fingerprint at most.
+const MOST_CRASHES: usize = 16;
+
+/// Bits of a crash number below the agent's incarnation.
+const COUNT_BITS: u32 = 20;
 
 /// Numbers the crashes of one target; a larger number is a later crash.
-///
-/// 0 stands for a crash that was seen from outside, whose number is unknown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashNumber(pub u64);
 
-/// What is known of one fingerprint and one target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// One crash of one target.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Crash {
-    /// The latest crash of the target with the fingerprint in flight.
+    /// The target.
+    pub target: id::TargetId,
+    /// Tells the crashes of the target apart.
     pub number: CrashNumber,
-    /// The latest crash that a completion or an operator has excused.
-    pub excused: Option<CrashNumber>,
-}
-
-impl Crash {
-    fn is_live(&self) -> bool {
-        self.excused.is_none_or(|excused| self.number > excused)
-    }
-
-    fn merge(&mut self, other: Self) -> bool {
-        let before = *self;
-        self.number = self.number.max(other.number);
-        self.excused = self.excused.max(other.excused);
-        *self != before
-    }
 }
 
 /// What a fingerprint is held to be.
@@ -61,14 +52,17 @@
     },
 }
 
-/// One fingerprint, as it is exchanged and shown to operators.
+/// What is known of one fingerprint, as it is exchanged and shown to operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
     /// The fingerprint.
     pub fingerprint: id::Fingerprint,
-    /// The targets that crashed with it in flight.
-    pub crashes: BTreeMap<id::TargetId, Crash>,
-    /// Time until the entry is forgotten.
+    /// The crashes at which it was in flight and that are not excused.
+    pub crashes: BTreeSet<Crash>,
+    /// For each target, the latest crash that a completion or an operator has
+    /// excused; earlier ones are excused too.
+    pub excused: BTreeMap<id::TargetId, CrashNumber>,
+    /// Time until the entry ends.
     pub remaining: span::Span,
     /// What it is held to be by the sender.
     pub verdict: Verdict,
@@ -76,42 +70,59 @@
 
 #[derive(Clone, Debug)]
 struct Record {
-    crashes: BTreeMap<id::TargetId, Crash>,
+    /// The crashes that count: those that are not excused.
+    crashes: BTreeSet<Crash>,
+    excused: BTreeMap<id::TargetId, CrashNumber>,
     until: time::Mono,
 }
 
 impl Record {
-    /// Returns the crashes that count against the fingerprint.
-    fn live(&self) -> impl Iterator<Item = (&id::TargetId, CrashNumber)> {
+    /// Returns the number of targets that crashed.
+    fn targets(&self) -> usize {
+        let mut previous = None;
         self.crashes
             .iter()
-            .filter(|(_, crash)| crash.is_live())
-            .map(|(target, crash)| (target, crash.number))
+            .filter(|crash| previous.replace(&crash.target) != Some(&crash.target))
+            .count()
     }
 
-    fn is_clear(&self) -> bool {
-        self.live().next().is_none()
+    /// Returns whether this one was present at all crashes of the other.
+    fn covers(&self, other: &Self) -> bool {
+        self.crashes.is_superset(&other.crashes)
     }
 
-    /// Returns whether this one was present at all live crashes of the other.
-    fn covers(&self, other: &Self) -> bool {
-        other.live().all(|(target, number)| {
-            self.crashes
-                .get(target)
-                .is_some_and(|own| own.is_live() && same(own.number, number))
-        })
+    fn is_excused(&self, crash: &Crash) -> bool {
+        let excused = self.excused.get(&crash.target);
+        excused.is_some_and(|excused| crash.number <= *excused)
     }
 
     fn excuse(&mut self) {
-        for crash in self.crashes.values_mut() {
-            crash.excused = crash.excused.max(Some(crash.number));
+        for crash in std::mem::take(&mut self.crashes) {
+            let excused = self.excused.entry(crash.target).or_default();
+            *excused = crash.number.max(*excused);
         }
     }
-}
 
-/// Returns whether two numbers may mean the same crash.
-fn same(a: CrashNumber, b: CrashNumber) -> bool {
-    a == b || a.0 == 0 || b.0 == 0
+    /// Adds what another process knows; returns whether it was new.
+    fn merge(&mut self, entry: &Entry) -> bool {
+        let mut has_news = false;
+        for (target, number) in &entry.excused {
+            let known = self.excused.get(target);
+            if known.is_none_or(|known| known < number) {
+                self.excused.insert(target.clone(), *number);
+                has_news = true;
+            }
+        }
+        let mut crashes = std::mem::take(&mut self.crashes);
+        crashes.retain(|crash| !self.is_excused(crash));
+        for crash in &entry.crashes {
+            if crashes.len() < MOST_CRASHES && !self.is_excused(crash) {
+                has_news |= crashes.insert(crash.clone());
+            }
+        }
+        self.crashes = crashes;
+        has_news
+    }
 }
 
 /// The suspects and the refused fingerprints that a process knows.
@@ -119,15 +130,12 @@
 pub struct Quarantine {
     term: span::Span,
     records: BTreeMap<id::Fingerprint, Record>,
-    /// The fingerprints whose records name a target. Suspects can only be
+    /// The fingerprints that were in flight at each crash. Suspects can only be
     /// mistaken for those that were present at the same crash.
-    cohorts: BTreeMap<id::TargetId, BTreeSet<id::Fingerprint>>,
+    cohorts: BTreeMap<Crash, BTreeSet<id::Fingerprint>>,
     next: u64,
 }
 
-/// Bits of a crash number below the incarnation.
-const COUNT_BITS: u32 = 20;
-
 impl Quarantine {
     /// Starts empty. `term` is the length of a quarantine; the incarnation
     /// makes the numbers of a restarted agent larger than its earlier ones.
@@ -149,37 +157,44 @@
     }
 
     fn judge(&self, now: time::Mono, fingerprint: id::Fingerprint, record: &Record) -> Verdict {
-        let crashes = record.live().count();
-        let Some(cohort) = record
-            .live()
-            .next()
-            .and_then(|(target, _)| self.cohorts.get(target))
-        else {
-            return Verdict::Clear;
-        };
-        let mut rivals = false;
-        for other in cohort.iter().filter(|other| **other != fingerprint) {
-            let Some(rival) = self.records.get(other) else {
-                continue;
-            };
-            if rival.until <= now || !rival.covers(record) {
-                continue;
-            }
+        let targets = record.targets();
+        let mut has_rival = false;
+        for rival in self.rivals(now, fingerprint, record) {
             // A refused one explains the crashes at which both were present.
-            if rival.live().count() > crashes.max(LIMIT - 1) {
+            if rival.targets() >= LIMIT && !record.covers(rival) {
                 return Verdict::Clear;
             }
-            rivals = true;
+            has_rival = true;
         }
-        match (crashes >= LIMIT, rivals) {
-            (false, _) => Verdict::Suspect,
-            (true, true) => Verdict::Apart,
-            (true, false) => Verdict::Refused {
+        match targets {
+            0 => Verdict::Clear,
+            1 => Verdict::Suspect,
+            _ if has_rival => Verdict::Apart,
+            _ => Verdict::Refused {
                 remaining: record.until.since(now),
             },
         }
     }
 
+    /// Returns the other records that were present at all crashes of this one.
+    fn rivals<'a>(
+        &'a self,
+        now: time::Mono,
+        fingerprint: id::Fingerprint,
+        record: &'a Record,
+    ) -> impl Iterator<Item = &'a Record> {
+        let cohort = record
+            .crashes
+            .first()
+            .and_then(|crash| self.cohorts.get(crash));
+        cohort
+            .into_iter()
+            .flatten()
+            .filter(move |other| **other != fingerprint)
+            .filter_map(|other| self.records.get(other))
+            .filter(move |rival| rival.until > now && rival.covers(record))
+    }
+
     /// Returns whether a request may start beside those in flight: two
     /// suspects that must be told apart may not run together.
     pub fn may_join<'a>(
@@ -207,134 +222,127 @@
     ) {
         let number = CrashNumber(self.next);
         self.next += 1;
-        for fingerprint in in_flight {
-            self.note(now, target, fingerprint, number);
-        }
-    }
-
-    /// Notes that a router saw a request break off with a crash of its target.
-    /// The agent's own report, when it comes, adds the crash's number.
-    pub fn broken(&mut self, now: time::Mono, target: &id::TargetId, fingerprint: id::Fingerprint) {
-        self.note(now, target, fingerprint, CrashNumber(0));
-    }
-
-    fn note(
-        &mut self,
-        now: time::Mono,
-        target: &id::TargetId,
-        fingerprint: id::Fingerprint,
-        number: CrashNumber,
-    ) {
         let crash = Crash {
+            target: target.clone(),
             number,
-            excused: None,
         };
-        let crashes = BTreeMap::from([(target.clone(), crash)]);
-        self.absorb(now, fingerprint, &crashes, self.term);
+        for fingerprint in in_flight {
+            self.merge(
+                now,
+                &Entry {
+                    fingerprint,
+                    crashes: BTreeSet::from([crash.clone()]),
+                    excused: BTreeMap::new(),
+                    remaining: self.term,
+                    verdict: Verdict::Suspect,
+                },
+            );
+        }
     }
 
     /// Notes that a request with this fingerprint ran to its end, which clears
     /// it: a request that crashes every target never does.
     pub fn completed(&mut self, fingerprint: id::Fingerprint) {
-        if let Some(record) = self.records.get_mut(&fingerprint) {
-            record.excuse();
-        }
+        self.change(fingerprint, Record::excuse);
     }
 
     /// Takes in an entry of another process. Late, repeated and reordered
     /// entries do no harm: crashes and excuses only add up.
     pub fn merge(&mut self, now: time::Mono, entry: &Entry) {
-        let remaining = entry.remaining.min(self.term);
-        self.absorb(now, entry.fingerprint, &entry.crashes, remaining);
+        let until = now + entry.remaining.min(self.term);
+        self.make_room(now, entry.fingerprint);
+        self.records.entry(entry.fingerprint).or_insert(Record {
+            crashes: BTreeSet::new(),
+            excused: BTreeMap::new(),
+            until,
+        });
+        self.change(entry.fingerprint, |record| {
+            if record.until <= now {
+                // The term is over; only later crashes count.
+                record.excuse();
+            }
+            // Only news prolongs an entry. Otherwise two processes that
+            // exchange it would prolong it for ever by the time on the way.
+            record.until = if record.merge(entry) {
+                record.until.max(until)
+            } else {
+                record.until.min(until)
+            };
+        });
     }
 
-    fn absorb(
-        &mut self,
-        now: time::Mono,
-        fingerprint: id::Fingerprint,
-        crashes: &BTreeMap<id::TargetId, Crash>,
-        remaining: span::Span,
-    ) {
-        self.expire(now);
-        let until = now + remaining;
-        let is_new = !self.records.contains_key(&fingerprint);
-        if is_new && self.records.len() >= MOST_ENTRIES {
-            self.forget_oldest();
+    /// Changes a record, if there is one, and keeps the cohorts up to date.
+    fn change(&mut self, fingerprint: id::Fingerprint, apply: impl FnOnce(&mut Record)) {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return;
+        };
+        let before = record.crashes.clone();
+        apply(record);
+        let after = record.crashes.clone();
+        for crash in before.difference(&after) {
+            self.leave(crash, fingerprint);
         }
-        for target in crashes.keys() {
-            let cohort = self.cohorts.entry(target.clone()).or_default();
+        for crash in after.difference(&before) {
+            let cohort = self.cohorts.entry(crash.clone()).or_default();
             cohort.insert(fingerprint);
         }
-        let record = self.records.entry(fingerprint).or_insert(Record {
-            crashes: BTreeMap::new(),
-            until,
-        });
-        let mut has_news = is_new;
-        for (target, crash) in crashes {
-            match record.crashes.get_mut(target) {
-                Some(known) => has_news |= known.merge(*crash),
-                None => {
-                    record.crashes.insert(target.clone(), *crash);
-                    has_news = true;
-                }
-            }
-        }
-        // Only news prolongs an entry. Otherwise two processes that exchange
-        // it would prolong it for ever by the time on the way.
-        record.until = if has_news {
-            record.until.max(until)
-        } else {
-            record.until.min(until)
-        };
     }
 
-    fn forget_oldest(&mut self) {
-        let oldest = self
-            .records
-            .iter()
-            .min_by_key(|(_, record)| (record.live().count(), record.until))
-            .map(|(fingerprint, _)| *fingerprint);
-        if let Some(fingerprint) = oldest {
-            self.forget(fingerprint);
+    fn leave(&mut self, crash: &Crash, fingerprint: id::Fingerprint) {
+        if let Some(cohort) = self.cohorts.get_mut(crash) {
+            cohort.remove(&fingerprint);
+            if cohort.is_empty() {
+                self.cohorts.remove(crash);
+            }
         }
     }
 
-    fn expire(&mut self, now: time::Mono) {
+    /// Forgets records for a new one, if necessary.
+    ///
+    /// A record whose term is over is kept for as long again, so that a late
+    /// copy of the entry does not bring it back.
+    fn make_room(&mut self, now: time::Mono, fingerprint: id::Fingerprint) {
+        let is_full = self.records.len() >= MOST_RECORDS;
+        if self.records.contains_key(&fingerprint) {
+            return;
+        }
+        let term = self.term;
         let over: Vec<_> = self
             .records
             .iter()
-            .filter(|(_, record)| record.until <= now)
+            .filter(|(_, record)| record.until + term <= now)
             .map(|(fingerprint, _)| *fingerprint)
             .collect();
-        for fingerprint in over {
-            self.forget(fingerprint);
+        for fingerprint in &over {
+            self.forget(*fingerprint);
+        }
+        if is_full && over.is_empty() {
+            let least = self
+                .records
+                .iter()
+                .min_by_key(|(_, record)| (record.targets(), record.until))
+                .map(|(fingerprint, _)| *fingerprint);
+            least.into_iter().for_each(|least| self.forget(least));
         }
     }
 
     fn forget(&mut self, fingerprint: id::Fingerprint) {
-        let Some(record) = self.records.remove(&fingerprint) else {
-            return;
-        };
-        for target in record.crashes.keys() {
-            if let Some(cohort) = self.cohorts.get_mut(target) {
-                cohort.remove(&fingerprint);
-                if cohort.is_empty() {
-                    self.cohorts.remove(target);
-                }
+        if let Some(record) = self.records.remove(&fingerprint) {
+            for crash in &record.crashes {
+                self.leave(crash, fingerprint);
             }
         }
     }
 
     /// Lifts a quarantine by an operator's command; returns whether there was
     /// an entry. Later crashes count again.
-    pub fn lift(&mut self, fingerprint: id::Fingerprint) -> bool {
-        match self.records.get_mut(&fingerprint) {
-            Some(record) => {
-                record.excuse();
-                true
-            }
-            None => false,
-        }
+    pub fn lift(&mut self, now: time::Mono, fingerprint: id::Fingerprint) -> bool {
+        let is_known = self
+            .records
+            .get(&fingerprint)
+            .is_some_and(|record| record.until > now);
+        self.change(fingerprint, Record::excuse);
+        is_known
     }
 
     /// Returns all entries, also cleared ones, whose excuses other processes
@@ -343,16 +351,38 @@
         self.records
             .iter()
             .filter(|(_, record)| record.until > now)
-            .map(|(fingerprint, record)| Entry {
-                fingerprint: *fingerprint,
-                crashes: record.crashes.clone(),
-                remaining: record.until.since(now),
-                verdict: if record.is_clear() {
-                    Verdict::Clear
-                } else {
-                    self.judge(now, *fingerprint, record)
-                },
-            })
+            .map(|(fingerprint, record)| self.entry(now, *fingerprint, record))
+            .collect()
+    }
+
+    /// Returns the entries of a fingerprint and of all that were present at
+    /// its crashes.
+    ///
+    /// They go with the report of the crash to the router, and with the resent
+    /// request to the next agent, so that both can tell the cause from the
+    /// others before the exchange reaches them.
+    pub fn related(&self, now: time::Mono, fingerprint: id::Fingerprint) -> Vec<Entry> {
+        let Some(record) = self.records.get(&fingerprint) else {
+            return Vec::new();
+        };
+        let cohorts = record.crashes.iter().filter_map(|c| self.cohorts.get(c));
+        let mut related: BTreeSet<_> = cohorts.flatten().copied().collect();
+        related.insert(fingerprint);
+        related
+            .into_iter()
+            .filter_map(|related| Some((related, self.records.get(&related)?)))
+            .filter(|(_, record)| record.until > now)
+            .map(|(related, record)| self.entry(now, related, record))
             .collect()
     }
+
+    fn entry(&self, now: time::Mono, fingerprint: id::Fingerprint, record: &Record) -> Entry {
+        Entry {
+            fingerprint,
+            crashes: record.crashes.clone(),
+            excused: record.excused.clone(),
+            remaining: record.until.since(now),
+            verdict: self.judge(now, fingerprint, record),
+        }
+    }
 }
