Connect the daemon to the table, the object store and the instance list

The configuration is read from the table and from peers, followed by version stamps and a jittered poll, and written by compare-and-set. Claims of idempotency keys go to the table in batches.

--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -11,7 +11,7 @@
 use base::{id, rate, size, span};
 use conf::{change::Change, settings, state, value};
 use daemon::{agent, router};
-use fakes::{engine, service, table};
+use fakes::{engine, list, object, service, table};
 use place::policy;
 use tokio::{task::JoinHandle, time};
 use tokio_util::sync::CancellationToken;
@@ -176,6 +176,10 @@
     pub options: Options,
     /// The table.
     pub table: table::Table,
+    /// The object store.
+    pub objects: object::Objects,
+    /// The instance list.
+    pub list: list::List,
     /// Engines.
     pub engines: Vec<EngineSlot>,
     /// Instances of the plain service.
@@ -271,9 +275,13 @@
     /// ready in time.
     pub async fn start(deployment: Deployment, options: Options) -> anyhow::Result<Self> {
         let table = table::Table::start(loopback(), &table::Options::default())?;
+        let objects = object::Objects::start(loopback(), &object::Options::default())?;
+        let list = list::List::start(loopback(), list::Options::default())?;
         let bootstrap = write_bootstrap(&deployment, &options)?;
         let mut running = Self {
             table,
+            objects,
+            list,
             engines: Vec::new(),
             instances: Vec::new(),
             routers: Vec::new(),
@@ -318,8 +326,8 @@
             seeds: self.seeds.clone(),
             platform: settings::Platform {
                 table: self.table.address(),
-                objects: self.table.address(),
-                instances: self.table.address(),
+                objects: self.objects.address(),
+                instances: self.list.address(),
             },
             tls: settings::Tls::default(),
             limits: settings::Limits {
@@ -362,6 +370,7 @@
     /// When an address cannot be bound.
     pub async fn start_router(&self, number: usize) -> anyhow::Result<Process> {
         let settings = self.router_settings(number)?;
+        self.enlist(&settings);
         let stop = CancellationToken::new();
         let running = router::start(settings.clone(), self.options.tuning, stop.clone()).await?;
         Ok(Process {
@@ -463,6 +472,7 @@
         address: SocketAddr,
     ) -> anyhow::Result<Process> {
         let settings = self.agent_settings(name, number, service, kind, address)?;
+        self.enlist(&settings);
         let stop = CancellationToken::new();
         let running = agent::start(settings.clone(), stop.clone()).await?;
         Ok(Process {
@@ -472,6 +482,20 @@
         })
     }
 
+    /// Adds a process to the instance list.
+    fn enlist(&self, settings: &settings::Settings) {
+        self.list.add(list::Instance {
+            id: settings.process.to_string(),
+            address: settings.advertise.to_string(),
+            data_centre: settings.data_centre.to_string(),
+            service: settings
+                .agent
+                .as_ref()
+                .map(|agent| agent.service.to_string()),
+            state: list::State::Live,
+        });
+    }
+
     /// Returns the addresses at which routers accept callers.
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.routers
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -10,7 +10,7 @@
 
 use anyhow::Context;
 use arc_swap::ArcSwap;
-use base::fault::Fault;
+use base::{fault::Fault, id};
 use conf::settings;
 use futures_util::FutureExt;
 use http::{Request, Response, StatusCode};
@@ -23,12 +23,14 @@
 
 use crate::{
     agent_core::{Attached, Core, Event, Parts},
-    body, health,
+    body, claims, health,
     link::Links,
     listen,
     metrics::Metrics,
     node::{self, Node, Signal},
-    peers, reply, serve,
+    peers,
+    platform::Platform,
+    reply, serve,
     target::Target,
 };
 
@@ -45,6 +47,7 @@
             "/settle" => self.settle(request).await,
             "/cancel" => self.cancel(request).await,
             "/exchange" => self.exchange(request).await,
+            "/changes" => self.changes(request).await,
             _ => Ok(peers::status(StatusCode::NOT_FOUND)),
         };
         answered.unwrap_or_else(|fault| peers::invalid(&fault))
@@ -91,6 +94,25 @@
         let events = &self.events;
         exchange(request, |signal| events.send(Event::Node(signal)).is_ok()).await
     }
+
+    async fn changes(&self, request: Request<Incoming>) -> Result<Response<body::Body>, Fault> {
+        let events = &self.events;
+        changes(request, |signal| events.send(Event::Node(signal)).is_ok()).await
+    }
+}
+
+/// Tells another process the configuration changes that it lacks.
+pub(crate) async fn changes(
+    request: Request<Incoming>,
+    signal: impl FnOnce(Signal) -> bool,
+) -> Result<Response<body::Body>, Fault> {
+    let asked: msg::ChangesSince = peers::message(request, frame::MAX_SMALL).await?;
+    let (reply, answer) = oneshot::channel();
+    signal(Signal::Asked(id::Version(asked.version), reply));
+    Ok(match answer.await {
+        Ok(changes) => peers::replies(&changes),
+        Err(_) => peers::status(StatusCode::SERVICE_UNAVAILABLE),
+    })
 }
 
 /// Answers an exchange that another process started.
@@ -155,17 +177,22 @@
         runtime.block_on(async move {
             let incarnation = node::incarnation();
             let signals = listen::forward(core_events.clone(), Event::Node);
-            let mut node = Node::new(core_settings.clone(), incarnation, links, signals);
-            if let Some(conf) = listen::bootstrap(&core_settings) {
-                node.adopt(conf);
-            }
-            ready.set(health::State::Ready);
+            let platform = Platform::new(&core_settings.platform);
+            let node = Node::new(core_settings, incarnation, links, platform.clone(), signals);
+            let asks = claims::start(
+                platform.clone(),
+                node.clock,
+                core_events.clone(),
+                metrics.clone(),
+            );
             let parts = Parts {
                 node,
                 incarnation,
                 target: Target::new(own.address),
                 traffic,
-                asks: listen::no_table(core_events.clone()),
+                asks,
+                objects: platform.objects,
+                health: ready,
                 events: core_events,
                 stamp,
                 metrics,
--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -11,6 +11,7 @@
 use conf::{settings, state};
 use fleet::{convert, member};
 use once::{action, claim, epoch::Epoch, event, ledger, refusal::Refusal};
+use store::object;
 use tokio::{
     runtime::Handle,
     sync::{mpsc, oneshot},
@@ -18,6 +19,7 @@
 use wire::{convert as fields, msg};
 
 use crate::{
+    health,
     job::{Job, Report},
     metrics::Metrics,
     node::{Node, Signal},
@@ -111,6 +113,10 @@
     pub stamp: Arc<ArcSwap<msg::Stamp>>,
     /// Carries out claims.
     pub asks: Asks,
+    /// Stored responses.
+    pub objects: object::Objects,
+    /// Shown to the platform.
+    pub health: Arc<health::Health>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
 }
@@ -241,7 +247,7 @@
     fn service(&self) -> Option<Arc<state::Service>> {
         self.parts
             .node
-            .conf
+            .conf()
             .services()
             .get(&self.agent.service)
             .cloned()
@@ -303,6 +309,13 @@
                 if changed.members {
                     self.regroup(now);
                 }
+                if changed.configuration {
+                    self.configure();
+                }
+                self.parts
+                    .node
+                    .ready()
+                    .then(|| self.parts.health.set(health::State::Ready));
             }
             Event::Run(run, link, reply) => self.offer(now, *run, link, reply),
             Event::Settle(settle, link, reply) => self.settle(now, &settle, link, reply),
@@ -762,9 +775,43 @@
         self.attach_waiting(id);
     }
 
-    fn load(&mut self, id: id::RequestId, key: String) {
-        tracing::warn!(event = "object_store_missing", request = %id, key);
-        self.loaded(id, None);
+    /// Reads a stored response from the object store.
+    fn load(&self, id: id::RequestId, key: String) {
+        let objects = self.parts.objects.clone();
+        let events = self.parts.events.clone();
+        tokio::spawn(async move {
+            let body = match objects.get(&key).await {
+                Ok(object) => object.map(|object| object.bytes),
+                Err(fault) => {
+                    tracing::warn!(event = "response_unread", request = %id, cause = %fault);
+                    None
+                }
+            };
+            events.send(Event::Loaded(id, body)).ok();
+        });
+    }
+
+    /// Writes a large response of a keyed request to the object store, then
+    /// completes the request.
+    fn store(&self, id: id::RequestId, total: u64, response: claim::Response, body: Vec<u8>) {
+        let objects = self.parts.objects.clone();
+        let events = self.parts.events.clone();
+        let key = format!("response/{id}");
+        tokio::spawn(async move {
+            let any = object::Condition::Any;
+            let written = match objects.put(&key, body.into(), &any).await {
+                object::Outcome::Written(_) => claim::Body::Object { key, total },
+                outcome => {
+                    tracing::warn!(event = "response_unwritten", request = %id, outcome = ?outcome);
+                    claim::Body::Unkept
+                }
+            };
+            let response = claim::Response {
+                body: written,
+                ..response
+            };
+            events.send(Event::Stored(id, total, response)).ok();
+        });
     }
 
     fn loaded(&mut self, id: id::RequestId, body: Option<bytes::Bytes>) {
@@ -860,7 +907,16 @@
         tracing::info!(event = "complete", request = %id, target = %self.agent.target, bytes = total,
             took_ms = took.map(span::Span::as_millis));
         let keyed = open.run.class() == msg::Class::Keyed;
-        let response = keyed.then(|| stored(&open.outlet)).flatten();
+        let response = match keyed.then(|| stored(&open.outlet)).flatten() {
+            Some((response, body)) if body.len() > claim::MAX_INLINE => {
+                return self.store(id, total, response, body);
+            }
+            Some((response, body)) => Some(claim::Response {
+                body: claim::Body::Inline(claim::Content(body)),
+                ..response
+            }),
+            None => None,
+        };
         let actions = self.ledger.complete(now, id, total, response);
         self.act(now, actions);
     }
@@ -971,25 +1027,24 @@
     }
 }
 
-/// Returns the response of a keyed request as its claim row keeps it.
-fn stored(outlet: &Outlet) -> Option<claim::Response> {
+/// Returns the response of a keyed request, and its body, which is not placed
+/// yet.
+fn stored(outlet: &Outlet) -> Option<(claim::Response, Vec<u8>)> {
     let (head, body) = outlet.whole()?;
-    let body = match body.len() <= claim::MAX_INLINE {
-        true => claim::Body::Inline(claim::Content(body)),
-        false => claim::Body::Unkept,
-    };
-    Some(claim::Response {
+    let headers = head
+        .headers
+        .iter()
+        .map(|field| claim::Header {
+            name: field.name.clone(),
+            value: claim::Content(field.value.to_vec()),
+        })
+        .collect();
+    let response = claim::Response {
         status: u16::try_from(head.status).unwrap_or_default(),
-        headers: head
-            .headers
-            .iter()
-            .map(|field| claim::Header {
-                name: field.name.clone(),
-                value: claim::Content(field.value.to_vec()),
-            })
-            .collect(),
-        body,
-    })
+        headers,
+        body: claim::Body::Unkept,
+    };
+    Some((response, body))
 }
 
 /// Time for a health check.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,7 +5,10 @@
 pub mod agent;
 pub mod agent_core;
 pub mod body;
+pub mod claims;
+pub mod commit;
 pub mod failure;
+pub mod follow;
 pub mod forward;
 pub mod front;
 pub mod health;
@@ -18,6 +21,7 @@
 pub mod node;
 pub mod outlet;
 pub mod peers;
+pub mod platform;
 pub mod problem;
 pub mod process;
 pub mod prompt;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -1,18 +1,16 @@
-//! What both roles need in order to start: listeners, certificates and the
-//! first configuration.
+//! What both roles need in order to start: listeners and certificates.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
 use base::{
     fault::{At, Fault},
     size, span,
 };
-use conf::{settings, state};
-use once::claim;
+use conf::settings;
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_rustls::TlsConnector;
 
-use crate::{agent_core, node, serve, tls};
+use crate::{node, serve, tls};
 
 /// Connections from other processes at once: every process of a fleet may have
 /// one, and several during reconnection.
@@ -125,16 +123,6 @@
     })
 }
 
-/// Reads the configuration that the settings name for a first start.
-pub fn bootstrap(settings: &settings::Settings) -> Option<Arc<state::Configuration>> {
-    let changes = settings::load_bootstrap(settings.bootstrap.as_deref()?).ok()?;
-    let mut conf = state::Configuration::default();
-    for change in &changes {
-        conf = conf.apply(change).ok()?;
-    }
-    Some(Arc::new(conf))
-}
-
 /// Passes the signals of the common state on as events of a role.
 pub fn forward<E: Send + 'static>(
     events: mpsc::UnboundedSender<E>,
@@ -148,13 +136,3 @@
     });
     sender
 }
-
-/// Answers every operation on claim rows with "unavailable".
-pub fn no_table(events: mpsc::UnboundedSender<agent_core::Event>) -> agent_core::Asks {
-    Arc::new(move |ask: claim::Ask| {
-        let answer = claim::Answer::Unavailable;
-        events
-            .send(agent_core::Event::Claim(Box::new(ask), answer))
-            .ok();
-    })
-}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,15 +1,23 @@
 //! The control state that routers and agents have in common: members, the
 //! exchange with other processes and the configuration in use.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
-use base::{id, span, time};
-use conf::{settings, state};
+use base::{hash, id, span, time};
+use conf::{command, history, row, settings, state};
 use fleet::{budget, convert, exchange, member, rules};
 use tokio::sync::{mpsc, oneshot};
 use wire::msg;
 
-use crate::{failure::Failure, link::Links};
+use crate::{commit, failure::Failure, follow, link::Links, platform::Platform};
+
+/// Time after the start during which a process waits for a peer to tell its
+/// version, before the table alone decides that it is up to date.
+const JOIN_WAIT: span::Span = span::Span::from_secs(2);
+
+/// Part of the table's rates that an agent of a plain service gets, relative to
+/// other processes.
+const CLAIM_WEIGHT: f64 = 20.0;
 
 /// What concerns the common state.
 #[derive(Debug)]
@@ -20,6 +28,28 @@
     Answered(exchange::Partner, Result<msg::Exchange, member::Failure>),
     /// A message of another process had this stamp.
     Stamp(msg::Stamp),
+    /// Another process asks for the changes after a version.
+    Asked(id::Version, oneshot::Sender<Vec<msg::Change>>),
+    /// Changes arrived, or the head of the table was read.
+    Offer(
+        Vec<Arc<row::ChangeRow>>,
+        Option<row::Head>,
+        Option<oneshot::Sender<id::Version>>,
+    ),
+    /// A snapshot of the configuration arrived.
+    Snapshot(Box<row::Snapshot>),
+    /// A command is to be prepared.
+    Prepare(
+        row::Command,
+        history::Answers,
+        oneshot::Sender<Result<command::Proposal, command::Refusal>>,
+    ),
+    /// Peers to ask for changes, with the version here.
+    Peers(oneshot::Sender<(Vec<SocketAddr>, id::Version)>),
+    /// A fetch of changes has ended.
+    Fetched,
+    /// The instance list was read.
+    Instances(member::Instances),
 }
 
 /// What a signal changed.
@@ -29,8 +59,11 @@
     pub members: bool,
     /// Quarantine entries that were new.
     pub suspects: Vec<msg::Suspect>,
-    /// Version of the configuration that a peer has and this process has not.
-    pub newer: Option<(id::Version, SocketAddr)>,
+    /// Whether a newer configuration is in use.
+    pub configuration: bool,
+    /// The incarnation that the fleet knows of this process, when it is above
+    /// its own.
+    pub renumber: Option<id::Incarnation>,
 }
 
 /// The common state; owned by the control thread.
@@ -43,11 +76,16 @@
     pub exchange: exchange::Exchange,
     /// Budget of control traffic.
     pub budget: budget::Budget,
-    /// The configuration in use.
-    pub conf: Arc<state::Configuration>,
+    /// The accepted changes and the configuration in use.
+    pub history: history::History,
     /// Connections to other processes.
     pub links: Arc<Links>,
+    /// The platform's services.
+    pub platform: Platform,
     due: time::Mono,
+    polls: follow::Polls,
+    /// Processes that told their version since the start.
+    answered: BTreeSet<id::ProcessId>,
     signals: mpsc::UnboundedSender<Signal>,
 }
 
@@ -92,6 +130,7 @@
         settings: Arc<settings::Settings>,
         incarnation: id::Incarnation,
         links: Arc<Links>,
+        platform: Platform,
         signals: mpsc::UnboundedSender<Signal>,
     ) -> Self {
         let clock = time::Clock::start();
@@ -107,9 +146,12 @@
             clock,
             exchange,
             budget: budget::Budget::joining(now),
-            conf: Arc::default(),
+            history: history::History::new(),
             links,
+            platform,
             due: now,
+            polls: follow::Polls::new(now, incarnation.0),
+            answered: BTreeSet::new(),
             signals,
             settings,
         }
@@ -125,6 +167,20 @@
         self.due
     }
 
+    /// Returns the configuration in use.
+    pub fn conf(&self) -> &Arc<state::Configuration> {
+        self.history.configuration()
+    }
+
+    /// Returns what a command needs.
+    pub fn commit(&self) -> commit::Commit {
+        commit::Commit {
+            platform: self.platform.clone(),
+            links: self.links.clone(),
+            signals: self.signals.clone(),
+        }
+    }
+
     /// Starts the exchange of this interval and removes silent members.
     pub fn tick(&mut self) -> bool {
         let now = self.clock.now();
@@ -133,6 +189,7 @@
         }
         self.due = now + exchange::INTERVAL;
         self.start_exchange(now);
+        self.poll(now);
         let removed = self.exchange.members.expire(now);
         for process in &removed {
             tracing::warn!(event = "member_removed", process = %process, reason = "silent");
@@ -180,21 +237,212 @@
                 }
             }
             Signal::Stamp(stamp) => self.stamped(now, &stamp),
+            Signal::Asked(version, reply) => {
+                reply.send(follow::told(&self.history, version)).ok();
+                Changed::default()
+            }
+            Signal::Offer(rows, head, reply) => {
+                let changed = self.offer(rows, head);
+                if let Some(reply) = reply {
+                    reply.send(self.history.version()).ok();
+                }
+                changed
+            }
+            Signal::Snapshot(snapshot) => self.adopt(*snapshot),
+            Signal::Prepare(command, answers, reply) => {
+                reply
+                    .send(command::prepare(&self.history, command, answers))
+                    .ok();
+                Changed::default()
+            }
+            Signal::Peers(reply) => {
+                reply.send((self.peers(now), self.history.version())).ok();
+                Changed::default()
+            }
+            Signal::Fetched => {
+                self.polls.fetching = false;
+                Changed::default()
+            }
+            Signal::Instances(list) => {
+                let changed = self.exchange.members.list(now, &list);
+                for process in &changed {
+                    tracing::info!(event = "instance_changed", process = %process);
+                }
+                Changed {
+                    members: !changed.is_empty(),
+                    ..Changed::default()
+                }
+            }
+        }
+    }
+
+    /// Takes in change rows and the head of the table.
+    fn offer(&mut self, rows: Vec<Arc<row::ChangeRow>>, head: Option<row::Head>) -> Changed {
+        let before = self.history.version();
+        for row in rows {
+            match self.history.offer(row) {
+                history::Offer::Forked(fork) => {
+                    tracing::error!(event = "configuration_forked", fork = %fork);
+                }
+                history::Offer::Unusable(cause) => {
+                    tracing::error!(event = "change_unusable", %cause);
+                }
+                _ => {}
+            }
+        }
+        if let Some(head) = head {
+            self.observe(head);
+        }
+        self.adopted(before)
+    }
+
+    fn adopt(&mut self, snapshot: row::Snapshot) -> Changed {
+        let before = self.history.version();
+        if let history::Adoption::Forked(fork) = self.history.adopt(snapshot) {
+            tracing::error!(event = "configuration_forked", fork = %fork);
+        }
+        self.adopted(before)
+    }
+
+    fn adopted(&mut self, before: id::Version) -> Changed {
+        let version = self.history.version();
+        if version > before {
+            tracing::info!(event = "configuration_adopted", version = %version, previous = %before);
+        }
+        Changed {
+            configuration: version > before,
+            ..Changed::default()
+        }
+    }
+
+    fn observe(&mut self, head: row::Head) {
+        match self.history.observe(head) {
+            history::HeadView::Same => {}
+            history::HeadView::Ahead(_) => self.fetch(None),
+            history::HeadView::Restored(from) => {
+                tracing::warn!(event = "table_restored", missing_from = %from, version = %self.history.version());
+                self.write_back();
+            }
+            history::HeadView::Unverified(version) => {
+                tracing::warn!(event = "table_unverified", head = %version, version = %self.history.version());
+            }
+            history::HeadView::Forked(fork) => {
+                tracing::error!(event = "configuration_forked", fork = %fork);
+            }
         }
     }
 
+    /// Writes the changes that a restored table lacks back to it.
+    fn write_back(&self) {
+        let Some(transaction) = self.history.write_back() else {
+            return;
+        };
+        let commit = self.commit();
+        tokio::spawn(async move {
+            commit.platform.commit(&transaction).await;
+            follow::read_head(&commit).await;
+        });
+    }
+
+    /// Fetches newer changes, from a peer or else from the table.
+    fn fetch(&mut self, peer: Option<SocketAddr>) {
+        if std::mem::replace(&mut self.polls.fetching, true) {
+            return;
+        }
+        let commit = self.commit();
+        let version = self.history.version();
+        tokio::spawn(async move {
+            follow::fetch(&commit, peer, version).await;
+            commit.signals.send(Signal::Fetched).ok();
+        });
+    }
+
+    /// Reads what is due from the platform.
+    fn poll(&mut self, now: time::Mono) {
+        self.share();
+        let commit = self.commit();
+        if self.polls.head(now, self.history.head().is_some()) {
+            tokio::spawn(async move { follow::read_head(&commit).await });
+        }
+        let commit = self.commit();
+        if self.polls.list(now) {
+            tokio::spawn(async move { follow::read_list(&commit).await });
+        }
+        if !self.history.is_ready() && self.history.version().0 == 0 && self.polls.snapshot(now) {
+            let commit = self.commit();
+            tokio::spawn(async move { follow::read_snapshot(&commit).await });
+        }
+    }
+
+    /// Divides the table's rates among the members: an agent of a plain service
+    /// writes claims and gets a larger part.
+    fn share(&self) {
+        let now = self.clock.now();
+        let fleet = self.conf().fleet();
+        let weight = |service: Option<&id::ServiceId>| {
+            let service = service.and_then(|id| self.conf().services().get(id));
+            match service.is_some_and(|service| service.kind == state::Kind::Plain) {
+                true => CLAIM_WEIGHT,
+                false => 1.0,
+            }
+        };
+        let rows = self.exchange.members.rows(now);
+        let total: f64 = rows
+            .iter()
+            .map(|row| weight(row.member.service.as_ref()))
+            .sum();
+        let own = weight(self.exchange.members.own().service.as_ref());
+        self.platform
+            .share(fleet.table_reads, fleet.table_writes, own, total.max(own));
+    }
+
+    /// Returns up to three peers to ask for changes; they change with time.
+    fn peers(&self, now: time::Mono) -> Vec<SocketAddr> {
+        let own = &self.settings.process;
+        let mut rows = self.exchange.members.rows(now);
+        rows.retain(|row| {
+            row.member.process != *own
+                && !matches!(
+                    row.standing,
+                    member::Standing::Listed | member::Standing::Down
+                )
+        });
+        let turn = now.0;
+        rows.sort_by_key(|row| hash::mix(turn, member::key(&row.member.process)));
+        rows.truncate(history::ASKED);
+        rows.iter().map(|row| row.member.address).collect()
+    }
+
+    /// Returns whether this process may serve: it uses a configuration and no
+    /// source that it can reach has a newer one.
+    pub fn ready(&mut self) -> bool {
+        let now = self.clock.now();
+        if self.history.is_ready() {
+            return true;
+        }
+        let joined = !self.answered.is_empty() || now.since(time::Mono(0)) > JOIN_WAIT;
+        if !joined {
+            return false;
+        }
+        let reporting = self.exchange.members.reporting().saturating_sub(1);
+        let answers = history::Answers {
+            known: reporting,
+            answered: self.answered.len(),
+            newest: self.history.newest(),
+        };
+        let readiness = self.history.readiness(answers);
+        self.polls.explain(now, &readiness);
+        readiness == history::Readiness::Ready && self.history.version().0 > 0
+    }
+
     fn stamped(&mut self, now: time::Mono, stamp: &msg::Stamp) -> Changed {
         let Ok(known) = convert::stamp(stamp) else {
             return Changed::default();
         };
         self.exchange.stamp(now, &known);
-        let newer = (known.version > self.conf.version())
-            .then(|| self.address(now, &known.process))
-            .flatten()
-            .map(|address| (known.version, address));
+        self.heard(now, &known.process, known.version);
         Changed {
             members: true,
-            newer,
             ..Changed::default()
         }
     }
@@ -213,14 +461,24 @@
             let standing = row.map_or("removed".to_owned(), |row| format!("{:?}", row.standing));
             tracing::info!(event = "member_changed", process = %process, standing = standing.to_lowercase());
         }
-        let newer = applied.newer.and_then(|version| {
-            let address = self.address(now, &sender?)?;
-            Some((version, address))
-        });
+        if let Some(sender) = sender {
+            let newer = applied.newer.unwrap_or_default();
+            self.answered.insert(sender.clone());
+            self.heard(now, &sender, newer);
+        }
         Changed {
             members: true,
             suspects: applied.suspects,
-            newer,
+            configuration: false,
+            renumber: applied.renumber,
+        }
+    }
+
+    /// Notes a peer's version and asks it for its changes when it is newer.
+    fn heard(&mut self, now: time::Mono, peer: &id::ProcessId, version: id::Version) {
+        if self.history.hear(version) {
+            let address = self.address(now, peer);
+            self.fetch(address);
         }
     }
 
@@ -230,16 +488,10 @@
         Some(row.member.address)
     }
 
-    /// Uses a newer configuration.
-    pub fn adopt(&mut self, conf: Arc<state::Configuration>) {
-        tracing::info!(event = "configuration_adopted", version = %conf.version(), previous = %self.conf.version());
-        self.conf = conf;
-    }
-
     /// Sets what this process tells about itself.
     pub fn tell(&mut self, standing: member::Standing, load: u32, cap: u32) {
         let now = self.clock.now();
-        let version = self.conf.version();
+        let version = self.history.version();
         self.exchange.update(now, standing, version, load, cap);
     }
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -49,3 +49,9 @@
 pub fn reply(message: &impl Message) -> Response<body::Body> {
     Response::new(body::full(frame::encode(message)))
 }
+
+/// Makes a response with several messages.
+pub fn replies<M: Message>(messages: &[M]) -> Response<body::Body> {
+    let frames: Vec<u8> = messages.iter().flat_map(frame::encode).collect();
+    Response::new(body::full(frames))
+}
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -33,6 +33,7 @@
     metrics::Metrics,
     node::{self, Node},
     peers,
+    platform::Platform,
     problem::{Code, OUTCOME, Outcome, Problem},
     router_core::{Core, Event, Parts},
     serve,
@@ -258,6 +259,7 @@
 ) -> Response<body::Body> {
     let answered = match request.uri().path() {
         "/exchange" => agent::exchange(request, |s| events.send(Event::Node(s)).is_ok()).await,
+        "/changes" => agent::changes(request, |s| events.send(Event::Node(s)).is_ok()).await,
         _ => Ok(peers::status(StatusCode::NOT_FOUND)),
     };
     answered.unwrap_or_else(|fault| peers::invalid(&fault))
@@ -315,6 +317,7 @@
     let pages = listen::health(&settings, health::handler(health.clone())).await?;
     others.spawn(pages.run(closed.clone()));
 
+    let bootstrap = settings.bootstrap_changes()?;
     let control = thread::Builder::new().name("control".to_owned());
     let core_settings = settings.clone();
     let core_events = events.clone();
@@ -326,11 +329,11 @@
             .expect("a runtime without threads needs only file descriptors");
         runtime.block_on(async move {
             let signals = listen::forward(core_events, Event::Node);
-            let mut node = Node::new(core_settings.clone(), node::incarnation(), links, signals);
-            if let Some(conf) = listen::bootstrap(&core_settings) {
-                node.adopt(conf);
-            }
+            let platform = Platform::new(&core_settings.platform);
+            let incarnation = node::incarnation();
+            let node = Node::new(core_settings, incarnation, links, platform, signals);
             let parts = Parts {
+                bootstrap,
                 node,
                 snapshot,
                 health: core_health,
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -6,7 +6,8 @@
 };
 
 use arc_swap::ArcSwap;
-use base::{id, span, time};
+use base::{hash, id, span, time};
+use conf::{change::Change, row};
 use fleet::{convert, member};
 use place::{policy, view};
 use tokio::sync::mpsc;
@@ -49,6 +50,26 @@
     pub health: Arc<health::Health>,
     /// How targets are chosen.
     pub tuning: policy::Tuning,
+    /// Changes that make the first configuration when the table has none.
+    pub bootstrap: Vec<Change>,
+}
+
+/// Who is recorded for the first configuration.
+const BOOTSTRAP: &str = "bootstrap";
+
+/// Makes the command of the first configuration; its id follows from the
+/// content.
+fn first_command(changes: Vec<Change>) -> row::Command {
+    let content = serde_json::to_vec(&changes).unwrap_or_default();
+    let low = hash::bytes(&content);
+    let id = (u128::from(hash::mix(low, 1)) << 64) | u128::from(low);
+    row::Command {
+        id: id::CommandId(id),
+        who: BOOTSTRAP.parse().expect("the name is a valid id"),
+        why: "first configuration from the settings".to_owned(),
+        when: 0,
+        change: Change::Batch(changes),
+    }
 }
 
 /// The control state; owned by the control thread.
@@ -118,7 +139,8 @@
         match event {
             Event::Node(signal) => {
                 let changed = self.parts.node.signal(signal);
-                self.all_dirty |= changed.members;
+                self.all_dirty |= changed.members || changed.configuration;
+                self.bootstrap();
             }
             Event::Stamp(stamp) => self.stamp(now, &stamp),
             Event::Sent(agent) => {
@@ -146,6 +168,29 @@
         }
     }
 
+    /// Writes the first configuration when the table has none. Every router
+    /// does so with the same command id, and the table accepts it once.
+    fn bootstrap(&mut self) {
+        let empty = self
+            .parts
+            .node
+            .history
+            .head()
+            .is_some_and(|head| head.point.version.0 == 0);
+        if !empty || self.parts.bootstrap.is_empty() || self.parts.node.history.version().0 > 0 {
+            return;
+        }
+        let changes = std::mem::take(&mut self.parts.bootstrap);
+        let commit = self.parts.node.commit();
+        let command = first_command(changes);
+        tokio::spawn(async move {
+            match commit.run(command).await {
+                Ok(version) => tracing::info!(event = "configuration_created", %version),
+                Err(cause) => tracing::error!(event = "configuration_not_created", %cause),
+            }
+        });
+    }
+
     fn stamp(&mut self, now: time::Mono, stamp: &msg::Stamp) {
         let Ok(known) = convert::stamp(stamp) else {
             return;
@@ -178,10 +223,11 @@
             return;
         }
         self.published = now;
-        let standing = match (self.leaving, self.parts.node.conf.version().0) {
+        let ready = self.parts.node.ready();
+        let standing = match (self.leaving, ready) {
             (true, _) => member::Standing::Leaving,
-            (false, 0) => member::Standing::Listed,
-            (false, _) => member::Standing::Up,
+            (false, false) => member::Standing::Listed,
+            (false, true) => member::Standing::Up,
         };
         self.parts.node.tell(standing, 0, 0);
         let previous = self.parts.snapshot.load_full();
@@ -198,12 +244,11 @@
                 groups.insert(service, Arc::new(group));
             }
         }
-        let ready = self.parts.node.conf.version().0 > 0;
         if ready {
             self.parts.health.set(health::State::Ready);
         }
         self.parts.snapshot.store(Arc::new(Snapshot {
-            conf: self.parts.node.conf.clone(),
+            conf: self.parts.node.conf().clone(),
             groups,
             stamp: self.parts.node.stamp(),
             ready,
@@ -252,7 +297,7 @@
         row: &member::Row,
     ) -> view::Target {
         let process = &row.member.process;
-        let conf = &self.parts.node.conf;
+        let conf = self.parts.node.conf();
         let weight = conf
             .target_override(target)
             .map_or(row.member.weight, |entry| {
