--- a/crates/bench/examples/measure.rs
+++ b/crates/bench/examples/measure.rs
@@ -2,7 +2,7 @@
 
 use std::env;
 
-use bench::{child, path};
+use bench::{child, path, recovery};
 
 fn main() -> anyhow::Result<()> {
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -10,12 +10,13 @@
         return Ok(());
     }
     let Some((scenario, rest)) = arguments.split_first() else {
-        anyhow::bail!("name a scenario: path");
+        anyhow::bail!("name a scenario: path, recovery");
     };
     let runtime = tokio::runtime::Runtime::new()?;
     match scenario.as_str() {
         "path" => runtime.block_on(path::run(parse(path::options(), rest))),
-        other => anyhow::bail!("scenario {other:?} does not exist; scenarios: path"),
+        "recovery" => runtime.block_on(recovery::run(parse(recovery::options(), rest))),
+        other => anyhow::bail!("scenario {other:?} does not exist; scenarios: path, recovery"),
     }
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod client;
 pub mod deploy;
 pub mod path;
+pub mod recovery;
