--- a/crates/bench/examples/measure.rs
+++ b/crates/bench/examples/measure.rs
@@ -2,9 +2,10 @@
 
 use std::env;
 
-use bench::{child, path, spread};
+use bench::{child, faults, path, recovery, spread};
 
-const SCENARIOS: &str = "path, spread";
+const SCENARIOS: &str = "path, spread, recovery, late, lostreply, outage, pause, routerdeath, \
+                         agentdeath, drain, resend";
 
 fn main() -> anyhow::Result<()> {
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -17,6 +18,8 @@
     match scenario.as_str() {
         "path" => traffic(path::run(parse(path::options(), rest))),
         "spread" => spread::main(rest),
+        "recovery" => traffic(recovery::run(parse(recovery::options(), rest))),
+        name if faults::exists(name) => traffic(faults::run(name, parse(faults::options(), rest))),
         other => anyhow::bail!("scenario {other:?} does not exist; scenarios: {SCENARIOS}"),
     }
 }
--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -483,7 +483,7 @@
     }
 
     /// Adds a process to the instance list.
-    fn enlist(&self, settings: &settings::Settings) {
+    pub(crate) fn enlist(&self, settings: &settings::Settings) {
         self.list.add(list::Instance {
             id: settings.process.to_string(),
             address: settings.advertise.to_string(),
--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinSet;
 
 use crate::{
-    child::Daemon,
+    child::{Daemon, Program},
     client::{self, Call, Caller},
     deploy,
 };
@@ -259,8 +259,8 @@
         short: call(1),
         short_direct: call(1).with("x-request-id", "0"),
         engine,
-        router: Daemon::start(&router)?,
-        agent: Daemon::start(&agent)?,
+        router: Daemon::start(&Program::Own, &router)?,
+        agent: Daemon::start(&Program::Own, &agent)?,
         front,
         call: call(TOKENS),
     };
