Mark the response that a follower of a key receives as replayed

Cause: the second of two concurrent calls with one key got the head of the first one's response, and its router took that for a crossed response.

--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -8,7 +8,7 @@
 use futures_util::stream;
 use once::event;
 use tokio::sync::{mpsc, oneshot};
-use wire::{frame, msg};
+use wire::{convert, frame, msg};
 
 use crate::{
     agent_core::{Attached, Event},
@@ -83,10 +83,14 @@
 
     fn piece(&mut self, piece: Piece) -> Option<msg::Reply> {
         match piece {
-            Piece::Head(head) => Some(msg::Reply {
-                stamp: Some((**self.stamp.load()).clone()),
-                part: Some(msg::Part::Head(head)),
-            }),
+            Piece::Head(mut head) => {
+                // The response of an earlier request with the same key.
+                head.replayed |= head.id != convert::request_bytes(self.id);
+                Some(msg::Reply {
+                    stamp: Some((**self.stamp.load()).clone()),
+                    part: Some(msg::Part::Head(head)),
+                })
+            }
             Piece::Data(data) => Some(msg::Reply {
                 stamp: None,
                 part: Some(msg::Part::Data(data)),
