--- a/crates/fakes/src/batch.rs
+++ b/crates/fakes/src/batch.rs
@@ -23,8 +23,6 @@
     pub chat: Option<String>,
     /// Urgency; a larger number runs first.
     pub priority: i32,
-    /// Whether the response is a stream of events.
-    pub streams: bool,
     /// The tokens to generate.
     pub output: prompt::Output,
     /// The response.
@@ -150,7 +148,7 @@
 
 impl Running {
     fn token(&mut self) {
-        if self.job.streams {
+        if self.job.stream.events() {
             let token = self.job.output.token(self.next);
             let event = prompt::event(&self.job.id, &self.job.model, Some(&token));
             self.job.stream.push(&event);
@@ -160,7 +158,7 @@
 
     fn finish(&self) {
         let job = &self.job;
-        let ending = if job.streams {
+        let ending = if job.stream.events() {
             prompt::event(&job.id, &job.model, None) + prompt::DONE
         } else {
             prompt::whole(&job.id, &job.model, &job.output.text())
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -1,7 +1,9 @@
 //! Control of a stand-in over HTTP, for tests that run it in another process.
 //!
 //! `GET /fake/record` returns the counters, `PUT /fake/faults` replaces the
-//! faults, `POST /fake/down?ms=N` drops all connections for a time.
+//! faults, `POST /fake/down?ms=N` drops all connections for a time and keeps the
+//! state. A table and an instance list have further paths, named in
+//! [`crate::table`] and [`crate::list`].
 
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -118,14 +118,14 @@
             Ok(arrival) => arrival,
             Err(reason) => return Ok(body::error(StatusCode::BAD_REQUEST, reason)),
         };
-        let (id, streams) = (arrival.id.clone(), arrival.request.stream);
+        let id = arrival.id.clone();
         let added = self.state().add(arrival);
         let stream = match added {
             Ok(stream) => stream,
             Err(rejection) => return Ok(self.rejection(&rejection)),
         };
         self.wake();
-        self.respond(id, stream, 0, streams).await
+        self.respond(id, stream, 0).await
     }
 
     fn rejection(&self, rejection: &Rejection) -> Response<Body> {
@@ -144,7 +144,7 @@
         match stream {
             Some(stream) => {
                 let offset = offset.unwrap_or(0);
-                self.respond(id.to_owned(), stream, offset, true).await
+                self.respond(id.to_owned(), stream, offset).await
             }
             None => Ok(body::error(StatusCode::NOT_FOUND, "no such stream")),
         }
@@ -156,7 +156,6 @@
         mut id: String,
         mut stream: stream::Stream,
         offset: usize,
-        streams: bool,
     ) -> Result<Response<Body>, Dropped> {
         let faults = self.draw();
         if faults.lost {
@@ -167,7 +166,7 @@
         if faults.crossed {
             (id, stream) = self.other(&id);
         }
-        let body = if streams {
+        let body = if stream.events() {
             stream.body(offset, faults.cut)
         } else {
             let bytes = stream.complete().await.ok_or(Dropped)?;
@@ -178,7 +177,7 @@
         };
         let mut response = Response::new(body);
         let headers = response.headers_mut();
-        let kind = match streams {
+        let kind = match stream.events() {
             true => "text/event-stream",
             false => "application/json",
         };
@@ -193,7 +192,7 @@
     /// Returns a response that belongs to another request.
     fn other(&self, id: &str) -> (String, stream::Stream) {
         self.state().other(id).unwrap_or_else(|| {
-            let stream = stream::Stream::default();
+            let stream = stream::Stream::new(true);
             stream.push(prompt::DONE);
             stream.end(stream::Stage::Done);
             ("another-request".to_owned(), stream)
--- a/crates/fakes/src/state.rs
+++ b/crates/fakes/src/state.rs
@@ -88,7 +88,7 @@
         let version = checked?;
         let text = arrival.request.text();
         let output = prompt::Output::new(&arrival.request, &text, &version, self.options.salt);
-        let stream = stream::Stream::default();
+        let stream = stream::Stream::new(arrival.request.stream);
         self.streams.insert(arrival.id.clone(), stream.clone());
         self.batch.add(batch::Job {
             id: arrival.id,
@@ -96,7 +96,6 @@
             text,
             chat: arrival.chat,
             priority: arrival.priority,
-            streams: arrival.request.stream,
             output,
             stream: stream.clone(),
         });
--- a/crates/fakes/src/table.rs
+++ b/crates/fakes/src/table.rs
@@ -24,6 +24,12 @@
 /// Path of single rows, before the key.
 const ROW: &str = "/v1/rows/";
 
+/// Path under which a test makes a table in another process keep a backup.
+pub const BACKUP: &str = "/fake/backup";
+
+/// Path under which a test makes that table return to its backup.
+pub const RESTORE: &str = "/fake/restore";
+
 /// How a table is built.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -189,6 +195,7 @@
     gate: platform::Gate,
     power: server::Power,
     rows: Mutex<Rows>,
+    saved: Mutex<Rows>,
 }
 
 impl Shared {
@@ -222,6 +229,21 @@
         }
     }
 
+    async fn control(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path();
+        if path == BACKUP || path == RESTORE {
+            let mut rows = self.rows();
+            let mut saved = self.saved.lock().unwrap_or_else(PoisonError::into_inner);
+            match path {
+                BACKUP => *saved = rows.clone(),
+                _ => *rows = saved.clone(),
+            }
+            return body::empty(StatusCode::NO_CONTENT);
+        }
+        let switch = |faults| self.gate.faults(|now| *now = faults);
+        control::handle(request, &self.power, self.gate.counts(), switch).await
+    }
+
     async fn answer(
         &self,
         request: Request<Incoming>,
@@ -253,8 +275,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<Body>, server::Dropped> {
         if control::matches(&request) {
-            let switch = |faults| self.gate.faults(|now| *now = faults);
-            return Ok(control::handle(request, &self.power, self.gate.counts(), switch).await);
+            return Ok(self.control(request).await);
         }
         let path = request.uri().path();
         match *request.method() {
@@ -284,6 +305,7 @@
             gate: platform::Gate::new(options.reads, options.writes, options.seed),
             power: port.power(),
             rows: Mutex::default(),
+            saved: Mutex::default(),
         });
         let server = port.serve(shared.clone());
         Ok(Self { shared, server })
--- a/crates/fakes/tests/control.rs
+++ b/crates/fakes/tests/control.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use expect_test::expect;
-use fakes::{client, stand};
+use fakes::{client, stand, table};
 use http::{Request, StatusCode};
 
 fn start(kind: &str, options: &str) -> stand::Stand {
@@ -28,6 +28,20 @@
         .assert_eq(&record.text());
 }
 
+#[tokio::test]
+async fn remote_restore() {
+    let table = start("table", "{}");
+    let post = |path, body| Request::post(path).body(body).unwrap();
+    let write = r#"{"ops":[{"op":"put","key":"k","value":1}]}"#;
+    call(&table, post("/v1/transactions", write)).await;
+    call(&table, post(table::BACKUP, "")).await;
+    call(&table, post("/v1/transactions", write)).await;
+    let restored = call(&table, post(table::RESTORE, "")).await;
+    assert_eq!(restored.status, StatusCode::NO_CONTENT);
+    let read = call(&table, Request::get("/v1/rows/k").body("").unwrap()).await;
+    expect![[r#"{"key":"k","version":1,"value":1}"#]].assert_eq(&read.text());
+}
+
 #[tokio::test]
 async fn every_kind() {
     for kind in ["engine", "service", "table", "objects", "list", "weights"] {
--- a/crates/fakes/tests/engine.rs
+++ b/crates/fakes/tests/engine.rs
@@ -233,6 +233,21 @@
     assert_eq!(engine.record().executions["r1"], 1);
 }
 
+/// A response in one piece must resume as what it was.
+#[tokio::test]
+async fn resume_whole() {
+    let engine = start(engine::Options::fast());
+    let body = r#"{"model":"m","messages":[{"role":"user","content":"p"}]}"#;
+    let request = Request::post("/v1/chat/completions")
+        .header(serve::REQUEST_ID, "r1")
+        .body(Bytes::from(body));
+    let first = client::send(engine.address(), request.unwrap()).await;
+    let first = first.unwrap();
+    let rest = get(engine.address(), "/v1/streams/r1?offset=10").await;
+    assert_eq!(rest.header("content-type"), Some("application/json"));
+    assert_eq!(rest.body, first.body[10..]);
+}
+
 #[tokio::test]
 async fn cancel_running() {
     let engine = start(engine::Options::fast());
--- a/crates/store/src/breaker.rs
+++ b/crates/store/src/breaker.rs
@@ -70,19 +70,31 @@
         self.state
     }
 
-    /// Lets a call pass, or returns the time until the next probe.
-    pub fn admit(&mut self, now: time::Mono) -> Result<(), span::Span> {
+    /// Returns when a refused caller should come back, or nothing when a call
+    /// may be sent.
+    ///
+    /// A probe usually ends long before it is given up, so the advice while one
+    /// is on its way is at most the shortest interval.
+    pub fn wait(&self, now: time::Mono) -> Option<span::Span> {
         match self.state {
-            State::Closed { .. } => Ok(()),
-            State::Open { until } | State::Probing { until } if now < until => {
-                Err(until.since(now))
-            }
-            State::Open { .. } | State::Probing { .. } => {
-                let until = now + self.limits.probe;
-                self.state = State::Probing { until };
-                Ok(())
+            State::Open { until } if now < until => Some(until.since(now)),
+            State::Probing { until } if now < until => {
+                Some(until.since(now).min(self.limits.first))
             }
+            _ => None,
+        }
+    }
+
+    /// Lets a call pass, or returns when to come back.
+    pub fn admit(&mut self, now: time::Mono) -> Result<(), span::Span> {
+        if let Some(wait) = self.wait(now) {
+            return Err(wait);
+        }
+        if !matches!(self.state, State::Closed { .. }) {
+            let until = now + self.limits.probe;
+            self.state = State::Probing { until };
         }
+        Ok(())
     }
 
     /// Records that the service answered.
--- a/crates/store/src/control.rs
+++ b/crates/store/src/control.rs
@@ -71,7 +71,7 @@
 /// Why a call is not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// The breaker is open; the next probe is possible after this time.
+    /// The breaker is open; come back after this time.
     Open(span::Span),
     /// The process has used its share; the next call is possible after this time.
     Share(span::Span),
@@ -130,11 +130,8 @@
 
     /// Admits an attempt; returns the time to wait before it is sent.
     pub fn admit(&mut self, now: time::Mono, access: Access) -> Result<span::Span, Refusal> {
-        if let breaker::State::Open { until } | breaker::State::Probing { until } =
-            self.breaker.state()
-            && now < until
-        {
-            return Err(Refusal::Open(until.since(now)));
+        if let Some(wait) = self.breaker.wait(now) {
+            return Err(Refusal::Open(wait));
         }
         self.pace(now);
         let bucket = match access {
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -187,8 +187,9 @@
         /// When to come back.
         after: span::Span,
     },
-    /// The reply was lost: it may have been carried out, or may still be. The
-    /// caller finds out by reading a row back.
+    /// The reply was lost: it may have been carried out, or may still be. A row
+    /// that is read back and shows the write proves that it was; one that does
+    /// not proves nothing until another write has excluded it by a condition.
     Unknown(Fault),
 }
 
--- a/crates/store/tests/breaker.rs
+++ b/crates/store/tests/breaker.rs
@@ -40,7 +40,15 @@
 fn single_probe() {
     let mut breaker = open();
     assert_eq!(breaker.admit(at(1)), Ok(()));
-    assert_eq!(breaker.admit(at(1)), Err(Span::from_secs(2)));
+    assert_eq!(
+        breaker.admit(at(1)),
+        Err(Span::from_secs(1)),
+        "told to come back when the probe has probably ended"
+    );
+    assert!(
+        breaker.admit(Mono(2_999_999)).is_err(),
+        "one probe at a time"
+    );
     assert_eq!(breaker.success(), Change::Closed);
     assert_eq!(breaker.admit(at(1)), Ok(()));
 }
--- a/crates/store/tests/table.rs
+++ b/crates/store/tests/table.rs
@@ -108,6 +108,24 @@
     assert_eq!(fake.counts().writes, 1, "it was not repeated");
 }
 
+/// An unknown transaction may still take effect after a read that shows nothing.
+#[tokio::test]
+async fn late_effect() {
+    let (fake, table) = start();
+    fake.faults(|faults| faults.delay = Span::from_secs(3));
+    let slow = table.transact(&[insert("claim", 1)]).await;
+    assert!(matches!(slow, Outcome::Unknown(_)), "{slow:?}");
+    fake.faults(|faults| faults.delay = Span::ZERO);
+    assert_eq!(table.read("claim").await.unwrap(), None);
+    for _ in 0..1000 {
+        if table.read("claim").await.unwrap().is_some() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the write did not take effect");
+}
+
 #[tokio::test]
 async fn repeated_read() {
     let (fake, table) = start();
