--- a/crates/bench/examples/measure.rs
+++ b/crates/bench/examples/measure.rs
@@ -2,7 +2,10 @@
 
 use std::env;
 
-use bench::{child, path, recovery};
+use bench::{child, faults, path, recovery, spread};
+
+const SCENARIOS: &str = "path, spread, recovery, late, lostreply, outage, pause, routerdeath, \
+                         agentdeath, drain, resend";
 
 fn main() -> anyhow::Result<()> {
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -10,16 +13,21 @@
         return Ok(());
     }
     let Some((scenario, rest)) = arguments.split_first() else {
-        anyhow::bail!("name a scenario: path, recovery");
+        anyhow::bail!("name a scenario: {SCENARIOS}");
     };
-    let runtime = tokio::runtime::Runtime::new()?;
     match scenario.as_str() {
-        "path" => runtime.block_on(path::run(parse(path::options(), rest))),
-        "recovery" => runtime.block_on(recovery::run(parse(recovery::options(), rest))),
-        other => anyhow::bail!("scenario {other:?} does not exist; scenarios: path, recovery"),
+        "path" => traffic(path::run(parse(path::options(), rest))),
+        "spread" => spread::main(rest),
+        "recovery" => traffic(recovery::run(parse(recovery::options(), rest))),
+        name if faults::exists(name) => traffic(faults::run(name, parse(faults::options(), rest))),
+        other => anyhow::bail!("scenario {other:?} does not exist; scenarios: {SCENARIOS}"),
     }
 }
 
+fn traffic(measurement: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    tokio::runtime::Runtime::new()?.block_on(measurement)
+}
+
 fn parse<T>(options: bpaf::OptionParser<T>, arguments: &[String]) -> T {
     match options.run_inner(bpaf::Args::from(arguments)) {
         Ok(options) => options,
--- a/crates/bench/src/child.rs
+++ b/crates/bench/src/child.rs
@@ -2,8 +2,9 @@
 //! process: kill, stop and continue.
 
 use std::{
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    time::{Duration, Instant},
 };
 
 use anyhow::Context;
@@ -32,6 +33,32 @@
     Ok(true)
 }
 
+/// The program that runs daemons.
+#[derive(Clone, Debug)]
+pub enum Program {
+    /// This program, when its main function calls [`serve`].
+    Own,
+    /// The shipped binary at this path.
+    Binary(PathBuf),
+}
+
+impl Program {
+    fn command(&self, role: &str, file: &Path) -> anyhow::Result<Command> {
+        Ok(match self {
+            Self::Own => {
+                let mut command = Command::new(std::env::current_exe()?);
+                command.arg(DAEMON).arg(role).arg(file);
+                command
+            }
+            Self::Binary(path) => {
+                let mut command = Command::new(path);
+                command.arg(role).arg("--settings").arg(file);
+                command
+            }
+        })
+    }
+}
+
 /// A daemon in a process of its own; it is killed when dropped.
 #[derive(Debug)]
 pub struct Daemon {
@@ -40,12 +67,13 @@
 }
 
 impl Daemon {
-    /// Starts a daemon with these settings by running this program again.
+    /// Starts a daemon with these settings. Its log goes to a file in the
+    /// directory that `DAEMON_LOG_DIR` names, if it names one.
     ///
     /// # Errors
     ///
     /// When the settings cannot be written or the process not started.
-    pub fn start(settings: &settings::Settings) -> anyhow::Result<Self> {
+    pub fn start(program: &Program, settings: &settings::Settings) -> anyhow::Result<Self> {
         let name = format!("ebonywall-{:032x}.json", base::id::random_bits());
         let file = std::env::temp_dir().join(name);
         let mut value = serde_json::to_value(settings)?;
@@ -55,10 +83,12 @@
         }
         std::fs::write(&file, serde_json::to_vec(&value)?).context("write settings")?;
         let role = settings.role.to_string();
-        let child = Command::new(std::env::current_exe()?)
-            .arg(DAEMON)
-            .arg(role)
-            .arg(&file)
+        let log = std::env::var_os("DAEMON_LOG_DIR")
+            .map(|directory| Path::new(&directory).join(format!("{}.log", settings.process)))
+            .and_then(|path| std::fs::File::create(path).ok());
+        let child = program
+            .command(&role, &file)?
+            .stderr(log.map_or(Stdio::null(), Stdio::from))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .spawn()
@@ -81,6 +111,39 @@
         processor(self.id())
     }
 
+    /// Stops the process until [`Daemon::resume`].
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Asks the process to shut down gracefully.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.id().to_string();
+        Command::new("kill").args([signal, &id]).status().ok();
+    }
+
+    /// Waits until the process ends; returns whether its exit status was 0, or
+    /// none when it did not end in time.
+    pub async fn ended(&mut self, time: Duration) -> Option<bool> {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.success());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         self.child.kill().ok();
