--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -161,7 +161,7 @@
     commands: &mut mpsc::UnboundedReceiver<Command>,
 ) -> Option<span::Span> {
     let stop = CancellationToken::new();
-    let _guard = stop.clone().drop_guard();
+    let guard = stop.clone().drop_guard();
     let mut connections = JoinSet::new();
     let time = loop {
         tokio::select! {
@@ -174,6 +174,9 @@
             Some(_) = connections.join_next() => {}
         }
     };
+    // Handlers stop before their connections close: no call may end after its
+    // caller has seen the crash.
+    drop(guard);
     connections.shutdown().await;
     time
 }
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -182,7 +182,7 @@
             return Err(server::Dropped);
         }
         tokio::time::sleep(self.options.delay.duration() + faults.delay.duration()).await;
-        self.state().record.running -= 1;
+        self.finish();
         let path = parts.uri.path_and_query();
         let reply = Reply {
             method: parts.method.to_string(),
@@ -210,6 +210,12 @@
         record.executions
     }
 
+    /// Counts a call that ended; a crash may have counted it already.
+    fn finish(&self) {
+        let mut state = self.state();
+        state.record.running = state.record.running.saturating_sub(1);
+    }
+
     fn crashes(&self, body: &Bytes) -> bool {
         let state = self.state();
         let marker = state.faults.crash_marker.as_deref().unwrap_or_default();
--- a/crates/fakes/tests/service.rs
+++ b/crates/fakes/tests/service.rs
@@ -70,6 +70,23 @@
     assert_eq!(service.record().requests["r1"], 1);
 }
 
+/// A call that a crash interrupts must not be counted as running afterwards.
+#[tokio::test]
+async fn interrupted_call() {
+    let service = start();
+    let peer = service.address();
+    service.faults(|faults| faults.delay = span::Span::from_millis(20));
+    let interrupted = tokio::spawn(client::send(peer, call("r1", "k1")));
+    wait(|| service.record().running == 1).await;
+    service.crash(None);
+    assert!(interrupted.await.unwrap().is_err());
+    service.up();
+    wait(|| std::net::TcpStream::connect(peer).is_ok()).await;
+    client::send(peer, call("r2", "k2")).await.unwrap();
+    let record = service.record();
+    assert_eq!((record.running, record.maximum, record.crashes), (0, 1, 1));
+}
+
 async fn wait(mut condition: impl FnMut() -> bool) {
     for _ in 0..2000 {
         if condition() {
