--- a/crates/conf/src/command.rs
+++ b/crates/conf/src/command.rs
@@ -92,7 +92,9 @@
         /// The head after it.
         head: Head,
     },
-    /// The command was accepted before, at this version.
+    /// The command was accepted before, at this version. Tell the operator once
+    /// the history has reached it, so that a peer that asks this process for its
+    /// version hears of it.
     Repeated(id::Version),
     /// Another change was accepted first, and this one was not and will not be:
     /// read the rows since the base and report [`conflict`].
@@ -109,7 +111,8 @@
 /// What the head and the command row say after a lost reply.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReadBack {
-    /// The change was accepted at this version.
+    /// The change was accepted at this version. Tell the operator once the
+    /// history has reached it, as after [`Outcome::Repeated`].
     Committed(id::Version),
     /// Another change was accepted first, and this one was not and will not be.
     Lost(Head),
--- a/crates/conf/src/history.rs
+++ b/crates/conf/src/history.rs
@@ -78,6 +78,8 @@
     Adopted(id::Version),
     /// It is not newer than what is in force.
     Known,
+    /// Its rows do not lead to its configuration.
+    Invalid,
     /// It belongs to another lineage.
     Forked(Fork),
 }
@@ -227,19 +229,9 @@
 
     /// Returns a snapshot of the configuration in force.
     pub fn snapshot(&self) -> Snapshot {
-        let before = self.remembered.range(..self.version());
-        let mut trail: Vec<Point> = before
-            .rev()
-            .take(row::TRAIL)
-            .map(|(version, lineage)| Point {
-                version: *version,
-                lineage: *lineage,
-            })
-            .collect();
-        trail.reverse();
         Snapshot {
             lineage: self.lineage,
-            trail,
+            rows: self.kept.values().map(|row| (**row).clone()).collect(),
             configuration: self.configuration.as_ref().clone(),
         }
     }
@@ -308,17 +300,19 @@
                 _ => Adoption::Known,
             };
         }
+        if !snapshot.is_whole() {
+            return Adoption::Invalid;
+        }
         let own = self.point();
-        let theirs = snapshot
-            .trail
-            .iter()
-            .find(|mark| mark.version == own.version);
-        if let Some(theirs) = theirs.filter(|theirs| **theirs != own) {
-            return Adoption::Forked(self.note_fork(*theirs));
+        let theirs = snapshot.rows.iter().map(ChangeRow::point);
+        let theirs = theirs.into_iter().find(|mark| mark.version == own.version);
+        if let Some(theirs) = theirs.filter(|theirs| *theirs != own) {
+            return Adoption::Forked(self.note_fork(theirs));
         }
-        let marks = snapshot.trail.iter();
-        self.remembered
-            .extend(marks.map(|mark| (mark.version, mark.lineage)));
+        let rows = snapshot.rows.into_iter().map(Arc::new);
+        self.kept = rows.map(|row| (row.version, row)).collect();
+        let points = self.kept.values().map(|row| (row.version, row.lineage));
+        self.remembered.extend(points);
         self.configuration = Arc::new(snapshot.configuration);
         self.lineage = point.lineage;
         self.newest = self.newest.max(point.version);
--- a/crates/conf/src/row.rs
+++ b/crates/conf/src/row.rs
@@ -268,23 +268,36 @@
     pub version: id::Version,
 }
 
-/// Points that a snapshot carries.
-pub const TRAIL: usize = 256;
-
-/// A whole configuration with its lineage, for new processes.
+/// A whole configuration with the latest rows that lead to it, for new processes.
+///
+/// The rows let the receiver compare lineages, answer peers and write changes
+/// back to a restored table. Without them it could move the head of a restored
+/// table past rows that it does not have, and a command whose reply was lost
+/// would then seem not to have been accepted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Snapshot {
     /// Lineage of the configuration's version.
     pub lineage: Lineage,
-    /// The points before it that the sender remembers, oldest first and at most
-    /// [`TRAIL`], so that the receiver can compare the lineages.
-    pub trail: Vec<Point>,
+    /// The latest rows up to the configuration's version, oldest first.
+    pub rows: Vec<ChangeRow>,
     /// The configuration.
     pub configuration: Configuration,
 }
 
 impl Snapshot {
+    /// Tells whether the rows follow each other up to the configuration.
+    pub fn is_whole(&self) -> bool {
+        let pairs = self.rows.windows(2);
+        pairs
+            .into_iter()
+            .all(|pair| pair[1].follows(pair[0].point()))
+            && self
+                .rows
+                .last()
+                .is_none_or(|last| last.point() == self.point())
+    }
+
     /// Returns the version with its lineage.
     pub fn point(&self) -> Point {
         Point {
--- a/crates/conf/tests/history.rs
+++ b/crates/conf/tests/history.rs
@@ -121,6 +121,20 @@
     );
 }
 
+/// A snapshot brings the rows that lead to it, so that its receiver can write
+/// them back to a restored table.
+#[test]
+fn snapshot_rows() {
+    let mut receiver = History::new();
+    receiver.adopt(at(5).snapshot());
+    receiver.observe(Head::default());
+    let keys = receiver.write_back().unwrap().puts.len();
+    assert_eq!(keys, 11, "the head, five changes and five commands");
+    let mut gap = at(5).snapshot();
+    gap.rows.remove(2);
+    assert_eq!(History::new().adopt(gap), Adoption::Invalid);
+}
+
 #[test]
 fn fork_found() {
     let other = Arc::new(ChangeRow::after(at(2).point(), team(9)));
