--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -418,7 +418,7 @@
     pub fn ready(&mut self) -> bool {
         let now = self.clock.now();
         if self.history.is_ready() {
-            return true;
+            return self.history.version().0 > 0;
         }
         let joined = !self.answered.is_empty() || now.since(time::Mono(0)) > JOIN_WAIT;
         if !joined {
