Carry quarantine entries between processes

Entries name the crashes at which a content was in flight and those that are excused. They travel in the exchange, with the report of a crash to the router and with a resent request to the next agent, which can refuse it before the exchange reaches it.

--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -24,7 +24,7 @@
     metrics::Metrics,
     node::{Node, Signal},
     outlet::{Finish, Outlet, Reader, Window},
-    refusal,
+    refusal, suspects,
     target::Target,
 };
 
@@ -312,6 +312,7 @@
                 if changed.configuration {
                     self.configure();
                 }
+                self.suspect(now, &changed.suspects);
                 self.parts
                     .node
                     .ready()
@@ -417,8 +418,30 @@
         }
     }
 
+    /// Takes in quarantine entries of other processes.
+    fn suspect(&mut self, now: time::Mono, suspects: &[msg::Suspect]) {
+        for suspect in suspects {
+            self.quarantine.merge(now, &suspects::from_message(suspect));
+        }
+    }
+
+    /// Returns what is known of a content and of all that was in flight at the
+    /// same crashes.
+    fn related(&self, now: time::Mono, fingerprint: id::Fingerprint) -> Vec<msg::Suspect> {
+        let related = self.quarantine.related(now, fingerprint);
+        related.iter().map(suspects::to_message).collect()
+    }
+
+    /// Tells other processes what is known of a content.
+    fn spread(&mut self, now: time::Mono, fingerprint: id::Fingerprint) {
+        for suspect in self.related(now, fingerprint) {
+            self.parts.node.exchange.suspect(now, suspect);
+        }
+    }
+
     /// Takes in what a router tells about itself and other agents.
     fn learn(&mut self, now: time::Mono, run: &msg::Run) {
+        self.suspect(now, &run.suspects);
         if let Some(stamp) = &run.stamp {
             self.parts.node.signal(Signal::Stamp(stamp.clone()));
         }
@@ -547,6 +570,13 @@
                 .refused(now, id, Refusal::Quarantine, Some(remaining));
             return self.act(now, actions);
         }
+        let running = self.running();
+        let in_flight = running.iter().map(|(_, fingerprint)| fingerprint);
+        if !self.quarantine.may_join(now, open.fingerprint, in_flight) {
+            let after = Some(span::Span::from_secs(1));
+            let actions = self.ledger.refused(now, id, Refusal::Bound, after);
+            return self.act(now, actions);
+        }
         let Ok(team) = open.run.team.parse() else {
             let actions = self.ledger.refused(now, id, Refusal::Invalid, None);
             return self.act(now, actions);
@@ -833,7 +863,10 @@
     fn fail(&mut self, id: id::RequestId, link: event::Link, cause: action::Cause) {
         tracing::warn!(event = "outcome_unknown", request = %id, target = %self.agent.target, cause = ?cause);
         self.parts.metrics.count("outcome.unknown");
-        let message = broken(&format!("{cause:?}"));
+        let mut message = broken(&format!("{cause:?}"));
+        if let Some(open) = self.open.get(&id) {
+            message.suspects = self.related(self.now(), open.fingerprint);
+        }
         if let Some(open) = self.open.get(&id) {
             open.outlet.finish(Finish::Broken(message.clone()));
         }
@@ -883,7 +916,9 @@
             .any(|action| matches!(action, action::Action::Break { .. }));
         self.act(now, actions);
         if ended || self.ledger.state(id).is_some_and(|state| state.failed()) {
-            outlet.finish(Finish::Broken(broken("the target broke off")));
+            let mut message = broken("the target broke off");
+            message.suspects = self.related(now, fingerprint);
+            outlet.finish(Finish::Broken(message));
         }
     }
 
@@ -902,11 +937,18 @@
             return;
         };
         open.outlet.finish(Finish::Whole);
-        self.quarantine.completed(open.fingerprint);
+        let fingerprint = open.fingerprint;
         let took = open.dispatched.map(|at| now.since(at));
         tracing::info!(event = "complete", request = %id, target = %self.agent.target, bytes = total,
             took_ms = took.map(span::Span::as_millis));
         let keyed = open.run.class() == msg::Class::Keyed;
+        if self.quarantine.check(now, fingerprint) != quarantine::Verdict::Clear {
+            self.quarantine.completed(fingerprint);
+            self.spread(now, fingerprint);
+        }
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
         let response = match keyed.then(|| stored(&open.outlet)).flatten() {
             Some((response, body)) if body.len() > claim::MAX_INLINE => {
                 return self.store(id, total, response, body);
@@ -963,18 +1005,30 @@
         }
     }
 
+    /// Returns the requests that the target runs.
+    fn running(&self) -> Vec<(id::RequestId, id::Fingerprint)> {
+        self.open
+            .iter()
+            .filter(|(id, _)| self.ledger.state(**id).is_some_and(|state| state.runs()))
+            .map(|(id, open)| (*id, open.fingerprint))
+            .collect()
+    }
+
     /// Notes which requests were in flight when the target went down.
     fn crashed(&mut self, now: time::Mono) {
         let running = self
-            .open
-            .iter()
-            .filter(|(id, _)| self.ledger.state(**id).is_some_and(|state| state.runs()))
-            .map(|(_, open)| open.fingerprint);
+            .running()
+            .into_iter()
+            .map(|(_, fingerprint)| fingerprint);
         let lately = self.broken.iter().map(|(_, fingerprint)| *fingerprint);
         let suspects: std::collections::BTreeSet<_> = running.chain(lately).collect();
         tracing::warn!(event = "target_down", target = %self.agent.target, suspects = suspects.len());
         self.parts.metrics.count("target.down");
-        self.quarantine.crash(now, &self.agent.target, suspects);
+        self.quarantine
+            .crash(now, &self.agent.target, suspects.iter().copied());
+        for fingerprint in suspects {
+            self.spread(now, fingerprint);
+        }
         self.broken.clear();
     }
 
@@ -1024,6 +1078,7 @@
         dispatched: true,
         offset: 0,
         resumable: false,
+        suspects: Vec::new(),
     }
 }
 
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -55,6 +55,8 @@
     head: Option<msg::Head>,
     stamp: Option<msg::Stamp>,
     previous: Option<String>,
+    /// What agents reported of the content after crashes.
+    suspects: Vec<msg::Suspect>,
 }
 
 fn class(class: msg::Class) -> settle::Class {
@@ -82,6 +84,7 @@
             head: None,
             stamp: None,
             previous: None,
+            suspects: Vec::new(),
         }
     }
 
@@ -216,6 +219,7 @@
             skip,
             previous: self.previous.take().unwrap_or_default(),
             stamp: Some(snapshot.stamp.clone()),
+            suspects: self.related(&snapshot),
             loads: loads.map(|group| group.loads.clone()).unwrap_or_default(),
             ..self.accepted.run.clone()
         };
@@ -239,6 +243,17 @@
         }
     }
 
+    /// Returns what is known of the request's content, so that an agent that
+    /// the exchange has not reached yet can refuse it.
+    fn related(&self, snapshot: &snapshot::Snapshot) -> Vec<msg::Suspect> {
+        if !self.suspects.is_empty() {
+            return self.suspects.clone();
+        }
+        let fingerprint = id::Fingerprint(self.accepted.run.fingerprint);
+        let known = snapshot.suspects.get(&fingerprint);
+        known.cloned().unwrap_or_default()
+    }
+
     async fn settle(&mut self, to: settle::Sent, offset: u64) -> settle::Step {
         self.replies = None;
         let snapshot = self.router.snapshot.load_full();
@@ -360,6 +375,10 @@
             dispatched = broken.dispatched, offset = broken.offset, cause = broken.cause);
         self.replies = None;
         self.tried_here(Vec::new());
+        if !broken.suspects.is_empty() {
+            self.suspects.clone_from(&broken.suspects);
+            self.router.tell(Event::Suspects(broken.suspects.clone()));
+        }
         self.request.broken(broken.dispatched)
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod router_core;
 pub mod serve;
 pub mod snapshot;
+pub mod suspects;
 pub mod target;
 pub mod tls;
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -5,6 +5,7 @@
     sync::Arc,
 };
 
+use admit::quarantine;
 use arc_swap::ArcSwap;
 use base::{hash, id, span, time};
 use conf::{change::Change, row};
@@ -17,6 +18,7 @@
     health,
     node::{Node, Signal},
     snapshot::{Agent, Group, Snapshot},
+    suspects,
 };
 
 /// Load reports that travel with a request.
@@ -36,6 +38,8 @@
     Sent(id::ProcessId),
     /// A call to an agent failed.
     Failed(id::ProcessId, member::Failure),
+    /// An agent reported contents that were in flight at a crash.
+    Suspects(Vec<msg::Suspect>),
     /// The process is to stop.
     Stop,
 }
@@ -85,8 +89,14 @@
     leaving: bool,
     /// When each agent came up, as this router saw it.
     up: BTreeMap<id::ProcessId, (id::Incarnation, time::Mono)>,
+    quarantine: quarantine::Quarantine,
+    suspects: Arc<BTreeMap<id::Fingerprint, Vec<msg::Suspect>>>,
 }
 
+/// Longest time for which a router remembers a suspect; agents apply the term
+/// of their service.
+const QUARANTINE: span::Span = span::Span::from_secs(24 * 3600);
+
 #[derive(Clone, Copy, Debug)]
 struct Stamped {
     at: time::Mono,
@@ -107,6 +117,8 @@
             published: time::Mono::default(),
             leaving: false,
             up: BTreeMap::new(),
+            quarantine: quarantine::Quarantine::new(QUARANTINE, id::Incarnation(0)),
+            suspects: Arc::default(),
         }
     }
 
@@ -141,6 +153,7 @@
                 let changed = self.parts.node.signal(signal);
                 self.all_dirty |= changed.members || changed.configuration;
                 self.bootstrap();
+                self.suspect(now, &changed.suspects);
             }
             Event::Stamp(stamp) => self.stamp(now, &stamp),
             Event::Sent(agent) => {
@@ -161,6 +174,12 @@
                 }
                 self.touch(now, &agent);
             }
+            Event::Suspects(suspects) => {
+                for suspect in &suspects {
+                    self.parts.node.exchange.suspect(now, suspect.clone());
+                }
+                self.suspect(now, &suspects);
+            }
             Event::Stop => {
                 self.leaving = true;
                 self.all_dirty = true;
@@ -168,6 +187,23 @@
         }
     }
 
+    /// Takes in quarantine entries and publishes them for the next requests.
+    fn suspect(&mut self, now: time::Mono, suspects: &[msg::Suspect]) {
+        if suspects.is_empty() {
+            return;
+        }
+        for suspect in suspects {
+            self.quarantine.merge(now, &suspects::from_message(suspect));
+        }
+        let known = self.quarantine.entries(now).into_iter().map(|entry| {
+            let related = self.quarantine.related(now, entry.fingerprint);
+            let related = related.iter().map(suspects::to_message).collect();
+            (entry.fingerprint, related)
+        });
+        self.suspects = Arc::new(known.collect());
+        self.all_dirty = true;
+    }
+
     /// Writes the first configuration when the table has none. Every router
     /// does so with the same command id, and the table accepts it once.
     fn bootstrap(&mut self) {
@@ -250,6 +286,7 @@
         self.parts.snapshot.store(Arc::new(Snapshot {
             conf: self.parts.node.conf().clone(),
             groups,
+            suspects: self.suspects.clone(),
             stamp: self.parts.node.stamp(),
             ready,
             leaving: self.leaving,
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -36,6 +36,9 @@
     pub conf: Arc<state::Configuration>,
     /// The services that have agents.
     pub groups: BTreeMap<id::ServiceId, Arc<Group>>,
+    /// Contents that were in flight at crashes, with all that was in flight at
+    /// the same ones.
+    pub suspects: Arc<BTreeMap<id::Fingerprint, Vec<msg::Suspect>>>,
     /// What this router tells about itself.
     pub stamp: msg::Stamp,
     /// Whether the configuration is known, so that callers can be served.
--- /dev/null
+++ b/crates/daemon/src/suspects.rs
@@ -0,0 +1,52 @@
+//! Quarantine entries between the messages and [`admit::quarantine`].
+
+use std::collections::BTreeMap;
+
+use admit::quarantine::{Crash, CrashNumber, Entry, Verdict};
+use base::{id, span};
+use wire::msg;
+
+/// Writes an entry as a message.
+pub fn to_message(entry: &Entry) -> msg::Suspect {
+    let crash = |target: &id::TargetId, number: CrashNumber| msg::Crash {
+        target: target.to_string(),
+        number: number.0,
+    };
+    msg::Suspect {
+        fingerprint: entry.fingerprint.0,
+        crashes: entry
+            .crashes
+            .iter()
+            .map(|c| crash(&c.target, c.number))
+            .collect(),
+        excused: entry
+            .excused
+            .iter()
+            .map(|(target, number)| crash(target, *number))
+            .collect(),
+        remaining: u32::try_from(entry.remaining.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+/// Reads an entry from a message; crashes of targets whose ids are not valid
+/// are left out.
+pub fn from_message(suspect: &msg::Suspect) -> Entry {
+    let crashes = suspect.crashes.iter().filter_map(crash);
+    let excused = suspect.excused.iter().filter_map(crash);
+    Entry {
+        fingerprint: id::Fingerprint(suspect.fingerprint),
+        crashes: crashes.collect(),
+        excused: excused
+            .map(|crash| (crash.target, crash.number))
+            .collect::<BTreeMap<_, _>>(),
+        remaining: span::Span::from_millis(suspect.remaining.into()),
+        verdict: Verdict::Clear,
+    }
+}
+
+fn crash(crash: &msg::Crash) -> Option<Crash> {
+    Some(Crash {
+        target: crash.target.parse().ok()?,
+        number: CrashNumber(crash.number),
+    })
+}
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -9,7 +9,7 @@
 //! See [the design page](../../../docs/design.md), section 2.7.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net,
 };
 
@@ -721,8 +721,8 @@
         }
     }
 
-    /// Merges a quarantine entry and returns it when that changed something:
-    /// the union of the targets, `refused` and `lifted` once set remain set.
+    /// Merges a quarantine entry and returns it when that changed something.
+    /// Crashes and excuses only add up, so the order does not matter.
     fn merge_suspect(&mut self, now: time::Mono, entry: msg::Suspect) -> Option<msg::Suspect> {
         let until = convert::until(now, entry.remaining);
         let Some(known) = self.suspects.get_mut(&entry.fingerprint) else {
@@ -736,11 +736,11 @@
             return Some(entry);
         };
         let mut merged = known.entry.clone();
-        merged.targets.extend(entry.targets);
-        merged.targets.sort();
-        merged.targets.dedup();
-        merged.refused |= entry.refused;
-        merged.lifted |= entry.lifted;
+        merged.excused = latest(merged.excused.into_iter().chain(entry.excused));
+        merged.crashes = pending(
+            merged.crashes.into_iter().chain(entry.crashes),
+            &merged.excused,
+        );
         known.until = known.until.max(until);
         if merged == known.entry {
             return None;
@@ -754,6 +754,30 @@
     }
 }
 
+/// Returns the latest crash of each target.
+fn latest(crashes: impl Iterator<Item = msg::Crash>) -> Vec<msg::Crash> {
+    let mut latest: BTreeMap<String, u64> = BTreeMap::new();
+    for crash in crashes {
+        let number = latest.entry(crash.target).or_default();
+        *number = crash.number.max(*number);
+    }
+    latest
+        .into_iter()
+        .map(|(target, number)| msg::Crash { target, number })
+        .collect()
+}
+
+/// Returns the crashes that are not excused, each once.
+fn pending(crashes: impl Iterator<Item = msg::Crash>, excused: &[msg::Crash]) -> Vec<msg::Crash> {
+    let pending: BTreeSet<msg::Crash> = crashes
+        .filter(|crash| {
+            let of_target = excused.iter().find(|e| e.target == crash.target);
+            of_target.is_none_or(|excused| excused.number < crash.number)
+        })
+        .collect();
+    pending.into_iter().collect()
+}
+
 /// Returns whether a report may be passed on; one that is nearly as old as
 /// the time of silence would only delay the removal.
 fn fresh(now: time::Mono, entry: &member::Entry) -> bool {
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -145,6 +145,10 @@
     /// Latest epoch of the agent's ledger that the router knows; 0 for none.
     #[prost(uint64, tag = "22")]
     pub epoch: u64,
+    /// What is known of the request's content and of all that was in flight at
+    /// the same crashes.
+    #[prost(message, repeated, tag = "23")]
+    pub suspects: Vec<Suspect>,
 }
 
 /// Why a request was not run.
@@ -254,6 +258,9 @@
     /// Whether another target may continue from the offset.
     #[prost(bool, tag = "4")]
     pub resumable: bool,
+    /// What is known of the request's content after a crash.
+    #[prost(message, repeated, tag = "5")]
+    pub suspects: Vec<Suspect>,
 }
 
 /// One frame of an agent's reply stream.
@@ -395,27 +402,32 @@
     pub standing: i32,
 }
 
-/// A request content that is refused, or suspected, after crashes.
+/// A crash of a target.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, prost::Message)]
+pub struct Crash {
+    /// Target id.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Tells the crashes of the target apart; a larger number is a later one.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
+
+/// A request content that was in flight at crashes.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Suspect {
     /// Content fingerprint.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
-    /// Service id.
-    #[prost(string, tag = "2")]
-    pub service: String,
-    /// Targets that crashed while it was in flight.
-    #[prost(string, repeated, tag = "3")]
-    pub targets: Vec<String>,
+    /// The crashes that count against it.
+    #[prost(message, repeated, tag = "7")]
+    pub crashes: Vec<Crash>,
+    /// For each target, the latest crash that is excused.
+    #[prost(message, repeated, tag = "8")]
+    pub excused: Vec<Crash>,
     /// Milliseconds until the entry ends.
     #[prost(uint32, tag = "4")]
     pub remaining: u32,
-    /// Whether it is refused already.
-    #[prost(bool, tag = "5")]
-    pub refused: bool,
-    /// Whether an operator lifted it; wins over every report of the same crashes.
-    #[prost(bool, tag = "6")]
-    pub lifted: bool,
 }
 
 /// One exchange between two processes, in either direction.
