--- a/crates/once/src/settle.rs
+++ b/crates/once/src/settle.rs
@@ -12,21 +12,26 @@
 
 use crate::{epoch::Epoch, refusal::Refusal};
 
+/// Pause before the second settlement in a row; doubled for each further one.
+const FIRST_PAUSE: Span = Span::from_millis(100);
+
 /// Bounds of one request's attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Limits {
     /// Agents that are sent the request, resends after a stale epoch excluded.
     pub attempts: u32,
     /// Settlements in a row that bring no byte and no answer before the agent
-    /// counts as unreachable.
+    /// counts as unreachable, at most 16.
     pub settles: u32,
 }
 
 impl Default for Limits {
+    /// Eight settlements take 12.7 s with their pauses, which is longer than
+    /// an agent keeps an orphaned stream.
     fn default() -> Self {
         Self {
             attempts: 3,
-            settles: 3,
+            settles: 8,
         }
     }
 }
@@ -96,12 +101,14 @@
     /// Send `Run` again to the agent that refused it, with its present
     /// incarnation and epoch.
     Resend(Sent),
-    /// Send `Settle`.
+    /// Send `Settle` after the pause.
     Settle {
         /// The agent, and the incarnation and epoch of the original `Run`.
         to: Sent,
         /// Bytes of the response that the router has.
         offset: u64,
+        /// Time to wait first, so that a cut link is not tried in a loop.
+        pause: Span,
     },
     /// Read on.
     Read,
@@ -360,15 +367,21 @@
         if self.settles >= self.limits.settles {
             return self.failed(Doubt::Unreachable);
         }
+        let pause = match self.settles {
+            0 => Span::ZERO,
+            n => Span::from_micros(FIRST_PAUSE.as_micros() << (n - 1).min(16)),
+        };
         self.settles += 1;
         self.phase = Phase::Settling(to.clone());
         Step::Settle {
             to,
             offset: self.offset,
+            pause,
         }
     }
 
-    /// The agent cannot be reached, or runs in another incarnation.
+    /// The agent runs in another incarnation, or refuses connections, which
+    /// means that the process that had the request is gone.
     pub fn unreachable(&mut self) -> Step {
         match self.open() {
             Some(_) => self.failed(Doubt::Unreachable),
@@ -460,7 +473,9 @@
             Self::Choose { skip } => write!(f, "step=choose skip={skip}"),
             Self::Redirect(owner) => write!(f, "step=redirect agent={owner}"),
             Self::Resend(to) => write!(f, "step=resend {to}"),
-            Self::Settle { to, offset } => write!(f, "step=settle {to} offset={offset}"),
+            Self::Settle { to, offset, pause } => {
+                write!(f, "step=settle {to} offset={offset} pause={pause}")
+            }
             Self::Read => f.write_str("step=read"),
             Self::Head => f.write_str("step=head"),
             Self::Pass(from) => write!(f, "step=pass from={from}"),
--- a/crates/once/tests/world/mod.rs
+++ b/crates/once/tests/world/mod.rs
@@ -851,7 +851,7 @@
                 // like a redirect to the same agent.
                 router.step = Some(Step::Redirect(to.agent));
             }
-            Step::Settle { to, offset } => {
+            Step::Settle { to, offset, .. } => {
                 router.link.0 += 1;
                 let agent = index(&to.agent);
                 let settle = event::Settle {
