--- a/crates/once/tests/model.rs
+++ b/crates/once/tests/model.rs
@@ -391,6 +391,13 @@
     );
 }
 
+#[test]
+fn old_answer() {
+    let mut scenario = concurrent(1);
+    scenario.faults.kinds = &[Fault::Unsent];
+    finds(Seeded::OldAnswer, scenario, KEY_TWICE);
+}
+
 #[test]
 fn unreachable_proof() {
     finds(Seeded::Unreachable, links(Kind::Once, 2, 0), NOT_RUN);
--- a/crates/once/tests/session.rs
+++ b/crates/once/tests/session.rs
@@ -93,6 +93,42 @@
     .assert_eq(session.text());
 }
 
+/// Once the claim is recorded, a repetition is judged by its row alone.
+#[test]
+fn repeated_keyed() {
+    let mut session = Session::new();
+    session.offer(1, 1, keyed("die-7", 11));
+    session.admit(1);
+    session.table("die-7", 11, claim::Answer::Written(1));
+    session.complete(1, Some("order 7"));
+    session.table("die-7", 11, claim::Answer::Written(2));
+    session.offer(2, 2, keyed("die-7", 12));
+    session.admit(2);
+    let done = claim::State::Done(response("order 7"));
+    let found = row(2, owner(AGENT, 1), 11, done);
+    session.table("die-7", 12, claim::Answer::Conflict(Some(found)));
+    expect![[r#"
+        run 1 on link 1
+            action=admit request=1
+        admitted 1
+            action=ask op=write row="claim/orders/gifts/die-7" state=running if=absent
+        table: written as version 1
+            action=dispatch request=1
+        end of 1
+            action=release request=1
+            action=ask op=write row="claim/orders/gifts/die-7" state=done if=1
+        table: written as version 2
+        run 2 on link 2
+            action=admit request=2
+        admitted 2
+            action=ask op=write row="claim/orders/gifts/die-7" state=running if=absent
+        table: conflict with version 2 done by agent-a.1 nonce 11
+            action=release request=2
+            action=replay request=2 link=2
+    "#]]
+    .assert_eq(session.text());
+}
+
 /// The insert was lost before it took effect; the same nonce is inserted again.
 #[test]
 fn request_lost() {
@@ -113,7 +149,8 @@
             action=ask op=write row="claim/orders/gifts/die-7" state=running if=absent
         table: written as version 1
             action=dispatch request=1
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 #[test]
@@ -132,7 +169,8 @@
         table: conflict with version 1 running by agent-b.4 nonce 9
             action=release request=1
             action=refuse request=1 link=1 reason="claimed by agent-b"
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 #[test]
@@ -151,7 +189,8 @@
         table: conflict with version 3 abandoned by agent-b.4 nonce 9
             action=release request=1
             action=refuse request=1 link=1 reason="mismatch"
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 /// A claim of an older incarnation of this agent may have been dispatched.
@@ -170,7 +209,8 @@
         table: conflict with version 1 running by agent-a.0 nonce 9
             action=release request=1
             action=break request=1 link=1 cause=claim
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 #[test]
@@ -192,7 +232,8 @@
         table: conflict with version 3 running by agent-c.1 nonce 8
             action=release request=1
             action=refuse request=1 link=1 reason="claimed by agent-c"
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 #[test]
@@ -216,7 +257,8 @@
         link 1 of 1 lost
         settle 1 from 3 on link 2
             action=attach request=1 link=2 of=1 offset=3
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 /// The table is down: not-run at once; the row that a late insert may leave is
@@ -251,7 +293,8 @@
             action=ask op=write row="claim/orders/gifts/die-7" state=running if=1
         table: written as version 2
             action=dispatch request=2
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 /// Without a second request the stray row is abandoned when the table is back,
@@ -288,7 +331,8 @@
         table: read version 1 running by agent-a.1 nonce 11
             action=ask op=write row="claim/orders/gifts/die-7" state=abandoned if=1
         table: written as version 2
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 /// The table fails after the dispatch: the end is written until it is
@@ -326,7 +370,8 @@
         table: read version 1 running by agent-a.1 nonce 11
             action=ask op=write row="claim/orders/gifts/die-7" state=done if=1
         table: written as version 2
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 #[test]
@@ -358,7 +403,8 @@
             action=break request=3 link=3 cause=target
         settle 1 from 0 on link 4
             action=break request=1 link=4 cause=target
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 /// Nothing reached the target: the claim is abandoned, so that another agent
@@ -387,7 +433,8 @@
             action=ask op=write row="claim/orders/gifts/die-7" state=abandoned if=1
             action=refuse request=1 link=1 reason="down"
         table: written as version 2
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 /// The caller gave up and came back through another router: the first request
@@ -414,7 +461,8 @@
         end of 1
             action=release request=1
             action=ask op=write row="claim/orders/gifts/die-7" state=done if=1
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 /// A claim that is cancelled while its insert is open is never dispatched.
@@ -437,7 +485,8 @@
         table: written as version 1
             action=ask op=write row="claim/orders/gifts/die-7" state=abandoned if=1
         table: written as version 2
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 #[test]
@@ -464,7 +513,8 @@
         link 2 of 1 lost
         settle 1 from 10 on link 3
             action=break request=1 link=3 cause=gone
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 /// An engine resumes its stream by offset, both for the agent and for a router
@@ -500,7 +550,8 @@
             action=release request=1
             action=break request=1 link=2 cause=target
             action=forget request=1
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
 
 #[test]
@@ -541,5 +592,6 @@
         table: written as version 2
         end of 1
             action=release request=1
-    "#]].assert_eq(session.text());
+    "#]]
+    .assert_eq(session.text());
 }
--- a/crates/once/tests/world/mod.rs
+++ b/crates/once/tests/world/mod.rs
@@ -58,6 +58,8 @@
     OldClaim,
     /// The nonce of a row that was read back is not compared.
     NoNonce,
+    /// An answer to a replaced attempt is given to the attempt that replaced it.
+    OldAnswer,
     /// A write without reply is taken for written.
     LostWritten,
     /// An unavailable table is passed over.
@@ -793,9 +795,14 @@
         };
         distort(scenario, &state.me, call.ask.nonce, &mut answer);
         let now = state.now;
-        let actions = state
-            .ledger
-            .answered(now, &call.ask.key, call.ask.nonce, answer);
+        let newer = self
+            .table
+            .iter()
+            .filter(|other| other.agent == agent && !other.late && scenario.is(Seeded::OldAnswer))
+            .map(|other| other.ask.nonce)
+            .next();
+        let nonce = newer.unwrap_or(call.ask.nonce);
+        let actions = state.ledger.answered(now, &call.ask.key, nonce, answer);
         self.act(scenario, agent, actions);
     }
 
