--- a/crates/once/src/holding.rs
+++ b/crates/once/src/holding.rs
@@ -94,6 +94,11 @@
         self.claim.digest
     }
 
+    /// Tells whether the request has ended and the row does not show it yet.
+    pub fn ending(&self) -> bool {
+        matches!(self.phase, Phase::Ending { .. })
+    }
+
     /// Tells whether the claim ends without a dispatch.
     pub fn abandoned(&self) -> bool {
         matches!(
@@ -107,7 +112,7 @@
 
     /// Tells whether the end of a dispatched request is not recorded yet.
     pub fn unrecorded(&self) -> bool {
-        matches!(self.phase, Phase::Ending { .. }) && !self.abandoned()
+        self.ending() && !self.abandoned()
     }
 
     /// Returns the response of a request that is done and not recorded yet.
@@ -149,11 +154,6 @@
         }
     }
 
-    /// Tells whether the table may have, or may get, a row of this attempt.
-    pub fn asked(&self) -> bool {
-        self.asked != Asked::Nothing || matches!(self.phase, Phase::Running { .. })
-    }
-
     /// Takes the answer to the last operation.
     pub fn answer(&mut self, now: Mono, answer: Answer) -> Next {
         let asked = self.asked;
@@ -186,7 +186,9 @@
                 Next::Ask(self.read())
             }
             Answer::Unanswered | Answer::Unavailable => {
-                self.stray(now);
+                if self.unanswered > 0 {
+                    self.stray(now);
+                }
                 Next::Refuse(Refusal::Table)
             }
         }
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -29,8 +29,8 @@
     pub live: usize,
     /// Bytes of finished responses that no router has consumed.
     pub retained: u64,
-    /// Claims whose end is not recorded; while there are more, keyed requests
-    /// are refused.
+    /// Claims whose end the table does not show yet; while there are as many,
+    /// keyed requests are refused, as in any outage of the table.
     pub unrecorded: usize,
     /// Longest epoch. A router that reconnects within this time finds the
     /// entry of its request.
@@ -633,7 +633,8 @@
             return Some(Refusal::Bound);
         }
         let keyed = matches!(entry.class, Class::Keyed { .. });
-        if keyed && self.unrecorded() >= self.limits.unrecorded {
+        let ending = self.holdings.values().filter(|h| h.ending()).count();
+        if keyed && ending >= self.limits.unrecorded {
             return Some(Refusal::Table);
         }
         None
--- a/crates/once/tests/memory.rs
+++ b/crates/once/tests/memory.rs
@@ -183,6 +183,32 @@
     assert_eq!(refusal(&other), Some(&Refusal::Table));
 }
 
+/// Claims that may have left a row are bounded too; those whose write was
+/// never sent leave nothing behind.
+#[test]
+fn strays_bound() {
+    let mut session = Session::with(Limits {
+        unrecorded: 3,
+        ..Limits::default()
+    });
+    for request in 1..=5 {
+        let text = format!("die-{request}");
+        session.offer(request, 1, keyed(&text, request));
+        session.admit(request);
+        session.table(&text, request, claim::Answer::Unavailable);
+    }
+    assert!(session.ledger.drained());
+    for request in 11..=13 {
+        let text = format!("die-{request}");
+        session.offer(request, 1, keyed(&text, request));
+        session.admit(request);
+        session.table(&text, request, claim::Answer::Unanswered);
+        session.table(&text, request, claim::Answer::Unavailable);
+    }
+    let actions = session.offer(14, 1, keyed("die-14", 14));
+    assert_eq!(refusal(&actions), Some(&Refusal::Table));
+}
+
 #[test]
 fn orphan_queued() {
     let mut session = Session::new();
