--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -40,6 +40,10 @@
 /// the one who answers.
 const MESSAGES: i64 = 4;
 
+/// Share of the rate that the usual exchange uses, in percent. The rest keeps
+/// the bucket filled for urgent news and for new processes.
+const STEADY: i64 = 85;
+
 /// Smallest message worth sending, in bytes.
 const SMALLEST: i64 = 200;
 
@@ -64,6 +68,20 @@
 /// With 1,110 members a part is about 14 KB.
 const PARTS: u32 = 8;
 
+/// Parts of the members that are compared by digest; 64 digests take 256 bytes,
+/// and with 1,110 members a part that differs takes 18 load records.
+const DIGESTS: u64 = 64;
+
+/// Parts that differ of which one answer holds the loads.
+const REPAIRED: usize = 4;
+
+/// Time between two exchanges of a process that learns the members.
+const JOIN: span::Span = span::Span::from_millis(200);
+
+/// A process that lacks more than about one in this many of the members that
+/// a partner knows asks for all parts again; fewer are found by `wants`.
+const MISSING: u32 = 8;
+
 /// A member, or a seed whose process is not known, to exchange with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Partner {
@@ -127,8 +145,11 @@
     urgent: VecDeque<id::ProcessId>,
     wants: BTreeMap<u64, time::Mono>,
     suspects: BTreeMap<u64, Suspicion>,
-    /// Parts of the members that are still to be asked for.
-    parts: VecDeque<u32>,
+    /// Parts of the members that have not arrived, and when each was last
+    /// asked for.
+    parts: BTreeMap<u32, Option<time::Mono>>,
+    /// Whether the last answer had another digest.
+    differs: bool,
 }
 
 impl Exchange {
@@ -161,7 +182,8 @@
             urgent: VecDeque::new(),
             wants: BTreeMap::new(),
             suspects: BTreeMap::new(),
-            parts: (0..PARTS).collect(),
+            parts: all_parts(),
+            differs: false,
         }
     }
 
@@ -190,6 +212,9 @@
     /// Returns when the next exchange should start: after the interval, or
     /// sooner while there are urgent news and bytes for them.
     pub fn due(&self, now: time::Mono, budget: &mut budget::Budget) -> time::Mono {
+        if self.joining(now, budget) {
+            return (self.started + JOIN).min(self.regular + INTERVAL);
+        }
         let urgent = self.fan > 0 || !self.urgent.is_empty();
         if urgent && budget.available(now) > RESERVE {
             return (self.started + URGENT).min(self.regular + INTERVAL);
@@ -210,6 +235,12 @@
         outcome
     }
 
+    /// Returns whether parts are still missing and the join allowance lasts.
+    fn joining(&self, now: time::Mono, budget: &mut budget::Budget) -> bool {
+        let burst = i64::try_from(budget::BURST).unwrap_or(i64::MAX);
+        !self.parts.is_empty() && budget.available(now) > burst
+    }
+
     /// Adds a quarantine entry of this process, or a change of one.
     pub fn suspect(&mut self, now: time::Mono, entry: msg::Suspect) {
         self.merge_suspect(now, entry);
@@ -230,6 +261,9 @@
             }
         }
         self.turn += 1;
+        if !self.parts.is_empty() {
+            return self.anyone().or_else(|| self.probe());
+        }
         if self.turn.is_multiple_of(PROBE)
             && let Some(probe) = self.probe()
         {
@@ -258,6 +292,7 @@
         if self.early {
             message.urgent = true;
             message.wants = self.wants.keys().copied().take(ASKED).collect();
+            self.ask_part(now, &mut message);
             let mut room = Room::new(limit, &message);
             self.add_news(now, &mut message, &mut room, to.process.as_ref());
             charge(now, budget, &message);
@@ -277,7 +312,7 @@
         budget: &mut budget::Budget,
         request: &msg::Exchange,
     ) -> (msg::Exchange, Applied) {
-        let applied = self.apply(now, budget, request);
+        let applied = self.merge(now, budget, request);
         let limit = match request.parts {
             0 if request.urgent => self.share(now, budget).min(URGENT_SIZE),
             0 => self.share(now, budget),
@@ -293,6 +328,7 @@
         self.add_correction(now, &mut answer, &mut room, request);
         self.add_asked(now, &mut answer, &mut room, request);
         self.add_part(now, &mut answer, &mut room, request);
+        self.add_repairs(now, &mut answer, &mut room, request);
         match request.urgent {
             true => self.add_news(now, &mut answer, &mut room, to.as_ref()),
             false => self.fill(now, &mut answer, to.as_ref(), limit),
@@ -301,8 +337,41 @@
         (answer, applied)
     }
 
-    /// Merges a received message. The bytes are charged.
+    /// Merges the answer to an exchange that this process started. The bytes
+    /// are charged.
     pub fn apply(
+        &mut self,
+        now: time::Mono,
+        budget: &mut budget::Budget,
+        answer: &msg::Exchange,
+    ) -> Applied {
+        let applied = self.merge(now, budget, answer);
+        self.differs = answer.digest != digest(&digests(&self.members));
+        if answer.parts == PARTS {
+            self.parts.remove(&answer.part);
+            self.keep_quiet(answer);
+        }
+        let known = u32::try_from(self.members.reporting()).unwrap_or(u32::MAX);
+        if self.parts.is_empty() && answer.known > known + known.div_ceil(MISSING) {
+            self.parts = all_parts();
+        }
+        applied
+    }
+
+    /// Keeps members that came in a part from being passed on as news: only
+    /// this process did not know them.
+    fn keep_quiet(&mut self, answer: &msg::Exchange) {
+        for record in &answer.members {
+            if let Ok(process) = record.process.parse()
+                && let Some(entry) = self.members.entry_mut(&process)
+            {
+                entry.news = 0;
+                entry.pulses = 0;
+            }
+        }
+    }
+
+    fn merge(
         &mut self,
         now: time::Mono,
         budget: &mut budget::Budget,
@@ -328,9 +397,26 @@
             }
         }
         self.apply_sender(now, message, &mut applied);
+        self.ask_back(message);
         applied
     }
 
+    /// Makes the sender the next partner when its loads named members that are
+    /// not known here: it has their records.
+    fn ask_back(&mut self, message: &msg::Exchange) {
+        let named = message
+            .loads
+            .iter()
+            .any(|load| self.wants.contains_key(&load.process));
+        let sender = message.sender.as_ref();
+        let Some(process) = sender.and_then(|s| s.process.parse::<id::ProcessId>().ok()) else {
+            return;
+        };
+        if named && self.parts.is_empty() && !self.urgent.contains(&process) {
+            self.urgent.push_back(process);
+        }
+    }
+
     /// Notes that the exchange with a partner failed.
     pub fn failed(&mut self, now: time::Mono, to: &Partner, failure: member::Failure) {
         if let Some(process) = &to.process {
@@ -349,11 +435,25 @@
     fn share(&self, now: time::Mono, budget: &mut budget::Budget) -> i64 {
         let rate = i64::try_from(budget.rate().0).unwrap_or(i64::MAX);
         let micros = i64::try_from(INTERVAL.as_micros()).unwrap_or(i64::MAX);
-        let even = rate * micros / 1_000_000 / MESSAGES;
+        let even = rate * micros / 1_000_000 / MESSAGES * STEADY / 100;
         let overhead = i64::try_from(budget::OVERHEAD).unwrap_or(0);
         even.min(budget.available(now)) - overhead
     }
 
+    /// Returns one of all reporting members, another at each turn, so that the
+    /// parts for a new process are taken from many budgets.
+    fn anyone(&self) -> Option<Partner> {
+        let own = &self.members.own().process;
+        let candidates = self
+            .members
+            .entries()
+            .filter(|entry| entry.state == member::State::Reported)
+            .map(|entry| &entry.member.process)
+            .filter(|process| *process != own);
+        let process = neighbour::pick(hash::mix(self.key, self.turn), candidates)?;
+        self.members.entry(process).map(partner)
+    }
+
     fn neighbour(&self, now: time::Mono, slot: u64) -> Option<Partner> {
         let own = self.members.own();
         let grouped = slot.is_multiple_of(neighbour::GROUP_EVERY) && own.service.is_some();
@@ -414,6 +514,8 @@
         let own = self.members.own().clone();
         let mut message = msg::Exchange {
             sender: Some(convert::stamp_record(&own)),
+            known: u32::try_from(self.members.reporting()).unwrap_or(u32::MAX),
+            digest: digest(&digests(&self.members)),
             ..Default::default()
         };
         let entry = self.members.entry_mut(&own.process);
@@ -430,11 +532,22 @@
         message
     }
 
+    /// Asks for a part that was never asked for, or whose answer is overdue.
+    fn ask_part(&mut self, now: time::Mono, message: &mut msg::Exchange) {
+        let overdue = |asked: Option<time::Mono>| asked.is_none_or(|a| now.since(a) >= INTERVAL);
+        let next = self.parts.iter_mut().find(|(_, asked)| overdue(**asked));
+        if let Some((part, asked)) = next {
+            *asked = Some(now);
+            message.part = *part;
+            message.parts = PARTS;
+        }
+    }
+
     /// Adds what this process wants to know.
     fn ask(&mut self, now: time::Mono, message: &mut msg::Exchange) {
-        if let Some(part) = self.parts.pop_front() {
-            message.part = part;
-            message.parts = PARTS;
+        self.ask_part(now, message);
+        if self.differs && message.parts == 0 {
+            message.digests = digests(&self.members);
         }
         let silence = self.members.rules().silence;
         self.wants.retain(|_, since| now.since(*since) < silence);
@@ -512,10 +625,45 @@
         }
         let parts = u64::from(request.parts);
         let own = self.key;
+        let mut whole = true;
         for entry in self.members.entries() {
             let key = member::key(&entry.member.process);
             if key % parts == u64::from(request.part) && key != own && fresh(now, entry) {
-                room.member(message, &entry.relayed(now));
+                whole &= room.member(message, &entry.relayed(now));
+            }
+        }
+        if whole {
+            message.part = request.part;
+            message.parts = request.parts;
+        }
+    }
+
+    /// Adds the loads of parts whose digests differ, so that the receiver finds
+    /// the members that it does not know or holds in another state.
+    fn add_repairs(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        request: &msg::Exchange,
+    ) {
+        let own = digests(&self.members);
+        if request.digests.len() != own.len() {
+            return;
+        }
+        let mut different: Vec<u64> = (0..DIGESTS)
+            .zip(own.iter().zip(&request.digests))
+            .filter(|(_, (own, other))| own != other)
+            .map(|(part, _)| part)
+            .collect();
+        // Another order in each message, so that a part that can't be repaired
+        // does not stop the others.
+        different.sort_by_key(|part| hash::mix(self.turn, *part));
+        different.truncate(REPAIRED);
+        for entry in self.members.entries() {
+            let key = member::key(&entry.member.process);
+            if different.contains(&(key % DIGESTS)) && fresh(now, entry) {
+                room.load(message, &entry.relayed(now).load());
             }
         }
     }
@@ -763,6 +911,35 @@
 /// Age up to which reports are passed on.
 const FRESH: span::Span = span::Span::from_secs(50);
 
+/// Returns the digest of each part of the reporting members.
+fn digests(members: &member::Members) -> Vec<u32> {
+    let mut digests = vec![0; usize::try_from(DIGESTS).unwrap_or(0)];
+    for entry in members.entries() {
+        if entry.state != member::State::Reported {
+            continue;
+        }
+        let key = member::key(&entry.member.process);
+        let run = entry.member.incarnation.0 * 2 + u64::from(entry.leaving);
+        if let Some(digest) = usize::try_from(key % DIGESTS)
+            .ok()
+            .and_then(|part| digests.get_mut(part))
+        {
+            *digest ^= (hash::mix(key, run) >> 32) as u32;
+        }
+    }
+    digests
+}
+
+fn digest(digests: &[u32]) -> u64 {
+    digests
+        .iter()
+        .fold(0, |sum, digest| hash::mix(sum, u64::from(*digest)))
+}
+
+fn all_parts() -> BTreeMap<u32, Option<time::Mono>> {
+    (0..PARTS).map(|part| (part, None)).collect()
+}
+
 fn partner(entry: &member::Entry) -> Partner {
     Partner {
         process: Some(entry.member.process.clone()),
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -48,7 +48,7 @@
 ///
 /// Role, address, data centre, service, target and weight are the same in all
 /// reports of one incarnation; a process that changes them must restart.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
     /// Process id; stays the same over restarts.
     pub process: id::ProcessId,
@@ -174,7 +174,7 @@
 }
 
 /// Why a member has no place in the snapshots.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) enum State {
     /// Known from the instance list alone.
     Listed,
@@ -187,7 +187,7 @@
 }
 
 /// What one process knows about one member.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Entry {
     pub(crate) member: Member,
     pub(crate) state: State,
@@ -214,7 +214,7 @@
     pub(crate) pulses: u32,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Seen {
     at: time::Mono,
     load: u32,
@@ -247,9 +247,13 @@
     pub age: span::Span,
 }
 
-/// Messages that carry a change of state on from one process. With 12 of them
-/// a process misses the change with a probability of about e^-12.
-const NEWS: u32 = 12;
+/// Messages that carry a change of state on from one process; about e^-8 of
+/// the processes miss it and learn of it with the next pulse.
+const NEWS: u32 = 8;
+
+/// Messages that carry a new member record on from one process. It is about
+/// four times the size of a load record, and a process that misses it asks.
+const RECORDS: u32 = 5;
 
 /// Messages that carry a pulse on from one process.
 const PULSES: u32 = 4;
@@ -362,7 +366,7 @@
     /// Notes a change that other processes should learn.
     fn tell(&mut self, now: time::Mono, whole: bool) {
         self.changed = now;
-        self.news = NEWS;
+        self.news = if whole { RECORDS } else { NEWS };
         self.whole |= whole;
     }
 
@@ -444,7 +448,7 @@
 }
 
 /// The members of the fleet as one process knows them.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Members {
     own: id::ProcessId,
     rules: rules::Rules,
@@ -770,6 +774,13 @@
         Some(self.row(now, entry))
     }
 
+    /// Returns the last report of a member as it is passed on now, whether or
+    /// not the member has a place in the snapshots.
+    pub fn relayed(&self, now: time::Mono, process: &id::ProcessId) -> Option<Member> {
+        let entry = self.entries.get(process)?;
+        Some(entry.relayed(now))
+    }
+
     /// Returns all members, this process included.
     pub fn rows(&self, now: time::Mono) -> Vec<Row> {
         self.present().map(|entry| self.row(now, entry)).collect()
--- a/crates/fleet/src/rules.rs
+++ b/crates/fleet/src/rules.rs
@@ -3,7 +3,7 @@
 use base::span;
 
 /// Limits that [`member::Members`](crate::member::Members) applies.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Rules {
     /// A member without a report from any source for this long is removed.
     pub silence: span::Span,
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -442,6 +442,14 @@
     /// Whether the message holds urgent news alone; the answer is kept short.
     #[prost(bool, tag = "10")]
     pub urgent: bool,
+    /// Combined hash of process, incarnation and leaving state of all members
+    /// that report to the sender.
+    #[prost(fixed64, tag = "11")]
+    pub digest: u64,
+    /// The same for each part of the members, shortened; sent while digests
+    /// differ.
+    #[prost(fixed32, repeated, tag = "12")]
+    pub digests: Vec<u32>,
 }
 
 /// Asks a peer for configuration changes.
