--- a/crates/daemon/src/commit.rs
+++ b/crates/daemon/src/commit.rs
@@ -33,6 +33,14 @@
     /// Another change was accepted first.
     #[error("{0}")]
     Conflict(command::Conflict),
+    /// The command names a version as its base, but other changes followed it.
+    #[error("version {head} has followed version {base}")]
+    Overtaken {
+        /// The version that the command names.
+        base: id::Version,
+        /// The newest version.
+        head: id::Version,
+    },
     /// The table failed; the command was not accepted.
     #[error("the table does not answer: {0}")]
     Table(#[from] Fault),
@@ -61,21 +69,43 @@
     pub signals: mpsc::UnboundedSender<Signal>,
 }
 
+impl CommitError {
+    /// Tells whether the error also settles an earlier attempt whose reply was
+    /// lost. Conflicts and rejections do: the head has moved on, so that the
+    /// earlier transaction cannot take effect any more.
+    fn decides(&self) -> bool {
+        matches!(
+            self,
+            Self::Conflict(_)
+                | Self::Overtaken { .. }
+                | Self::Refused(command::Refusal::Rejected(_))
+        )
+    }
+}
+
 impl Commit {
     /// Commits a command; returns the version that it produced. Calling it
     /// again with the same command id is harmless.
     ///
+    /// With a `base`, the command conflicts with every change after that
+    /// version. Without one, it is based on the newest version.
+    ///
     /// # Errors
     ///
     /// Why the command was not accepted, or that this is not known.
-    pub async fn run(&self, command: row::Command) -> Result<id::Version, CommitError> {
+    pub async fn run(
+        &self,
+        command: row::Command,
+        base: Option<id::Version>,
+    ) -> Result<id::Version, CommitError> {
+        let mut undecided = false;
         for attempt in 0..ATTEMPTS {
             if attempt > 0 {
                 time::sleep(PAUSE).await;
             }
-            match self.attempt(command.clone()).await {
+            match self.attempt(command.clone(), base).await {
                 Ok(Some(version)) => return Ok(version),
-                Ok(None) => {}
+                Ok(None) => undecided = true,
                 Err(CommitError::Refused(command::Refusal::Accepted(version))) => {
                     return Ok(version);
                 }
@@ -83,19 +113,33 @@
                 Err(CommitError::Refused(
                     command::Refusal::Behind { .. } | command::Refusal::TableBehind { .. },
                 )) if attempt + 1 < ATTEMPTS => {}
+                Err(error) if undecided && !error.decides() => {}
                 Err(error) => return Err(error),
             }
         }
         Err(CommitError::Undecided(command.id))
     }
 
-    async fn attempt(&self, command: row::Command) -> Result<Option<id::Version>, CommitError> {
+    async fn attempt(
+        &self,
+        command: row::Command,
+        base: Option<id::Version>,
+    ) -> Result<Option<id::Version>, CommitError> {
         let head = self.platform.head().await?;
         let answers = self.ask_peers().await?;
         self.catch_up(head).await?;
-        let proposal = self
+        let id = command.id;
+        let prepared = self
             .control(|reply| Signal::Prepare(command, answers, reply))
-            .await??;
+            .await?;
+        if let Some(base) = base {
+            let head = prepared.as_ref().map_or(head, |proposal| proposal.base);
+            let known = matches!(prepared, Err(command::Refusal::Accepted(_)));
+            if !known && head.point.version != base {
+                return self.overtaken(id, base, head.point.version).await;
+            }
+        }
+        let proposal = prepared?;
         let reply = self.platform.commit(&proposal.transaction).await;
         match command::interpret(&proposal, &reply)? {
             command::Outcome::Committed { row, head } => {
@@ -110,13 +154,36 @@
         }
     }
 
+    /// Decides about a command whose base is not the head: it is refused, unless
+    /// it was accepted before.
+    async fn overtaken(
+        &self,
+        id: id::CommandId,
+        base: id::Version,
+        head: id::Version,
+    ) -> Result<Option<id::Version>, CommitError> {
+        let key = row::command_key(id);
+        match self.platform.row(&key).await? {
+            Some(row) => {
+                let recorded: row::CommandRow = row.read(&key)?;
+                Ok(Some(recorded.version))
+            }
+            None => Err(CommitError::Overtaken { base, head }),
+        }
+    }
+
     async fn read_back(
         &self,
         proposal: &command::Proposal,
     ) -> Result<Option<id::Version>, CommitError> {
-        let head = self.platform.head().await?;
+        // While the table does not answer, the transaction may have taken effect.
+        let Ok(head) = self.platform.head().await else {
+            return Ok(None);
+        };
         let key = row::command_key(proposal.row.command.id);
-        let recorded = self.platform.row(&key).await?;
+        let Ok(recorded) = self.platform.row(&key).await else {
+            return Ok(None);
+        };
         match command::read_back(proposal, head, recorded.as_ref())? {
             command::ReadBack::Committed(version) => {
                 self.catch_up(head).await?;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -10,7 +10,7 @@
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_rustls::TlsConnector;
 
-use crate::{node, serve, tls};
+use crate::{node, operate, serve, tls};
 
 /// Connections from other processes at once: every process of a fleet may have
 /// one, and several during reconnection.
@@ -103,6 +103,26 @@
     })
 }
 
+/// Makes the listener for operators, who connect with the same certificate as
+/// callers.
+pub async fn operators(
+    settings: &settings::Settings,
+    operators: operate::Operators,
+) -> Result<Option<operate::Server>, Fault> {
+    let Some(address) = settings.listen.operators else {
+        return Ok(None);
+    };
+    let tls = match &settings.tls.callers {
+        Some(certificate) => Some(tls::caller_acceptor(&files(certificate))?),
+        None => None,
+    };
+    Ok(Some(operate::Server {
+        listener: bind(address).await?,
+        tls,
+        operators,
+    }))
+}
+
 /// Makes the listener for health checks.
 pub async fn health(
     settings: &settings::Settings,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -50,6 +50,24 @@
     Fetched,
     /// The instance list was read.
     Instances(member::Instances),
+    /// The common state is to be read.
+    Inspect(Inspect),
+}
+
+/// Reads the common state on the control thread.
+pub struct Inspect(Box<dyn FnOnce(&Node) + Send>);
+
+impl Inspect {
+    /// Makes it of a function that sends what it reads.
+    pub fn new(look: impl FnOnce(&Node) + Send + 'static) -> Self {
+        Self(Box::new(look))
+    }
+}
+
+impl std::fmt::Debug for Inspect {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Inspect")
+    }
 }
 
 /// What a signal changed.
@@ -259,6 +277,10 @@
                 reply.send((self.peers(now), self.history.version())).ok();
                 Changed::default()
             }
+            Signal::Inspect(Inspect(look)) => {
+                look(self);
+                Changed::default()
+            }
             Signal::Fetched => {
                 self.polls.fetching = false;
                 Changed::default()
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -32,7 +32,7 @@
     listen,
     metrics::Metrics,
     node::{self, Node},
-    peers,
+    operate, peers,
     platform::Platform,
     problem::{Code, OUTCOME, Outcome, Problem},
     router_core::{Core, Event, Parts},
@@ -317,6 +317,13 @@
     let pages = listen::health(&settings, health::handler(health.clone())).await?;
     others.spawn(pages.run(closed.clone()));
 
+    let signals = listen::forward(events.clone(), Event::Node);
+    let centre = settings.data_centre.clone();
+    let operators = operate::Operators::new(snapshot.clone(), signals, centre);
+    if let Some(server) = listen::operators(&settings, operators).await? {
+        others.spawn(server.run(closed.clone()));
+    }
+
     let bootstrap = settings.bootstrap_changes()?;
     let control = thread::Builder::new().name("control".to_owned());
     let core_settings = settings.clone();
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -184,7 +184,7 @@
         let commit = self.parts.node.commit();
         let command = first_command(changes);
         tokio::spawn(async move {
-            match commit.run(command).await {
+            match commit.run(command, None).await {
                 Ok(version) => tracing::info!(event = "configuration_created", %version),
                 Err(cause) => tracing::error!(event = "configuration_not_created", %cause),
             }
