--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -429,7 +429,11 @@
     /// same crashes.
     fn related(&self, now: time::Mono, fingerprint: id::Fingerprint) -> Vec<msg::Suspect> {
         let related = self.quarantine.related(now, fingerprint);
-        related.iter().map(suspects::to_message).collect()
+        let service = self.agent.service.as_str();
+        related
+            .iter()
+            .map(|entry| suspects::to_message(entry, service))
+            .collect()
     }
 
     /// Tells other processes what is known of a content.
--- a/crates/daemon/src/commit.rs
+++ b/crates/daemon/src/commit.rs
@@ -130,7 +130,7 @@
         self.catch_up(head).await?;
         let id = command.id;
         let prepared = self
-            .control(|reply| Signal::Prepare(command, answers, reply))
+            .control(|reply| Signal::Prepare(Box::new(command), answers, reply))
             .await?;
         if let Some(base) = base {
             let head = prepared.as_ref().map_or(head, |proposal| proposal.base);
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -19,9 +19,6 @@
 /// Time for one settlement call to bring its first frame.
 const SETTLE_CALL: time::Duration = time::Duration::from_secs(2);
 
-/// Pause before the second and later settlements of one request.
-const SETTLE_PAUSE: time::Duration = time::Duration::from_millis(100);
-
 /// What the caller receives next.
 #[derive(Debug)]
 pub enum Output {
@@ -142,7 +139,10 @@
             settle::Step::Choose { skip } => self.choose(skip).await,
             settle::Step::Redirect(owner) => self.redirect(owner).await,
             settle::Step::Resend(to) => self.send(to, self.request.offset()).await,
-            settle::Step::Settle { to, offset } => self.settle(to, offset).await,
+            settle::Step::Settle { to, offset, pause } => {
+                time::sleep(pause.duration()).await;
+                self.settle(to, offset).await
+            }
             _ => self.read().await,
         }
     }
@@ -280,12 +280,10 @@
             }
             Ok(Err(Failure::NotSent(fault))) => {
                 self.failed(&to.agent, &fault, fleet::member::Failure::Refused);
-                time::sleep(SETTLE_PAUSE).await;
                 self.request.link_lost()
             }
             Ok(Err(Failure::Broken(fault))) => {
                 self.failed(&to.agent, &fault, fleet::member::Failure::Other);
-                time::sleep(SETTLE_PAUSE).await;
                 self.request.link_lost()
             }
             Err(_) => self.request.link_lost(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -40,7 +40,7 @@
     Snapshot(Box<row::Snapshot>),
     /// A command is to be prepared.
     Prepare(
-        row::Command,
+        Box<row::Command>,
         history::Answers,
         oneshot::Sender<Result<command::Proposal, command::Refusal>>,
     ),
--- a/crates/daemon/src/operate.rs
+++ b/crates/daemon/src/operate.rs
@@ -4,6 +4,7 @@
 //! [`crate::commit`]. See [the language page](../../../docs/language.md).
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -38,6 +39,7 @@
     node::{Inspect, Node, Signal},
     past::{Past, PastError},
     snapshot::Snapshot,
+    suspects,
 };
 
 /// Connections of operators at once; operators are few.
@@ -421,14 +423,25 @@
         let suspects = self
             .inspect(|node| node.exchange.suspects(node.clock.now()))
             .await?;
-        let shown = suspects.into_iter().filter(|entry| !entry.lifted);
+        let judged = suspects::judge(&suspects);
+        let shown = suspects
+            .into_iter()
+            .filter(|entry| !entry.crashes.is_empty());
         Ok(shown
-            .map(|entry| answer::Suspect {
-                fingerprint: id::Fingerprint(entry.fingerprint),
-                service: entry.service,
-                targets: entry.targets,
-                refused: entry.refused,
-                remaining: span::Span::from_millis(entry.remaining.into()),
+            .map(|entry| {
+                let fingerprint = id::Fingerprint(entry.fingerprint);
+                let targets: BTreeSet<String> = entry
+                    .crashes
+                    .into_iter()
+                    .map(|crash| crash.target)
+                    .collect();
+                answer::Suspect {
+                    fingerprint,
+                    service: entry.service,
+                    targets: targets.into_iter().collect(),
+                    refused: judged.contains(&fingerprint),
+                    remaining: span::Span::from_millis(entry.remaining.into()),
+                }
             })
             .collect())
     }
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -93,10 +93,6 @@
     suspects: Arc<BTreeMap<id::Fingerprint, Vec<msg::Suspect>>>,
 }
 
-/// Longest time for which a router remembers a suspect; agents apply the term
-/// of their service.
-const QUARANTINE: span::Span = span::Span::from_secs(24 * 3600);
-
 #[derive(Clone, Copy, Debug)]
 struct Stamped {
     at: time::Mono,
@@ -117,7 +113,7 @@
             published: time::Mono::default(),
             leaving: false,
             up: BTreeMap::new(),
-            quarantine: quarantine::Quarantine::new(QUARANTINE, id::Incarnation(0)),
+            quarantine: quarantine::Quarantine::new(suspects::LONGEST, id::Incarnation(0)),
             suspects: Arc::default(),
         }
     }
@@ -197,7 +193,10 @@
         }
         let known = self.quarantine.entries(now).into_iter().map(|entry| {
             let related = self.quarantine.related(now, entry.fingerprint);
-            let related = related.iter().map(suspects::to_message).collect();
+            let related = related
+                .iter()
+                .map(|entry| suspects::to_message(entry, ""))
+                .collect();
             (entry.fingerprint, related)
         });
         self.suspects = Arc::new(known.collect());
--- a/crates/daemon/src/suspects.rs
+++ b/crates/daemon/src/suspects.rs
@@ -1,19 +1,20 @@
 //! Quarantine entries between the messages and [`admit::quarantine`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use admit::quarantine::{Crash, CrashNumber, Entry, Verdict};
-use base::{id, span};
+use admit::quarantine::{Crash, CrashNumber, Entry, Quarantine, Verdict};
+use base::{id, span, time};
 use wire::msg;
 
-/// Writes an entry as a message.
-pub fn to_message(entry: &Entry) -> msg::Suspect {
+/// Writes an entry as a message; `service` is empty when it is not known.
+pub fn to_message(entry: &Entry, service: &str) -> msg::Suspect {
     let crash = |target: &id::TargetId, number: CrashNumber| msg::Crash {
         target: target.to_string(),
         number: number.0,
     };
     msg::Suspect {
         fingerprint: entry.fingerprint.0,
+        service: service.to_owned(),
         crashes: entry
             .crashes
             .iter()
@@ -50,3 +51,21 @@
         number: CrashNumber(crash.number),
     })
 }
+
+/// Longest time for which an entry is remembered outside its agents, which
+/// apply the term of their service.
+pub const LONGEST: span::Span = span::Span::from_secs(24 * 3600);
+
+/// Returns the fingerprints that are refused, as far as these entries tell.
+pub fn judge(suspects: &[msg::Suspect]) -> BTreeSet<id::Fingerprint> {
+    let now = time::Mono::default();
+    let mut quarantine = Quarantine::new(LONGEST, id::Incarnation(0));
+    for suspect in suspects {
+        quarantine.merge(now, &from_message(suspect));
+    }
+    suspects
+        .iter()
+        .map(|suspect| id::Fingerprint(suspect.fingerprint))
+        .filter(|print| matches!(quarantine.check(now, *print), Verdict::Refused { .. }))
+        .collect()
+}
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -898,6 +898,9 @@
             return Some(entry);
         };
         let mut merged = known.entry.clone();
+        if merged.service.is_empty() {
+            merged.service = entry.service;
+        }
         merged.excused = latest(merged.excused.into_iter().chain(entry.excused));
         merged.crashes = pending(
             merged.crashes.into_iter().chain(entry.crashes),
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -419,6 +419,9 @@
     /// Content fingerprint.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
+    /// Service id; empty when the sender does not know it.
+    #[prost(string, tag = "2")]
+    pub service: String,
     /// The crashes that count against it.
     #[prost(message, repeated, tag = "7")]
     pub crashes: Vec<Crash>,
