--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -269,7 +269,7 @@
             Signal::Snapshot(snapshot) => self.adopt(*snapshot),
             Signal::Prepare(command, answers, reply) => {
                 reply
-                    .send(command::prepare(&self.history, command, answers))
+                    .send(command::prepare(&self.history, *command, answers))
                     .ok();
                 Changed::default()
             }
