--- a/crates/bench/examples/local.rs
+++ b/crates/bench/examples/local.rs
@@ -29,6 +29,13 @@
          -H 'Idempotency-Key: example-1' -d '{{\"item\":42}}'",
         deployment.plain.1
     );
+    if let Some(operators) = running.routers[0].settings.listen.operators {
+        let key = deploy::OPERATOR_KEY;
+        println!("\nAn operator's query:\n");
+        println!(
+            "  EBONYWALL_KEY={key} cargo run -q --bin ebonywall -- --router {operators} 'show targets'"
+        );
+    }
     println!("\nCtrl-C stops everything.");
     tokio::signal::ctrl_c().await?;
     running.stop().await;
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -123,7 +123,7 @@
     let message: msg::Exchange = peers::message(request, frame::MAX_SMALL).await?;
     debug_assert!(message.encoded_len() <= frame::MAX_SMALL);
     let (reply, answer) = oneshot::channel();
-    signal(Signal::Received(message, reply));
+    signal(Signal::Received(Box::new(message), reply));
     Ok(match answer.await {
         Ok(answer) => peers::reply(&answer),
         Err(_) => peers::status(StatusCode::SERVICE_UNAVAILABLE),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -23,9 +23,12 @@
 #[derive(Debug)]
 pub enum Signal {
     /// Another process started an exchange.
-    Received(msg::Exchange, oneshot::Sender<msg::Exchange>),
+    Received(Box<msg::Exchange>, oneshot::Sender<msg::Exchange>),
     /// An exchange that this process started has ended.
-    Answered(exchange::Partner, Result<msg::Exchange, member::Failure>),
+    Answered(
+        exchange::Partner,
+        Result<Box<msg::Exchange>, member::Failure>,
+    ),
     /// A message of another process had this stamp.
     Stamp(msg::Stamp),
     /// Another process asks for the changes after a version.
@@ -529,12 +532,13 @@
     links: &Links,
     peer: SocketAddr,
     message: &msg::Exchange,
-) -> Result<msg::Exchange, member::Failure> {
+) -> Result<Box<msg::Exchange>, member::Failure> {
     let exchange = async {
         let response = links.call(peer, "/exchange", message).await;
         match response {
             Ok(response) => Links::read(peer, "/exchange", response)
                 .await
+                .map(Box::new)
                 .map_err(|_| member::Failure::Other),
             Err(Failure::NotSent(_)) => Err(member::Failure::Refused),
             Err(Failure::Broken(_)) => Err(member::Failure::Other),
