Start exchanges as soon as the exchange says that they are due

Cause: the daemon started one exchange a second, while the exchange of the fleet crate wants short ones for urgent news and while joining.

--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -211,7 +211,7 @@
         self.parts.node.clock.now()
     }
 
-    fn due(&self) -> time::Mono {
+    fn due(&mut self) -> time::Mono {
         let fixed = [
             self.parts.node.due(),
             self.health_due,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -184,8 +184,9 @@
     }
 
     /// Returns when [`Node::tick`] has something to do.
-    pub fn due(&self) -> time::Mono {
-        self.due
+    pub fn due(&mut self) -> time::Mono {
+        let now = self.clock.now();
+        self.exchange.due(now, &mut self.budget).min(self.due)
     }
 
     /// Returns the configuration in use.
@@ -202,14 +203,17 @@
         }
     }
 
-    /// Starts the exchange of this interval and removes silent members.
+    /// Starts the exchange that is due, and once in an interval removes silent
+    /// members and reads from the platform; returns whether members changed.
     pub fn tick(&mut self) -> bool {
         let now = self.clock.now();
+        if self.exchange.due(now, &mut self.budget) <= now {
+            self.start_exchange(now);
+        }
         if self.due > now {
             return false;
         }
         self.due = now + exchange::INTERVAL;
-        self.start_exchange(now);
         self.poll(now);
         let removed = self.exchange.members.expire(now);
         for process in &removed {
