Keep caches through joins, replacements and flaps; halve the time of a choice

A chat returns to a warming target when it probably began there, and goes there at once when its previous home takes no work. A target that comes back repeatedly gets no moved caches.

Equal weights need no logarithm, the first ranks are found by a scan, and a choice lists at most 8 rejected targets.

--- a/crates/place/src/choose.rs
+++ b/crates/place/src/choose.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     policy::Policy,
-    rank::Ranking,
+    rank::{Near, Ranking},
     view::{Standing, Target, View},
 };
 
@@ -54,6 +54,8 @@
     Previous,
     /// Warming up, and the KV cache is moved there.
     Import,
+    /// Warming up, and the chat's previous home takes no work.
+    Joining,
     /// First in the ranking below its cap.
     Spill,
     /// The less loaded of two after a refusal.
@@ -77,6 +79,7 @@
             Self::Hint => "hint",
             Self::Previous => "previous",
             Self::Import => "import",
+            Self::Joining => "joining",
             Self::Spill => "spill",
             Self::Choice => "choice",
             Self::Saturated => "saturated",
@@ -138,19 +141,59 @@
     /// Why it was chosen.
     pub reason: Reason,
     /// A target whose engine may hold the chat's KV cache when the chosen one
-    /// does not.
+    /// does not, and from which importing it is cheaper than computing it.
     pub previous: Option<Arc<Target>>,
-    /// Targets that were passed over, in the order in which they were seen.
+    /// The first targets that were passed over, in the order in which they
+    /// were seen.
     pub rejected: Vec<Rejected>,
+    /// Further targets that were passed over.
+    pub omitted: u32,
 }
 
-impl Choice {
-    fn none(rejected: Vec<Rejected>) -> Self {
-        Self {
+/// Rejected targets that a choice lists at most. The list is written to the
+/// log for each request, and listing all 33 targets of a service that is full
+/// doubled the time of a choice.
+const MOST_REJECTED: usize = 8;
+
+/// The targets that were passed over so far.
+#[derive(Default)]
+struct Rejections {
+    list: Vec<Rejected>,
+    omitted: u32,
+}
+
+impl Rejections {
+    fn add(&mut self, target: &Target, cause: Cause) {
+        if self.list.len() == MOST_REJECTED {
+            self.omitted += 1;
+            return;
+        }
+        if self.list.is_empty() {
+            self.list.reserve_exact(MOST_REJECTED);
+        }
+        self.list.push(Rejected {
+            target: target.id.clone(),
+            cause,
+        });
+    }
+
+    fn chosen(self, target: &Arc<Target>, reason: Reason) -> Choice {
+        Choice {
+            target: Some(target.clone()),
+            reason,
+            previous: None,
+            rejected: self.list,
+            omitted: self.omitted,
+        }
+    }
+
+    fn nothing(self) -> Choice {
+        Choice {
             target: None,
             reason: Reason::None,
             previous: None,
-            rejected,
+            rejected: self.list,
+            omitted: self.omitted,
         }
     }
 }
@@ -170,6 +213,9 @@
             let lead = if place == 0 { " rejected=" } else { "," };
             write!(f, "{lead}{}:{}", rejected.target, rejected.cause)?;
         }
+        if self.omitted > 0 {
+            write!(f, " omitted={}", self.omitted)?;
+        }
         Ok(())
     }
 }
@@ -197,23 +243,16 @@
         Standing::Listed => Some(Cause::Listed),
         Standing::Leaving => Some(Cause::Leaving),
         Standing::Down => Some(Cause::Down),
-        Standing::Warming { .. } | Standing::Up => None,
+        Standing::Warming { .. } | Standing::Flapping { .. } | Standing::Up => None,
     }
 }
 
-fn reject(rejected: &mut Vec<Rejected>, target: &Target, cause: Cause) {
-    rejected.push(Rejected {
-        target: target.id.clone(),
-        cause,
-    });
-}
-
 /// Returns the targets that may be tried, in the order of their ids.
-fn open<'a>(view: &'a View, query: &Query, rejected: &mut Vec<Rejected>) -> Vec<&'a Arc<Target>> {
+fn open<'a>(view: &'a View, query: &Query, rejections: &mut Rejections) -> Vec<&'a Arc<Target>> {
     let mut found = Vec::with_capacity(view.targets().len());
     for target in view.targets() {
         match closed(query, target) {
-            Some(cause) => reject(rejected, target, cause),
+            Some(cause) => rejections.add(target, cause),
             None if target.weight > 0 => found.push(target),
             None => {}
         }
@@ -222,11 +261,11 @@
 }
 
 fn random(view: &View, query: &Query, seed: u64) -> Choice {
-    let mut rejected = Vec::new();
-    let open = open(view, query, &mut rejected);
+    let mut rejections = Rejections::default();
+    let open = open(view, query, &mut rejections);
     let total: u64 = open.iter().map(|target| u64::from(target.weight)).sum();
     if total == 0 {
-        return Choice::none(rejected);
+        return rejections.nothing();
     }
     let mut point = hash::mix(seed, query.chat.0) % total;
     let chosen = open.into_iter().find(|target| {
@@ -235,17 +274,15 @@
         point = point.saturating_sub(weight);
         found
     });
-    Choice {
-        target: chosen.cloned(),
-        reason: Reason::Random,
-        previous: None,
-        rejected,
+    match chosen {
+        Some(target) => rejections.chosen(target, Reason::Random),
+        None => rejections.nothing(),
     }
 }
 
 fn least(view: &View, query: &Query, seed: u64) -> Choice {
-    let mut rejected = Vec::new();
-    let open = open(view, query, &mut rejected);
+    let mut rejections = Rejections::default();
+    let open = open(view, query, &mut rejections);
     let key = |target: &Target| hash::mix(seed, hash::bytes(target.id.as_str().as_bytes()));
     let chosen = open.into_iter().min_by(|a, b| {
         let left = u64::from(a.load) * u64::from(b.weight);
@@ -253,50 +290,35 @@
         left.cmp(&right).then_with(|| key(a).cmp(&key(b)))
     });
     match chosen {
-        Some(target) => Choice {
-            target: Some(target.clone()),
-            reason: Reason::Least,
-            previous: None,
-            rejected,
-        },
-        None => Choice::none(rejected),
+        Some(target) => rejections.chosen(target, Reason::Least),
+        None => rejections.nothing(),
     }
 }
 
 fn ranked(view: &View, query: &Query, bounded: bool) -> Choice {
-    let mut rejected = Vec::new();
+    let mut rejections = Rejections::default();
     let mut first_full = None;
-    for index in Ranking::new(view, query.chat, |_| 1.0) {
+    for index in Ranking::new(view, query.chat, None) {
         let target = &view.targets()[index];
         if let Some(cause) = closed(query, target) {
-            reject(&mut rejected, target, cause);
+            rejections.add(target, cause);
             continue;
         }
         if bounded && target.is_full() {
             first_full.get_or_insert(target);
-            reject(&mut rejected, target, Cause::Full);
+            rejections.add(target, Cause::Full);
             continue;
         }
-        let reason = if rejected.is_empty() {
+        let reason = if rejections.list.is_empty() {
             Reason::Home
         } else {
             Reason::Spill
         };
-        return Choice {
-            target: Some(target.clone()),
-            reason,
-            previous: None,
-            rejected,
-        };
+        return rejections.chosen(target, reason);
     }
     match first_full {
-        Some(target) => Choice {
-            target: Some(target.clone()),
-            reason: Reason::Saturated,
-            previous: None,
-            rejected,
-        },
-        None => Choice::none(rejected),
+        Some(target) => rejections.chosen(target, Reason::Saturated),
+        None => rejections.nothing(),
     }
 }
 
@@ -311,11 +333,16 @@
 struct Search<'a> {
     view: &'a View,
     query: &'a Query,
-    rejected: Vec<Rejected>,
+    rejections: Rejections,
+    /// Why the latest target was passed over.
+    latest: Option<Cause>,
+    /// Whether a target that takes no work ranks before the first that does;
+    /// then it was the chat's home.
+    must_move: bool,
     /// The best ranked target that may hold the cache and was passed over.
     holder: Option<&'a Arc<Target>>,
-    /// Targets at their cap, best ranked first.
-    full: Vec<&'a Arc<Target>>,
+    /// The two best ranked targets at their cap.
+    full: [Option<&'a Arc<Target>>; 2],
     /// The best ranked warming target that was passed over for a returning chat.
     warming: Option<&'a Arc<Target>>,
     /// The best ranked target that has not reported.
@@ -327,9 +354,11 @@
         Self {
             view,
             query,
-            rejected: Vec::new(),
+            rejections: Rejections::default(),
+            latest: None,
+            must_move: false,
             holder: None,
-            full: Vec::new(),
+            full: [None; 2],
             warming: None,
             listed: None,
         }
@@ -344,10 +373,14 @@
         }
         let mut ranking = self.ranking();
         while let Some(target) = self.next(&mut ranking) {
+            if let Some(joining) = self.homeless() {
+                return self.chosen(joining, Reason::Joining);
+            }
             if self.is_foreign(target) {
-                if let Some(choice) = self.import(target, &mut ranking) {
-                    return choice;
+                if self.may_import(target) {
+                    return self.import(target, ranking);
                 }
+                self.pass(target, Cause::Warming);
                 continue;
             }
             if target.is_full() {
@@ -361,15 +394,13 @@
     }
 
     fn ranking(&self) -> Ranking {
-        let near = self.view.tuning().near;
-        let prefers = near != 1.0 && !self.query.is_returning();
-        Ranking::new(self.view, self.query.chat, |target| {
-            if prefers && target.centre == self.query.centre {
-                near
-            } else {
-                1.0
-            }
-        })
+        let factor = self.view.tuning().near;
+        let prefers_near = factor != 1.0 && !self.query.is_returning();
+        let near = prefers_near.then_some(Near {
+            centre: &self.query.centre,
+            factor,
+        });
+        Ranking::new(self.view, self.query.chat, near)
     }
 
     /// Returns the next target of the ranking that may be tried.
@@ -385,25 +416,29 @@
     }
 
     fn pass(&mut self, target: &'a Arc<Target>, cause: Cause) {
-        reject(&mut self.rejected, target, cause);
+        self.rejections.add(target, cause);
+        self.must_move |= matches!(cause, Cause::Leaving | Cause::Down);
+        self.latest = Some(cause);
         match cause {
             Cause::Listed => {
                 self.listed.get_or_insert(target);
             }
-            // A leaving engine still exports its cache; one that refused may too.
-            Cause::Leaving | Cause::Tried | Cause::Full => {
+            // An engine that leaves or is full still exports its cache.
+            Cause::Leaving | Cause::Tried | Cause::Full if target.is_alive() => {
                 self.holder.get_or_insert(target);
             }
             Cause::Warming => {
                 self.warming.get_or_insert(target);
             }
-            Cause::Down | Cause::Loaded => {}
+            _ => {}
         }
     }
 
     fn pass_full(&mut self, target: &'a Arc<Target>) {
         self.pass(target, Cause::Full);
-        self.full.push(target);
+        if let Some(place) = self.full.iter_mut().find(|place| place.is_none()) {
+            *place = Some(target);
+        }
     }
 
     fn hinted(&mut self) -> Option<&'a Arc<Target>> {
@@ -412,7 +447,7 @@
             return Some(target);
         }
         // The hint is certain knowledge of where the cache was.
-        if !matches!(target.standing, Standing::Down | Standing::Listed) {
+        if target.is_alive() {
             self.holder = Some(target);
         }
         None
@@ -425,37 +460,46 @@
     /// estimate, chats that began at the warming target would leave it at
     /// their second turn.
     fn is_foreign(&self, target: &Target) -> bool {
-        let Standing::Warming { age } = target.standing else {
-            return false;
+        let age = match target.standing {
+            Standing::Warming { age } | Standing::Flapping { age } => age,
+            _ => return false,
         };
         let pause = self.view.tuning().pause.as_micros();
         u64::from(self.query.turns).saturating_mul(pause) > age.as_micros()
     }
 
-    /// Handles a warming target that ranks before the chat's previous home.
-    fn import(&mut self, target: &'a Arc<Target>, ranking: &mut Ranking) -> Option<Choice> {
+    /// Returns the warming target to which a chat goes at once, because it has
+    /// to leave its previous home and would move there later anyway.
+    fn homeless(&self) -> Option<&'a Arc<Target>> {
+        self.warming
+            .filter(|target| self.must_move && !target.is_full())
+    }
+
+    /// Returns whether the cache is better moved to a warming target.
+    fn may_import(&self, target: &Target) -> bool {
+        let is_warming = matches!(target.standing, Standing::Warming { .. });
+        is_warming && !target.is_full() && self.import_pays()
+    }
+
+    /// Returns whether moving the cache is cheaper than computing it again.
+    fn import_pays(&self) -> bool {
         let threshold = self.view.tuning().import;
-        let pays = threshold.is_some_and(|tokens| self.query.prefix >= tokens);
-        if !pays || target.is_full() {
-            self.pass(target, Cause::Warming);
-            return None;
-        }
-        let home = self.holder.or_else(|| {
-            ranking
-                .map(|index| &self.view.targets()[index])
-                .find(|next| matches!(next.standing, Standing::Up | Standing::Leaving))
-        });
-        self.holder = home;
-        Some(
-            std::mem::replace(self, Self::new(self.view, self.query))
-                .chosen(target, Reason::Import),
-        )
+        self.query.is_returning() && threshold.is_some_and(|tokens| self.query.prefix >= tokens)
+    }
+
+    /// Chooses a warming target, with the next in the ranking as the holder of
+    /// the cache.
+    fn import(mut self, target: &Arc<Target>, ranking: Ranking) -> Choice {
+        let mut rest = ranking.map(|index| &self.view.targets()[index]);
+        let home = rest.find(|next| matches!(next.standing, Standing::Up | Standing::Leaving));
+        self.holder = self.holder.or(home);
+        self.chosen(target, Reason::Import)
     }
 
     fn ranked_reason(&self) -> Reason {
-        match self.rejected.last() {
+        match self.latest {
             None => Reason::Home,
-            Some(last) if last.cause == Cause::Warming => Reason::Previous,
+            Some(Cause::Warming) => Reason::Previous,
             Some(_) => Reason::Spill,
         }
     }
@@ -494,7 +538,7 @@
             [only] => self.chosen(only, Reason::Choice),
             [first, second, ..] => {
                 let (best, worse) = self.better(first, second);
-                reject(&mut self.rejected, worse, Cause::Loaded);
+                self.rejections.add(worse, Cause::Loaded);
                 self.chosen(best, Reason::Choice)
             }
         }
@@ -523,31 +567,30 @@
         if let Some(target) = self.warming.filter(|target| !target.is_full()) {
             return self.chosen(target, Reason::Spill);
         }
-        let full = match self.full[..] {
-            [] => self.warming,
-            [only] => Some(only),
-            [first, ..] if self.query.tried.is_empty() => Some(first),
-            [first, second, ..] => Some(self.better(first, second).0),
+        let full = match self.full {
+            [None, _] => self.warming,
+            [Some(first), Some(second)] if !self.query.tried.is_empty() => {
+                Some(self.better(first, second).0)
+            }
+            [Some(first), _] => Some(first),
         };
         if let Some(target) = full {
             return self.chosen(target, Reason::Saturated);
         }
         match self.listed {
             Some(target) => self.chosen(target, Reason::Unproven),
-            None => Choice::none(self.rejected),
+            None => self.rejections.nothing(),
         }
     }
 
     fn chosen(self, target: &Arc<Target>, reason: Reason) -> Choice {
         let previous = self
             .holder
-            .filter(|holder| self.query.is_returning() && holder.id != target.id)
+            .filter(|holder| self.import_pays() && holder.id != target.id)
             .cloned();
         Choice {
-            target: Some(target.clone()),
-            reason,
             previous,
-            rejected: self.rejected,
+            ..self.rejections.chosen(target, reason)
         }
     }
 }
--- a/crates/place/src/policy.rs
+++ b/crates/place/src/policy.rs
@@ -70,8 +70,9 @@
     /// Prompt tokens from which importing the KV cache is cheaper than
     /// computing it again; `None` when importing never pays.
     pub import: Option<u32>,
-    /// Typical time between two turns of a chat. Tells chats that began after
-    /// a target joined from older ones.
+    /// Half of the typical time between two turns of a chat. Tells chats that
+    /// began after a target joined from older ones; taking a young chat for an
+    /// old one costs more than the reverse, because it moves twice.
     pub pause: span::Span,
     /// Factor on the weight of targets in the router's own data centre, for
     /// new chats. Above 1, a chat that enters through another data centre and
@@ -84,7 +85,7 @@
         Self {
             policy: Policy::Full,
             import: None,
-            pause: span::Span::from_secs(60),
+            pause: span::Span::from_secs(30),
             near: 1.0,
         }
     }
--- a/crates/place/src/rank.rs
+++ b/crates/place/src/rank.rs
@@ -1,58 +1,103 @@
 //! Weighted rendezvous hashing.
 
-use std::{cmp::Reverse, collections::BinaryHeap};
+use std::cmp::Reverse;
 
-use base::{hash, id};
+use base::id;
 
 use crate::view;
 
+/// Low bits of a sort key that hold the index of the target. The other 48 bits
+/// are enough to order the distances of a few hundred targets.
+const INDEX_BITS: u32 = 16;
+
 /// 2^-53: the distance between the values that a hash is mapped to.
 const STEP: f64 = 1.0 / (1u64 << 53) as f64;
 
+/// Targets that are found by a scan before the rest is sorted. Most choices
+/// look at one or two targets only.
+const SCANS: u32 = 4;
+
 /// The targets of a view by preference for one chat, best first.
-///
-/// A heap instead of a sorted list, because most choices look at one or two
-/// targets only.
-pub(crate) struct Ranking(BinaryHeap<Reverse<(u64, usize)>>);
+pub(crate) struct Ranking {
+    keys: Vec<u64>,
+    taken: u32,
+}
 
 impl Ranking {
-    /// Ranks all targets; `factor` scales the weight of a target.
-    pub(crate) fn new(
-        view: &view::View,
-        chat: id::ChatHash,
-        factor: impl Fn(&view::Target) -> f64,
-    ) -> Self {
-        let entries: Vec<_> = view
-            .targets()
-            .iter()
-            .zip(view.hashes())
-            .enumerate()
-            .filter(|(_, (target, _))| target.weight > 0)
-            .map(|(index, (target, seed))| {
-                let weight = f64::from(target.weight) * factor(target);
-                Reverse((distance(chat, *seed, weight), index))
+    /// Ranks all targets. The weight of a target is multiplied by `near` when
+    /// it is in the data centre `centre`.
+    pub(crate) fn new(view: &view::View, chat: id::ChatHash, near: Option<Near>) -> Self {
+        let is_uniform = view.is_uniform() && near.is_none();
+        let targets = view.targets().iter().zip(view.hashes()).zip(0u64..);
+        let keys = targets
+            .filter(|((target, _), _)| target.weight > 0)
+            .map(|((target, seed), index)| {
+                let hash = mix(chat.0 ^ seed);
+                let distance = if is_uniform {
+                    // With equal weights the hashes order as the distances do.
+                    !hash
+                } else {
+                    distance(hash, weight(target, &near))
+                };
+                distance >> INDEX_BITS << INDEX_BITS | index
             })
             .collect();
-        Self(BinaryHeap::from(entries))
+        Self { keys, taken: 0 }
     }
 }
 
+/// A preference for the targets of one data centre.
+pub(crate) struct Near<'a> {
+    /// The preferred data centre.
+    pub(crate) centre: &'a id::DataCentre,
+    /// Factor on the weights of its targets.
+    pub(crate) factor: f64,
+}
+
+fn weight(target: &view::Target, near: &Option<Near>) -> f64 {
+    let factor = match near {
+        Some(near) if target.centre == *near.centre => near.factor,
+        _ => 1.0,
+    };
+    f64::from(target.weight) * factor
+}
+
 impl Iterator for Ranking {
     type Item = usize;
 
     fn next(&mut self) -> Option<usize> {
-        self.0.pop().map(|Reverse((_, index))| index)
+        let key = match self.taken {
+            ..SCANS => {
+                let (at, _) = self.keys.iter().enumerate().min_by_key(|(_, key)| **key)?;
+                self.keys.swap_remove(at)
+            }
+            _ => {
+                if self.taken == SCANS {
+                    self.keys.sort_unstable_by_key(|key| Reverse(*key));
+                }
+                self.keys.pop()?
+            }
+        };
+        self.taken += 1;
+        Some((key & ((1 << INDEX_BITS) - 1)) as usize)
     }
 }
 
-/// Returns the sort key of a target for a chat; the lowest wins.
+/// Returns the distance of a target from a chat; the lowest wins.
 ///
 /// `-ln(u) / weight` with uniform `u` is an exponential variable with rate
 /// `weight`, so a target is the lowest with a probability in proportion to its
 /// weight, and a change of one weight moves chats only from or to that target.
-fn distance(chat: id::ChatHash, seed: u64, weight: f64) -> u64 {
-    let bits = hash::mix(chat.0, seed) >> 11;
-    let uniform = (bits as f64 + 0.5) * STEP;
+fn distance(hash: u64, weight: f64) -> u64 {
+    let uniform = ((hash >> 11) as f64 + 0.5) * STEP;
     // The bits of positive floats order as the floats do.
     (-uniform.ln() / weight).to_bits()
 }
+
+/// Spreads the bits of a number (the finalizer of SplitMix64). Both inputs are
+/// hashes already, so a full hash function is not needed.
+fn mix(bits: u64) -> u64 {
+    let bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- a/crates/place/src/standing.rs
+++ b/crates/place/src/standing.rs
@@ -38,9 +38,10 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            // Most chats return within minutes; after five, the chats that
-            // began since the join outnumber the older ones.
-            warmup: span::Span::from_secs(300),
+            // Most chats return within minutes. With 15 minutes, fewer chats
+            // lose their cache to a join than without warm-up; with 5, more do
+            // (tests/reuse.rs, joins).
+            warmup: span::Span::from_secs(900),
             window: span::Span::from_secs(600),
             steady: span::Span::from_secs(60),
             longest: span::Span::from_secs(600),
@@ -178,10 +179,12 @@
         let age = self
             .since
             .map_or(span::Span::ZERO, |since| now.since(since));
-        if age < warm {
-            Standing::Warming { age }
-        } else {
+        if age >= warm {
             Standing::Up
+        } else if self.returns > 1 {
+            Standing::Flapping { age }
+        } else {
+            Standing::Warming { age }
         }
     }
 }
--- a/crates/place/src/view.rs
+++ b/crates/place/src/view.rs
@@ -17,6 +17,12 @@
         /// Time since it joined.
         age: span::Span,
     },
+    /// Came back repeatedly, the last time `age` ago; as `Warming`, but no
+    /// cache is moved to it, because it is likely to lose it again.
+    Flapping {
+        /// Time since it came back.
+        age: span::Span,
+    },
     /// Takes new work.
     Up,
     /// Finishes its work and takes no more.
@@ -30,6 +36,7 @@
         f.pad(match self {
             Self::Listed => "listed",
             Self::Warming { .. } => "warming",
+            Self::Flapping { .. } => "flapping",
             Self::Up => "up",
             Self::Leaving => "leaving",
             Self::Down => "down",
@@ -63,9 +70,18 @@
         self.load >= self.cap
     }
 
+    /// Returns whether the target answers, and so can export its cache.
+    pub fn is_alive(&self) -> bool {
+        !matches!(self.standing, Standing::Listed | Standing::Down)
+    }
+
     /// Returns whether the target takes new work.
     pub fn is_open(&self) -> bool {
-        self.weight > 0 && matches!(self.standing, Standing::Up | Standing::Warming { .. })
+        let takes_work = match self.standing {
+            Standing::Warming { .. } | Standing::Flapping { .. } | Standing::Up => true,
+            Standing::Listed | Standing::Leaving | Standing::Down => false,
+        };
+        self.weight > 0 && takes_work
     }
 }
 
@@ -75,6 +91,8 @@
     targets: Vec<Arc<Target>>,
     hashes: Vec<u64>,
     processes: BTreeMap<id::ProcessId, usize>,
+    /// Whether all weights but zero are equal.
+    uniform: bool,
     tuning: policy::Tuning,
 }
 
@@ -92,10 +110,14 @@
             .enumerate()
             .map(|(index, target)| (target.process.clone(), index))
             .collect();
+        let mut weights = targets.iter().map(|t| t.weight).filter(|w| *w > 0);
+        let first = weights.next();
+        let uniform = weights.all(|weight| Some(weight) == first);
         Self {
             targets,
             hashes,
             processes,
+            uniform,
             tuning,
         }
     }
@@ -123,6 +145,10 @@
             .map(|at| &self.targets[at])
     }
 
+    pub(crate) fn is_uniform(&self) -> bool {
+        self.uniform
+    }
+
     pub(crate) fn hashes(&self) -> &[u64] {
         &self.hashes
     }
--- /dev/null
+++ b/crates/place/tests/standing.rs
@@ -0,0 +1,125 @@
+//! Guards the warm-up: when a target that joined, restarted or flapped counts
+//! as up.
+
+mod common;
+
+use base::{id, span::Span, time::Mono};
+use common::target_id;
+use place::{
+    standing::{Report, Tracker, Tuning},
+    view::Standing,
+};
+
+const TUNING: Tuning = Tuning {
+    warmup: Span::from_secs(100),
+    window: Span::from_secs(600),
+    steady: Span::from_secs(60),
+    longest: Span::from_secs(200),
+};
+
+/// A tracker of one target.
+struct One(Tracker);
+
+impl One {
+    fn new() -> Self {
+        Self(Tracker::new(TUNING))
+    }
+
+    fn see(&mut self, secs: u64, incarnation: u64, report: Report) -> Standing {
+        let incarnation = id::Incarnation(incarnation);
+        self.0.observe(at(secs), &target_id(1), incarnation, report)
+    }
+
+    fn later(&self, secs: u64) -> Standing {
+        self.0.standing(at(secs), &target_id(1)).unwrap()
+    }
+}
+
+fn at(secs: u64) -> Mono {
+    Mono(0) + Span::from_secs(secs)
+}
+
+fn warming(secs: u64) -> Standing {
+    Standing::Warming {
+        age: Span::from_secs(secs),
+    }
+}
+
+fn flapping(secs: u64) -> Standing {
+    Standing::Flapping {
+        age: Span::from_secs(secs),
+    }
+}
+
+#[test]
+fn first_seen_up() {
+    // A router that has just started must not take the whole fleet for new.
+    let mut one = One::new();
+    assert_eq!(one.see(0, 5, Report::Up), Standing::Up);
+}
+
+#[test]
+fn joins_warm_up() {
+    let mut one = One::new();
+    assert_eq!(one.see(0, 1, Report::Listed), Standing::Listed);
+    assert_eq!(one.see(10, 1, Report::Warming), warming(0));
+    assert_eq!(one.see(40, 1, Report::Warming), warming(30));
+    assert_eq!(one.later(109), warming(99));
+    assert_eq!(one.later(110), Standing::Up);
+    // Its own agent may end the warm-up earlier.
+    assert_eq!(one.see(50, 1, Report::Up), Standing::Up);
+}
+
+#[test]
+fn broken_link_once() {
+    let mut one = One::new();
+    one.see(0, 1, Report::Up);
+    assert_eq!(one.see(10, 1, Report::Down), Standing::Down);
+    // Its cache is intact.
+    assert_eq!(one.see(12, 1, Report::Up), Standing::Up);
+}
+
+#[test]
+fn restart_warms_up() {
+    let mut one = One::new();
+    one.see(0, 1, Report::Up);
+    assert_eq!(one.see(10, 2, Report::Up), warming(0));
+    assert_eq!(one.later(109), warming(99));
+    assert_eq!(one.later(110), Standing::Up);
+}
+
+#[test]
+fn flaps_must_stay_up() {
+    let mut one = One::new();
+    one.see(0, 1, Report::Up);
+    let mut now = 0;
+    let mut waits = Vec::new();
+    for _ in 0..5 {
+        one.see(now + 10, 1, Report::Down);
+        now += 20;
+        let returned = one.see(now, 1, Report::Up);
+        let wait = (0..).find(|wait| one.later(now + wait) == Standing::Up);
+        assert_eq!(returned == flapping(0), wait != Some(0));
+        waits.push(wait.unwrap());
+    }
+    assert_eq!(waits, [0, 60, 120, 200, 200]);
+    // After a quiet time, the next return begins a new series.
+    one.see(now + 700, 1, Report::Down);
+    assert_eq!(one.see(now + 701, 1, Report::Up), Standing::Up);
+}
+
+#[test]
+fn old_incarnation_ignored() {
+    let mut one = One::new();
+    one.see(0, 2, Report::Up);
+    assert_eq!(one.see(1, 1, Report::Up), Standing::Up);
+    assert_eq!(one.see(2, 2, Report::Up), Standing::Up);
+}
+
+#[test]
+fn retain_forgets() {
+    let mut one = One::new();
+    one.see(0, 1, Report::Up);
+    one.0.retain(|target| *target != target_id(1));
+    assert_eq!(one.0.standing(at(1), &target_id(1)), None);
+}
