--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -261,7 +261,7 @@
     Method, Method, |text| {
         (1..=16).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_uppercase())
     };
-    /// The name of a model, an adapter or a version of one.
+    /// The name of a model, an adapter, a version of one, or a role of an engine.
     Model, Model, |text| {
         (1..=128).contains(&text.len()) && !text.contains(char::is_whitespace)
     };
--- /dev/null
+++ b/crates/plan/src/row.rs
@@ -0,0 +1,118 @@
+//! The rows of plans and the transactions that change them.
+
+use base::id;
+use conf::row::{Condition, Put, Row, RowError, Transaction};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{
+    plan::{Advance, Plan},
+    weights::Slots,
+};
+
+/// Prefix of the keys of plans.
+pub const PLANS: &str = "plan/";
+
+/// Key of the row with the last fencing token that was given out.
+///
+/// One row serves all plans, so that tokens of different plans for one target
+/// are ordered.
+pub const FENCE: &str = "fence/plan";
+
+/// Key of the row of slots for weight loads.
+pub const SLOTS: &str = "weights/slots";
+
+/// Returns the key of a plan.
+pub fn plan_key(plan: &id::PlanId) -> String {
+    format!("{PLANS}{plan}")
+}
+
+/// The content of the row of fencing tokens.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct FenceRow {
+    /// The last token that was given out.
+    pub last: id::Fence,
+}
+
+/// A row as it was read: its content, and its row version for conditions.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Read<T> {
+    /// Row version; none when the row is absent.
+    pub row: Option<u64>,
+    /// The content; the default when the row is absent.
+    pub value: T,
+}
+
+/// Reads a row that has a default content.
+///
+/// # Errors
+///
+/// Returns the key and the cause when the row is not valid.
+pub fn read<T: DeserializeOwned + Default>(
+    key: &str,
+    row: Option<&Row>,
+) -> Result<Read<T>, RowError> {
+    match row {
+        None => Ok(Read::default()),
+        Some(row) => Ok(Read {
+            row: Some(row.version),
+            value: row.read(key)?,
+        }),
+    }
+}
+
+/// Returns the transaction that creates a plan. It also writes the row of
+/// fencing tokens, so that two plans that are created at once conflict.
+pub fn create(plan: &Plan, fence: &Read<FenceRow>) -> Transaction {
+    Transaction {
+        puts: vec![
+            Put::new(plan_key(&plan.id), plan, Condition::Absent),
+            Put::new(FENCE, &fence.value, Condition::as_read(fence.row)),
+        ],
+    }
+}
+
+/// Returns the transaction that writes an advanced plan, with the rows of slots
+/// and of fencing tokens when they have changed.
+pub fn advance(
+    row: u64,
+    advance: &Advance,
+    fence: &Read<FenceRow>,
+    slots: &Read<Slots>,
+) -> Transaction {
+    let plan = &advance.plan;
+    let mut puts = vec![Put::new(plan_key(&plan.id), plan, Condition::Version(row))];
+    if advance.fence != fence.value.last {
+        let last = FenceRow {
+            last: advance.fence,
+        };
+        puts.push(Put::new(FENCE, &last, Condition::as_read(fence.row)));
+    }
+    if advance.slots != slots.value {
+        puts.push(Put::new(
+            SLOTS,
+            &advance.slots,
+            Condition::as_read(slots.row),
+        ));
+    }
+    Transaction { puts }
+}
+
+/// Returns the transaction that writes a plan after an operation of an operator
+/// or a report of an agent, with the row of fencing tokens when one was given
+/// out.
+pub fn update(
+    row: u64,
+    plan: &Plan,
+    given: Option<id::Fence>,
+    fence: &Read<FenceRow>,
+) -> Transaction {
+    let mut puts = vec![Put::new(plan_key(&plan.id), plan, Condition::Version(row))];
+    if let Some(last) = given {
+        let condition = Condition::as_read(fence.row);
+        puts.push(Put::new(FENCE, &FenceRow { last }, condition));
+    }
+    Transaction { puts }
+}
--- /dev/null
+++ b/crates/plan/tests/plan.rs
@@ -0,0 +1,518 @@
+//! Guards the course of planned changes: what is accepted, which step opens when,
+//! and what operators are told while a step waits.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::{id, rate::Rate, span::Span, time::Mono};
+use conf::row::Row;
+use expect_test::expect;
+use plan::{
+    order::{self, Duty, Outcome},
+    plan::{
+        Action, Artifact, Condition, Kind, Observed, Operation, Plan, Replace, Request, Roll,
+        Stage, State,
+    },
+    row::{self, FenceRow, Read},
+    watch::Watch,
+    weights::{Holder, Pace, Slots},
+};
+
+const ONE: id::Incarnation = id::Incarnation(1);
+
+fn target(number: usize) -> id::TargetId {
+    format!("runner-{number}").parse().unwrap()
+}
+
+fn artifact(version: &str) -> Artifact {
+    Artifact {
+        model: "crew".parse().unwrap(),
+        adapter: None,
+        version: Some(version.parse().unwrap()),
+    }
+}
+
+fn roll() -> Kind {
+    Kind::Roll(Roll {
+        load: artifact("2"),
+        unload: Some(artifact("1")),
+    })
+}
+
+/// Returns a request for targets 1 to `count` in waves of two.
+fn request(kind: Kind, count: usize) -> Request {
+    Request {
+        id: "spring".parse().unwrap(),
+        service: "crew".parse().unwrap(),
+        kind,
+        targets: (1..=count).map(target).collect(),
+        wave: 2,
+        keep: 2,
+    }
+}
+
+/// Returns an observation of four targets that are all up.
+fn all_up() -> Observed {
+    Observed {
+        targets: (1..=4)
+            .map(|number| (target(number), Condition::Up))
+            .collect(),
+        loads: 1,
+        pace: true,
+        ..Observed::default()
+    }
+}
+
+fn make(kind: Kind, count: usize) -> Plan {
+    request(kind, count).plan(true, &all_up(), &[]).unwrap()
+}
+
+/// A fleet whose agents report at once, for a readable course of a plan.
+struct Course {
+    plan: Plan,
+    observed: Observed,
+    lines: Vec<String>,
+}
+
+impl Course {
+    fn new(plan: Plan) -> Self {
+        Self {
+            plan,
+            observed: all_up(),
+            lines: Vec::new(),
+        }
+    }
+
+    /// Advances until nothing can be done.
+    fn advance(&mut self) {
+        while let Some(next) = self.plan.advance(&self.observed) {
+            self.lines.push(next.plan.reason.clone());
+            self.plan = next.plan;
+            self.observed.fence = next.fence;
+            self.observed.slots = next.slots;
+        }
+    }
+
+    /// Lets the agents of all targets take and finish what is open.
+    fn agents(&mut self, outcome: &Outcome) {
+        let targets: Vec<id::TargetId> = self.plan.targets.keys().cloned().collect();
+        for target in targets {
+            let last = self.observed.fence;
+            let duty = order::duty(&self.plan, &target, ONE, id::Fence(0), last);
+            if let Duty::Write { plan, .. } = duty {
+                self.plan = *plan;
+                let order = order::order(&self.plan, &target).unwrap();
+                let report = order::report(&self.plan, &order, ONE, outcome, last);
+                let Duty::Write { plan, .. } = report else {
+                    panic!("the row waits for a report");
+                };
+                self.lines.push(plan.reason.clone());
+                self.plan = *plan;
+            }
+        }
+        self.see();
+    }
+
+    /// Lets members report what the plan has changed.
+    fn see(&mut self) {
+        for (target, condition) in &mut self.observed.targets {
+            *condition = match self.plan.keeps_out(target) {
+                true => Condition::Other,
+                false => Condition::Up,
+            };
+        }
+    }
+
+    fn waits(&self) -> String {
+        let waits = self.plan.waits(&self.observed);
+        let lines = waits
+            .iter()
+            .map(|(target, wait)| format!("{target}: {wait}\n"));
+        lines.collect()
+    }
+}
+
+#[test]
+fn roll_in_waves() {
+    let mut course = Course::new(make(roll(), 4));
+    for _ in 0..40 {
+        course.advance();
+        course.agents(&Outcome::Done);
+    }
+    assert_eq!(course.plan.state, State::Done);
+    assert!(course.observed.slots.taken.is_empty());
+    expect![[r#"
+        target runner-1: drain is open; target runner-2: drain is open
+        target runner-1: drain is done
+        target runner-2: drain is done
+        target runner-1: load crew version 2 is open
+        target runner-1: load crew version 2 is done
+        target runner-1: unload crew version 1 is open; target runner-2: load crew version 2 is open
+        target runner-1: unload crew version 1 is done
+        target runner-2: load crew version 2 is done
+        target runner-1: reopen is open; target runner-2: unload crew version 1 is open
+        target runner-1: reopen is done
+        target runner-2: unload crew version 1 is done
+        target runner-1: target runner-1 is up; target runner-2: reopen is open
+        target runner-2: reopen is done
+        target runner-2: target runner-2 is up; target runner-3: drain is open; target runner-4: drain is open
+        target runner-3: drain is done
+        target runner-4: drain is done
+        target runner-3: load crew version 2 is open
+        target runner-3: load crew version 2 is done
+        target runner-3: unload crew version 1 is open; target runner-4: load crew version 2 is open
+        target runner-3: unload crew version 1 is done
+        target runner-4: load crew version 2 is done
+        target runner-3: reopen is open; target runner-4: unload crew version 1 is open
+        target runner-3: reopen is done
+        target runner-4: unload crew version 1 is done
+        target runner-3: target runner-3 is up; target runner-4: reopen is open
+        target runner-4: reopen is done
+        target runner-4: target runner-4 is up; all targets are finished"#]].assert_eq(&course.lines.join("\n"));
+}
+
+#[test]
+fn waiting_reasons() {
+    let mut course = Course::new(make(roll(), 4));
+    course.observed.targets.insert(target(4), Condition::Other);
+    course.advance();
+    expect![[r#"
+        runner-1: drain: waits for the agent
+        runner-2: drain: other targets that are up: 1, needed: 2
+    "#]]
+    .assert_eq(&course.waits());
+    course.agents(&Outcome::Done);
+    let other = Holder {
+        plan: "other".parse().unwrap(),
+        target: "runner-9".parse().unwrap(),
+    };
+    course.observed.slots.taken.insert(other.clone());
+    course.advance();
+    expect![[r#"
+        runner-1: load crew version 2: 1 of 1 weight loads run: plan other target runner-9
+        runner-2: drain: waits for the agent
+    "#]]
+    .assert_eq(&course.waits());
+    course.observed.slots.release(&other);
+    course.observed.pace = false;
+    expect![[r#"
+        runner-1: load crew version 2: the rate of weight loads allows no start yet
+        runner-2: drain: waits for the agent
+    "#]]
+    .assert_eq(&course.waits());
+    course.observed.pace = true;
+    course.advance();
+    expect![[r#"
+        runner-1: load crew version 2: waits for the agent
+        runner-2: drain: waits for the agent
+    "#]]
+    .assert_eq(&course.waits());
+    course.plan = course.plan.operate(&Operation::Pause).unwrap();
+    expect![[r#"
+        runner-1: load crew version 2: the plan is paused
+        runner-2: drain: the plan is paused
+    "#]]
+    .assert_eq(&course.waits());
+}
+
+#[test]
+fn failure_pauses() {
+    let mut course = Course::new(make(Kind::Role("prefill".parse().unwrap()), 1));
+    course.advance();
+    course.agents(&Outcome::Done);
+    course.advance();
+    course.agents(&Outcome::Failed("not supported".to_owned()));
+    assert_eq!(course.plan.state, State::Paused);
+    expect!["target runner-1: take role prefill failed: not supported"]
+        .assert_eq(&course.plan.reason);
+    assert_eq!(course.plan.advance(&course.observed), None);
+
+    let mut again = Course::new(course.plan.operate(&Operation::Resume).unwrap());
+    again.observed = course.observed.clone();
+    again.advance();
+    assert!(matches!(
+        again.plan.targets[&target(1)].stage,
+        Stage::Open(_)
+    ));
+
+    let mut aborted = Course::new(course.plan.operate(&Operation::Abort).unwrap());
+    aborted.observed = course.observed.clone();
+    aborted.advance();
+    aborted.agents(&Outcome::Done);
+    aborted.advance();
+    assert_eq!(aborted.plan.state, State::Aborted);
+    assert!(!aborted.plan.keeps_out(&target(1)));
+    expect![[r#"
+        target runner-1: reopen is open
+        target runner-1: reopen is done
+        all targets are finished"#]]
+    .assert_eq(&aborted.lines.join("\n"));
+}
+
+/// A target that ignores tokens gets no other order until an operator confirms.
+#[test]
+fn unsettled_order() {
+    let plan = request(roll(), 1).plan(false, &all_up(), &[]).unwrap();
+    let mut course = Course::new(plan);
+    course.advance();
+    course.agents(&Outcome::Done);
+    course.advance();
+    course.agents(&Outcome::Unknown("link lost".to_owned()));
+    course.advance();
+    expect![[r#"
+        runner-1: load crew version 2: the outcome of token 2 is unknown and the target ignores tokens; restart the target, then confirm it
+    "#]].assert_eq(&course.waits());
+    assert_eq!(
+        course.observed.slots.taken.len(),
+        1,
+        "the engine may be loading"
+    );
+    assert_eq!(order::order(&course.plan, &target(1)), None);
+    let aborting = course.plan.operate(&Operation::Abort).unwrap();
+    assert_eq!(aborting.advance(&course.observed), None);
+    let confirm = Operation::Confirm(target(1));
+    course.plan = course.plan.operate(&confirm).unwrap();
+    course.advance();
+    assert!(matches!(
+        course.plan.targets[&target(1)].stage,
+        Stage::Open(_)
+    ));
+    let rejection = course.plan.operate(&confirm).unwrap_err();
+    expect!["target runner-1 has no unsettled order"].assert_eq(&rejection.to_string());
+}
+
+/// A target that checks tokens gets the order again under a newer one.
+#[test]
+fn unknown_again() {
+    let mut course = Course::new(make(roll(), 1));
+    course.advance();
+    course.agents(&Outcome::Done);
+    course.advance();
+    let last = course.observed.fence;
+    let Duty::Write { plan, .. } = order::duty(&course.plan, &target(1), ONE, id::Fence(0), last)
+    else {
+        panic!("a step is open");
+    };
+    let order = order::order(&plan, &target(1)).unwrap();
+    let outcome = Outcome::Unknown("link lost".to_owned());
+    let Duty::Write { plan, fence } = order::report(&plan, &order, ONE, &outcome, last) else {
+        panic!("the row waits for a report");
+    };
+    assert_eq!(fence, Some(last.next()));
+    let again = order::duty(&plan, &target(1), ONE, order.fence, last.next());
+    assert!(matches!(again, Duty::Carry(again) if again.fence == last.next()));
+    let late = order::report(&plan, &order, ONE, &Outcome::Done, last.next());
+    assert_eq!(
+        late,
+        Duty::Nothing,
+        "the report of the older token comes too late"
+    );
+}
+
+#[test]
+fn replace_waits() {
+    let mut kind = Replace {
+        by: BTreeMap::new(),
+    };
+    kind.by.insert(target(1), target(5));
+    let mut course = Course::new(make(Kind::Replace(kind), 1));
+    course.advance();
+    expect![[r#"
+        runner-1: wait for target runner-5: target runner-5 is not known
+    "#]]
+    .assert_eq(&course.waits());
+    course.observed.targets.insert(target(5), Condition::Up);
+    course.advance();
+    course.agents(&Outcome::Done);
+    course.advance();
+    assert_eq!(course.plan.state, State::Done);
+    assert!(course.plan.keeps_out(&target(1)));
+    expect![[r#"
+        target runner-1: target runner-5 is up; target runner-1: drain is open
+        target runner-1: drain is done
+        all targets are finished"#]]
+    .assert_eq(&course.lines.join("\n"));
+}
+
+#[test]
+fn target_gone() {
+    let mut course = Course::new(make(roll(), 1));
+    course.advance();
+    course.observed.targets.remove(&target(1));
+    course.advance();
+    assert_eq!(course.plan.state, State::Done);
+    expect!["target runner-1 has gone; all targets are finished"].assert_eq(&course.plan.reason);
+}
+
+/// Two plans must not take out of service what the other still counts on.
+#[test]
+fn others_out() {
+    let mut observed = all_up();
+    observed.out = BTreeSet::from([target(3), target(4)]);
+    let plan = make(Kind::Drain, 1);
+    assert_eq!(plan.advance(&observed), None);
+    let waits: Vec<String> = plan.waits(&observed).into_values().collect();
+    expect!["drain: other targets that are up: 1, needed: 2"].assert_eq(&waits.join("\n"));
+}
+
+#[test]
+fn drain_undone() {
+    let mut course = Course::new(make(Kind::Drain, 1));
+    course.advance();
+    course.agents(&Outcome::Done);
+    course.advance();
+    assert_eq!(course.plan.state, State::Done);
+    assert!(course.plan.holds(&target(1)), "no other plan may take it");
+    let mut back = Course::new(course.plan.operate(&Operation::Abort).unwrap());
+    back.advance();
+    back.agents(&Outcome::Done);
+    back.advance();
+    assert_eq!(back.plan.state, State::Aborted);
+    assert!(!back.plan.holds(&target(1)));
+    let rejection = back.plan.operate(&Operation::Abort).unwrap_err();
+    expect!["plan spring is aborted; abort is not possible"].assert_eq(&rejection.to_string());
+}
+
+#[test]
+fn rejected_requests() {
+    let mut lines = Vec::new();
+    let mut try_plan = |request: Request, others: &[Plan]| {
+        let rejection = request.plan(true, &all_up(), others).unwrap_err();
+        lines.push(rejection.to_string());
+    };
+    try_plan(request(Kind::Drain, 0), &[]);
+    try_plan(request(Kind::Drain, 5), &[]);
+    let mut double = request(Kind::Drain, 2);
+    double.targets.push(target(1));
+    try_plan(double, &[]);
+    let mut empty = request(Kind::Drain, 2);
+    empty.wave = 0;
+    try_plan(empty, &[]);
+    let mut keep = request(Kind::Drain, 2);
+    keep.keep = 4;
+    try_plan(keep, &[]);
+    let replace = Replace {
+        by: BTreeMap::new(),
+    };
+    try_plan(request(Kind::Replace(replace), 1), &[]);
+    let mut other = make(roll(), 1);
+    other.id = "winter".parse().unwrap();
+    try_plan(request(Kind::Drain, 1), &[other]);
+    expect![[r#"
+        the plan names no targets
+        target runner-5 is not known in service crew
+        target runner-1 is named twice
+        a wave has at least 1 target
+        4 targets cannot stay up while one of 4 is out; allowed: at most 3
+        no replacement is named for target runner-1
+        target runner-1 belongs to plan winter, which has not ended or keeps it out of service"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn operations_checked() {
+    let running = make(roll(), 1);
+    let resumed = running.operate(&Operation::Resume).unwrap_err();
+    expect!["plan spring is running; resume is not possible"].assert_eq(&resumed.to_string());
+    let paused = running.operate(&Operation::Pause).unwrap();
+    assert!(paused.operate(&Operation::Pause).is_err());
+    assert_eq!(paused.version, running.version + 1);
+}
+
+/// An agent that runs on after a newer run has taken the step does nothing.
+#[test]
+fn older_run() {
+    let mut course = Course::new(make(roll(), 1));
+    course.advance();
+    let last = course.observed.fence;
+    let newer = id::Incarnation(2);
+    let Duty::Write { plan, .. } = order::duty(&course.plan, &target(1), newer, id::Fence(0), last)
+    else {
+        panic!("a step is open");
+    };
+    let duty = order::duty(&plan, &target(1), ONE, id::Fence(0), last);
+    assert_eq!(duty, Duty::Nothing);
+    let order = order::order(&plan, &target(1)).unwrap();
+    assert_eq!(order.action, Action::Drain);
+    let report = order::report(&plan, &order, ONE, &Outcome::Done, last);
+    assert_eq!(report, Duty::Nothing);
+}
+
+#[test]
+fn load_pace() {
+    let mut pace = Pace::default();
+    let mut slots = Slots::default();
+    let rate = Rate(0.5);
+    let at = |seconds| Mono::default() + Span::from_secs(seconds);
+    assert!(
+        pace.may_start(at(0), &slots, rate),
+        "nothing was started yet"
+    );
+    let holder = Holder {
+        plan: "spring".parse().unwrap(),
+        target: target(1),
+    };
+    assert!(slots.take(holder, 1));
+    assert!(
+        !pace.may_start(at(10), &slots, rate),
+        "the start is seen only now"
+    );
+    assert!(!pace.may_start(at(11), &slots, rate));
+    assert!(pace.may_start(at(12), &slots, rate));
+}
+
+#[test]
+fn row_keys() {
+    let mut course = Course::new(make(roll(), 1));
+    course.advance();
+    course.agents(&Outcome::Done);
+    let next = course.plan.advance(&course.observed).unwrap();
+    let fence = Read {
+        row: Some(7),
+        value: FenceRow {
+            last: course.observed.fence,
+        },
+    };
+    let slots = Read::<Slots>::default();
+    let transaction = row::advance(5, &next, &fence, &slots);
+    let puts: Vec<String> = transaction
+        .puts
+        .iter()
+        .map(|put| format!("{} if {:?}", put.key, put.condition))
+        .collect();
+    expect![[r#"
+        plan/spring if Version(5)
+        fence/plan if Version(7)
+        weights/slots if Absent"#]]
+    .assert_eq(&puts.join("\n"));
+    let stored = Row {
+        version: 5,
+        value: transaction.puts[0].value.clone(),
+    };
+    assert_eq!(stored.read::<Plan>("plan/spring").unwrap(), next.plan);
+    let absent: Read<Slots> = row::read(row::SLOTS, None).unwrap();
+    assert_eq!(absent, slots);
+}
+
+/// After a restore from a backup an older row must not be acted on.
+#[test]
+fn restored_rows() {
+    let mut watch = Watch::default();
+    let older = make(roll(), 1);
+    let newer = older.advance(&all_up()).unwrap().plan;
+    let read = |last| Read {
+        row: Some(3),
+        value: FenceRow {
+            last: id::Fence(last),
+        },
+    };
+    assert_eq!(watch.fence(&read(4)), None);
+    assert_eq!(watch.plan(1, &older), None);
+    assert_eq!(watch.plan(2, &newer), None);
+    let back = watch.plan(1, &older).unwrap();
+    assert_eq!(back.puts[0].key, "plan/spring");
+    assert_eq!(back.puts[0].value, serde_json::to_string(&newer).unwrap());
+    let raised = watch.fence(&read(2)).unwrap();
+    assert_eq!(raised.puts[0].value, r#"{"last":4}"#);
+    assert_eq!(watch.missing(&[]).len(), 1);
+    assert!(watch.missing(&["spring".parse().unwrap()]).is_empty());
+}
