--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -313,6 +313,15 @@
                     self.configure();
                 }
                 self.suspect(now, &changed.suspects);
+                if let Some(known) = changed.renumber {
+                    // The ledger belongs to one incarnation, so the process ends
+                    // gracefully and the platform starts it again.
+                    tracing::error!(event = "incarnation_behind", known = %known);
+                    self.leave(now);
+                }
+                if changed.leaving {
+                    self.leave(now);
+                }
                 self.parts
                     .node
                     .ready()
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -85,6 +85,8 @@
     /// The incarnation that the fleet knows of this process, when it is above
     /// its own.
     pub renumber: Option<id::Incarnation>,
+    /// Whether the instance list says that this instance leaves.
+    pub leaving: bool,
 }
 
 /// The common state; owned by the control thread.
@@ -297,8 +299,11 @@
                 for process in &changed {
                     tracing::info!(event = "instance_changed", process = %process);
                 }
+                let own = &self.settings.process;
+                let leaving = |entry: &member::Instance| entry.leaving && entry.process == *own;
                 Changed {
                     members: !changed.is_empty(),
+                    leaving: list.instances.iter().any(leaving),
                     ..Changed::default()
                 }
             }
@@ -498,8 +503,8 @@
         Changed {
             members: true,
             suspects: applied.suspects,
-            configuration: false,
             renumber: applied.renumber,
+            ..Changed::default()
         }
     }
 
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -61,6 +61,8 @@
     KeyMismatch,
     /// The idempotency key is not valid.
     KeyInvalid,
+    /// The router has no configuration yet.
+    NotReady,
     /// The router is shutting down.
     ShuttingDown,
     /// Nobody can tell whether the request ran.
@@ -85,6 +87,7 @@
             Self::StoreUnavailable => "store-unavailable",
             Self::KeyMismatch => "key-mismatch",
             Self::KeyInvalid => "key-invalid",
+            Self::NotReady => "not-ready",
             Self::ShuttingDown => "shutting-down",
             Self::OutcomeUnknown => "outcome-unknown",
             Self::ReplayUnavailable => "replay-unavailable",
@@ -104,6 +107,7 @@
             Self::DeadlineExceeded
             | Self::NoTarget
             | Self::StoreUnavailable
+            | Self::NotReady
             | Self::ShuttingDown
             | Self::ReplayUnavailable => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -123,6 +127,7 @@
             Self::StoreUnavailable => "The idempotency key cannot be claimed now",
             Self::KeyMismatch => "The idempotency key was used with another request",
             Self::KeyInvalid => "The idempotency key is not valid",
+            Self::NotReady => "This router is not ready yet",
             Self::ShuttingDown => "This router is shutting down",
             Self::OutcomeUnknown => "It is not known whether the request ran",
             Self::ReplayUnavailable => "The stored response cannot be read now",
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -125,9 +125,14 @@
         request: Request<Incoming>,
     ) -> Result<Response<body::Body>, Problem> {
         let snapshot = self.snapshot.load_full();
-        if snapshot.leaving || !snapshot.ready {
+        let closed = match (snapshot.leaving, snapshot.ready) {
+            (true, _) => Some(Code::ShuttingDown),
+            (false, false) => Some(Code::NotReady),
+            (false, true) => None,
+        };
+        if let Some(code) = closed {
             let detail = "another router serves this request";
-            return Err(Problem::new(Code::ShuttingDown, detail).after(self.pause()));
+            return Err(Problem::new(code, detail).after(self.pause()));
         }
         let conf = snapshot.conf.clone();
         let (parts, incoming) = front::split(request);
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -150,6 +150,11 @@
                 self.all_dirty |= changed.members || changed.configuration;
                 self.bootstrap();
                 self.suspect(now, &changed.suspects);
+                if let Some(known) = changed.renumber {
+                    tracing::warn!(event = "incarnation_behind", known = %known);
+                    let members = &mut self.parts.node.exchange.members;
+                    members.renumber(now, known.next());
+                }
             }
             Event::Stamp(stamp) => self.stamp(now, &stamp),
             Event::Sent(agent) => {
