--- a/crates/once/tests/session.rs
+++ b/crates/once/tests/session.rs
@@ -595,3 +595,106 @@
     "#]]
     .assert_eq(session.text());
 }
+
+/// The deadline passed while the table answered: the claim is abandoned, and a
+/// late request does not run.
+#[test]
+fn late_claim() {
+    let mut session = Session::new();
+    session.offer(1, 1, keyed("die-7", 11));
+    session.admit(1);
+    session.wait(Span::from_secs(30));
+    session.table("die-7", 11, claim::Answer::Written(1));
+    expect![[r#"
+        run 1 on link 1
+            action=admit request=1
+        admitted 1
+            action=ask op=write row="claim/orders/gifts/die-7" state=running if=absent
+        expire after 30s
+        table: written as version 1
+            action=release request=1
+            action=ask op=write row="claim/orders/gifts/die-7" state=abandoned if=1
+            action=refuse request=1 link=1 reason="deadline"
+    "#]]
+    .assert_eq(session.text());
+}
+
+/// A settled request must leave the gate's queue, or it would take a slot.
+#[test]
+fn settle_queued() {
+    let mut session = Session::new();
+    session.offer(1, 1, Class::Once);
+    session.settle(1, 2, 0);
+    session.settle(1, 3, 0);
+    expect![[r#"
+        run 1 on link 1
+            action=admit request=1
+        settle 1 from 0 on link 2
+            action=withdraw request=1
+            action=refuse request=1 link=2 reason="tombstone"
+        settle 1 from 0 on link 3
+            action=refuse request=1 link=3 reason="tombstone"
+    "#]]
+    .assert_eq(session.text());
+}
+
+/// Once the target has begun to respond, no report proves it unsent.
+#[test]
+fn unsent_answering() {
+    let mut session = Session::new();
+    session.offer(1, 1, Class::Once);
+    session.admit(1);
+    session.head(1, false);
+    let now = session.now;
+    let id = base::id::RequestId(1);
+    let actions = session.step("unsent 1", |ledger| ledger.unsent(now, id));
+    assert!(actions.is_empty());
+}
+
+/// A keyed response stays for repetitions after its own caller has it.
+#[test]
+fn delivered_keyed() {
+    let mut session = Session::new();
+    session.offer(1, 1, keyed("die-7", 11));
+    session.admit(1);
+    session.table("die-7", 11, claim::Answer::Written(1));
+    session.offer(2, 2, keyed("die-7", 12));
+    session.complete(1, Some("order 7"));
+    let id = base::id::RequestId(1);
+    let actions = session.step("delivered 1", |ledger| ledger.delivered(id));
+    assert!(actions.is_empty());
+    let actions = session.settle(2, 3, 4);
+    assert_eq!(actions.len(), 1, "the repetition reads on from byte 4");
+}
+
+/// A repetition that cannot be replayed does not change what is recorded.
+#[test]
+fn response_unkept() {
+    let mut session = Session::new();
+    session.offer(1, 1, keyed("die-7", 11));
+    session.admit(1);
+    session.table("die-7", 11, claim::Answer::Written(1));
+    session.complete(1, None);
+    session.offer(2, 2, keyed("die-7", 12));
+    session.table("die-7", 11, claim::Answer::Unanswered);
+    let found = row(1, owner(AGENT, 1), 11, claim::State::Running);
+    session.table("die-7", 11, claim::Answer::Read(Some(found)));
+    expect![[r#"
+        run 1 on link 1
+            action=admit request=1
+        admitted 1
+            action=ask op=write row="claim/orders/gifts/die-7" state=running if=absent
+        table: written as version 1
+            action=dispatch request=1
+        end of 1
+            action=release request=1
+            action=ask op=write row="claim/orders/gifts/die-7" state=done if=1
+        run 2 on link 2
+            action=break request=2 link=2 cause=gone
+        table: no reply
+            action=ask op=read row="claim/orders/gifts/die-7"
+        table: read version 1 running by agent-a.1 nonce 11
+            action=ask op=write row="claim/orders/gifts/die-7" state=done if=1
+    "#]]
+    .assert_eq(session.text());
+}
--- a/crates/once/tests/settle.rs
+++ b/crates/once/tests/settle.rs
@@ -373,3 +373,43 @@
             step=abort outcome=unknown reason="crossed"
     "#]]);
 }
+
+/// The response of a second agent must not be joined to another status.
+#[test]
+fn other_status() {
+    let mut session = Session::new(Class::Repeatable);
+    session.sent("a").head(true).data(0, 10);
+    session.on("broken", |request| request.broken(true));
+    session.sent("b").on("head with status 500", |request| {
+        request.head(Head {
+            id: id::RequestId(1),
+            status: 500,
+            replayed: false,
+            resumable: true,
+        })
+    });
+    session.check(expect![[r#"
+        run sent to a
+        head
+            step=head
+        data 0+10
+            step=pass from=0
+        broken
+            step=choose skip=10
+        run sent to b
+        head with status 500
+            step=abort outcome=unknown reason="crossed"
+    "#]]);
+}
+
+/// An end without a head is no response, even of no bytes.
+#[test]
+fn end_alone() {
+    let mut session = Session::new(Class::Once);
+    session.sent("a").on("end 0", |request| request.end(0));
+    session.check(expect![[r#"
+        run sent to a
+        end 0
+            step=settle agent=a incarnation=1 epoch=1 offset=0 pause=0us
+    "#]]);
+}
