--- a/crates/once/tests/world/mod.rs
+++ b/crates/once/tests/world/mod.rs
@@ -5,7 +5,10 @@
 //! delay, reordering and a paused process need no steps of their own: a router
 //! may take its link for lost, or an agent for unreachable, at any moment.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
 
 use base::{id, span::Span, time::Mono};
 use once::{
@@ -256,8 +259,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct World {
     left: Faults,
-    routers: Vec<Router>,
-    agents: Vec<Agent>,
+    routers: Vec<Rc<Router>>,
+    agents: Vec<Rc<Agent>>,
     row: Option<Row>,
     net: BTreeSet<Message>,
     table: BTreeSet<TableCall>,
@@ -376,10 +379,10 @@
         Self {
             left: scenario.faults,
             routers: (0..scenario.requests)
-                .map(|index| Router::new(scenario, index))
+                .map(|index| Rc::new(Router::new(scenario, index)))
                 .collect(),
             agents: (0..AGENTS.len())
-                .map(|index| Agent::new(index, 1))
+                .map(|index| Rc::new(Agent::new(index, 1)))
                 .collect(),
             row: None,
             net: BTreeSet::new(),
@@ -484,7 +487,9 @@
             }
             if open == 0 {
                 let mut world = self.clone();
-                let step = world.routers[request].request.none(Refusal::Bound, None);
+                let step = Rc::make_mut(&mut world.routers[request])
+                    .request
+                    .none(Refusal::Bound, None);
                 world.follow(request, step);
                 next.push((Event::None { request }, world));
             }
@@ -522,7 +527,9 @@
                 }
                 Message::Cancel { agent, request } => {
                     let now = world.agents[agent].now;
-                    let actions = world.agents[agent].ledger.cancel(now, request);
+                    let actions = Rc::make_mut(&mut world.agents[agent])
+                        .ledger
+                        .cancel(now, request);
                     world.act(scenario, agent, actions);
                     next.push((
                         Event::Cancel {
@@ -548,7 +555,9 @@
             if self.may(Fault::Cut) && open {
                 let mut world = self.clone();
                 world.left.total -= 1;
-                let step = world.routers[request].request.link_lost();
+                let step = Rc::make_mut(&mut world.routers[request])
+                    .request
+                    .link_lost();
                 world.follow(request, step);
                 next.push((Event::Cut { request }, world));
             }
@@ -562,22 +571,22 @@
             if self.may(Fault::Deadline) && open {
                 let mut world = self.clone();
                 world.left.total -= 1;
-                let step = world.routers[request].request.expired();
+                let step = Rc::make_mut(&mut world.routers[request]).request.expired();
                 world.follow(request, step);
                 next.push((Event::Deadline { request }, world));
             }
             if self.may(Fault::Router) && open {
                 let mut world = self.clone();
                 world.left.total -= 1;
-                world.routers[request].told = Some(Told::Cut);
-                world.routers[request].step = None;
+                Rc::make_mut(&mut world.routers[request]).told = Some(Told::Cut);
+                Rc::make_mut(&mut world.routers[request]).step = None;
                 next.push((Event::RouterCrash { request }, world));
             }
         }
     }
 
     fn unreachable(&mut self, scenario: &Scenario, request: usize) -> Step {
-        let decision = &mut self.routers[request].request;
+        let decision = &mut Rc::make_mut(&mut self.routers[request]).request;
         if scenario.is(Seeded::Unreachable) {
             return decision.broken(false);
         }
@@ -593,11 +602,11 @@
             for id in &state.gate {
                 let request = id.0;
                 let mut world = self.clone();
-                world.agents[agent].gate.remove(id);
+                Rc::make_mut(&mut world.agents[agent]).gate.remove(id);
                 if world.may(Fault::Refuse) {
                     let mut world = world.clone();
                     world.left.total -= 1;
-                    let ledger = &mut world.agents[agent].ledger;
+                    let ledger = &mut Rc::make_mut(&mut world.agents[agent]).ledger;
                     let actions = ledger.refused(now, *id, Refusal::Bound, None);
                     world.act(scenario, agent, actions);
                     next.push((Event::GateRefuse { request, agent }, world));
@@ -605,12 +614,14 @@
                 if world.may(Fault::Deadline) {
                     let mut world = world.clone();
                     world.left.total -= 1;
-                    let ledger = &mut world.agents[agent].ledger;
+                    let ledger = &mut Rc::make_mut(&mut world.agents[agent]).ledger;
                     let actions = ledger.admitted(now + REMAINING, *id);
                     world.act(scenario, agent, actions);
                     next.push((Event::Late { request, agent }, world));
                 }
-                let actions = world.agents[agent].ledger.admitted(now, *id);
+                let actions = Rc::make_mut(&mut world.agents[agent])
+                    .ledger
+                    .admitted(now, *id);
                 world.act(scenario, agent, actions);
                 next.push((Event::Admit { request, agent }, world));
             }
@@ -624,15 +635,15 @@
                 let mut world = self.clone();
                 world.left.epochs -= 1;
                 let now = now + EPOCH;
-                world.agents[agent].now = now;
-                let actions = world.agents[agent].ledger.expire(now);
+                Rc::make_mut(&mut world.agents[agent]).now = now;
+                let actions = Rc::make_mut(&mut world.agents[agent]).ledger.expire(now);
                 world.act(scenario, agent, actions);
                 next.push((Event::Epoch { agent }, world));
             }
             if self.may(Fault::Leave) {
                 let mut world = self.clone();
                 world.left.total -= 1;
-                let actions = world.agents[agent].ledger.leave(now);
+                let actions = Rc::make_mut(&mut world.agents[agent]).ledger.leave(now);
                 world.act(scenario, agent, actions);
                 next.push((Event::Leave { agent }, world));
             }
@@ -650,7 +661,9 @@
             if self.may(Fault::Unsent) && !orphan {
                 let mut world = world.clone();
                 world.left.total -= 1;
-                let actions = world.agents[agent].ledger.unsent(now, id);
+                let actions = Rc::make_mut(&mut world.agents[agent])
+                    .ledger
+                    .unsent(now, id);
                 world.act(scenario, agent, actions);
                 next.push((Event::Unsent { request, agent }, world));
             }
@@ -662,7 +675,7 @@
             if self.may(Fault::Broken) {
                 let mut world = world.clone();
                 world.left.total -= 1;
-                let ledger = &mut world.agents[agent].ledger;
+                let ledger = &mut Rc::make_mut(&mut world.agents[agent]).ledger;
                 let actions = match scenario.is(Seeded::BrokenUnsent) {
                     true => ledger.unsent(now, id),
                     false => ledger.broken(now, id),
@@ -689,7 +702,7 @@
         id: id::RequestId,
         content: id::RequestId,
     ) {
-        let state = &mut self.agents[agent];
+        let state = Rc::make_mut(&mut self.agents[agent]);
         let now = state.now;
         state.ledger.head(id, scenario.kind == Kind::Repeatable);
         let response = (scenario.kind == Kind::Keyed).then(|| stored(content));
@@ -786,7 +799,7 @@
 
     fn answer(&mut self, scenario: &Scenario, call: TableCall) {
         let agent = call.agent;
-        let state = &mut self.agents[agent];
+        let state = Rc::make_mut(&mut self.agents[agent]);
         if state.me.incarnation != call.incarnation {
             return;
         }
@@ -808,7 +821,7 @@
 
     fn crash(&mut self, agent: usize) {
         let old = self.agents[agent].me.incarnation;
-        self.agents[agent] = Agent::new(agent, old.next().0);
+        self.agents[agent] = Rc::new(Agent::new(agent, old.next().0));
         let (lost, rest): (BTreeSet<_>, BTreeSet<_>) = std::mem::take(&mut self.table)
             .into_iter()
             .partition(|call| call.agent == agent && !call.late);
@@ -827,7 +840,7 @@
         agent: usize,
         known: (id::Incarnation, Epoch),
     ) {
-        let router = &mut self.routers[request];
+        let router = Rc::make_mut(&mut self.routers[request]);
         router.step = None;
         router.link.0 += 1;
         let skip = router.request.offset();
@@ -850,7 +863,7 @@
 
     /// Carries out a step of a router.
     fn follow(&mut self, request: usize, step: Step) {
-        let router = &mut self.routers[request];
+        let router = Rc::make_mut(&mut self.routers[request]);
         match step {
             Step::Choose { .. } | Step::Redirect(_) => router.step = Some(step),
             Step::Resend(to) => {
@@ -876,7 +889,7 @@
             Step::Unknown(_) => router.told = Some(Told::Unknown),
             Step::Abort(_) => router.told = Some(Told::Cut),
         }
-        let router = &mut self.routers[request];
+        let router = Rc::make_mut(&mut self.routers[request]);
         if router.told.is_none() {
             return;
         }
@@ -900,7 +913,7 @@
         part: Part,
         next: &mut Vec<(Event, World)>,
     ) {
-        let router = &mut self.routers[request];
+        let router = Rc::make_mut(&mut self.routers[request]);
         if router.link != link || router.told.is_some() {
             next.push((Event::Reply { request }, self));
             return;
@@ -918,9 +931,13 @@
                 if self.may(Fault::Part) {
                     let mut world = self.clone();
                     world.left.total -= 1;
-                    let step = world.routers[request]
+                    let step = Rc::make_mut(&mut world.routers[request])
                         .read(scenario, of, offset, TOTAL - 1)
-                        .unwrap_or_else(|| world.routers[request].request.link_lost());
+                        .unwrap_or_else(|| {
+                            Rc::make_mut(&mut world.routers[request])
+                                .request
+                                .link_lost()
+                        });
                     world.follow(request, step);
                     next.push((Event::Part { request }, world));
                 }
@@ -928,12 +945,13 @@
                     if self.may(fault) && from != offset {
                         let mut world = self.clone();
                         world.left.total -= 1;
-                        let step = world.routers[request].read_all(scenario, of, from);
+                        let step =
+                            Rc::make_mut(&mut world.routers[request]).read_all(scenario, of, from);
                         world.follow(request, step);
                         next.push((Event::Shifted { request, from }, world));
                     }
                 }
-                self.routers[request].read_all(scenario, of, offset)
+                Rc::make_mut(&mut self.routers[request]).read_all(scenario, of, offset)
             }
         };
         self.follow(request, step);
@@ -941,7 +959,7 @@
     }
 
     fn run(&mut self, scenario: &Scenario, agent: usize, skip: u64, mut offer: event::Offer) {
-        let state = &mut self.agents[agent];
+        let state = Rc::make_mut(&mut self.agents[agent]);
         if scenario.is(Seeded::RunEpoch) {
             offer.epoch = state.ledger.epoch();
         }
@@ -963,7 +981,7 @@
             self.act(scenario, agent, vec![Action::Dispatch(offer.id)]);
             return;
         }
-        let state = &mut self.agents[agent];
+        let state = Rc::make_mut(&mut self.agents[agent]);
         state.streams.insert(offer.link, (offer.id, offer.id, skip));
         let now = state.now;
         let actions = state.ledger.offer(now, offer);
@@ -971,7 +989,7 @@
     }
 
     fn settle(&mut self, scenario: &Scenario, agent: usize, mut settle: event::Settle) {
-        let state = &mut self.agents[agent];
+        let state = Rc::make_mut(&mut self.agents[agent]);
         if scenario.is(Seeded::SettleEpoch) {
             settle.epoch = state.ledger.epoch();
         }
@@ -1013,7 +1031,7 @@
     }
 
     fn act_once(&mut self, scenario: &Scenario, agent: usize, action: Action) {
-        let state = &mut self.agents[agent];
+        let state = Rc::make_mut(&mut self.agents[agent]);
         let incarnation = state.me.incarnation;
         match action {
             Action::Admit(id) if !scenario.gate => {
@@ -1079,7 +1097,7 @@
 
     /// Sends each complete response on the streams that wait for it.
     fn flush(&mut self, agent: usize) {
-        let state = &mut self.agents[agent];
+        let state = Rc::make_mut(&mut self.agents[agent]);
         let ready: Vec<(Link, id::RequestId, u64)> = state
             .streams
             .iter()
@@ -1089,7 +1107,7 @@
             })
             .collect();
         for (link, of, offset) in ready {
-            self.agents[agent].streams.remove(&link);
+            Rc::make_mut(&mut self.agents[agent]).streams.remove(&link);
             self.send(link, Part::Response { of, offset });
         }
     }
