--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -13,6 +13,7 @@
 use crate::{
     action::{Action, Cause},
     claim::{self, Answer},
+    entry::{Entry, State},
     epoch::Epoch,
     event::{Class, Link, Offer, Settle},
     holding::{Holding, Next},
@@ -41,12 +42,12 @@
 }
 
 impl Default for Limits {
-    /// An entry takes less than 400 bytes, so 2 × 16,384 finished and 4,096
-    /// live entries take less than half of the 32 MB of a node; 256 unrecorded
-    /// responses of at most 32 KiB take up to 8 MiB.
+    /// An entry with a key of 36 bytes takes 560 bytes as measured, so that
+    /// 2 × 8,192 finished and 4,096 live entries take 11.5 MB; 256 unrecorded
+    /// responses of at most 32 KiB take 8 MiB more.
     fn default() -> Self {
         Self {
-            finished: 16 * 1024,
+            finished: 8 * 1024,
             live: 4 * 1024,
             retained: 8 * 1024 * 1024,
             unrecorded: 256,
@@ -56,90 +57,6 @@
     }
 }
 
-/// State of a request id, as shown in logs and queries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum State {
-    /// Waits at the gate.
-    Queued,
-    /// Admitted; waits for the claim.
-    Claiming,
-    /// Sent to the target.
-    Dispatched,
-    /// The target has begun to respond.
-    Answering,
-    /// Receives the response of another request with the same key.
-    Following(id::RequestId),
-    /// The response is complete.
-    Done,
-    /// Dispatched, and its outcome is unknown.
-    Broken(Cause),
-    /// Not run, and never will be.
-    Tombstone,
-}
-
-impl State {
-    fn finished(self) -> bool {
-        matches!(self, Self::Done | Self::Broken(_) | Self::Tombstone)
-    }
-
-    fn running(self) -> bool {
-        matches!(self, Self::Dispatched | Self::Answering)
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-struct Entry {
-    state: State,
-    /// Why it was not run, for a tombstone.
-    why: Option<Refusal>,
-    link: Option<Link>,
-    deadline: Mono,
-    class: Class,
-    followers: BTreeSet<id::RequestId>,
-    /// Request whose response this one receives.
-    of: id::RequestId,
-    resumable: bool,
-    /// Bytes `kept..produced` of the body are at hand.
-    kept: u64,
-    produced: u64,
-}
-
-impl Entry {
-    fn new(id: id::RequestId, link: Option<Link>, class: Class, deadline: Mono) -> Self {
-        Self {
-            state: State::Queued,
-            why: None,
-            link,
-            deadline,
-            class,
-            followers: BTreeSet::new(),
-            of: id,
-            resumable: false,
-            kept: 0,
-            produced: 0,
-        }
-    }
-
-    fn key(&self) -> Option<&claim::Key> {
-        match &self.class {
-            Class::Keyed { key, .. } => Some(key),
-            _ => None,
-        }
-    }
-
-    /// Whether the request runs on without a link. Only a repeatable request
-    /// is worth less than the rest of its run; the others may be settled later,
-    /// and a key's outcome is recorded. Another caller may wait for it too.
-    fn detached(&self) -> bool {
-        let single = self.class != Class::Repeatable && self.state.running();
-        single || !self.followers.is_empty()
-    }
-
-    fn refuse(&self, id: id::RequestId, link: Link) -> Action {
-        refuse(id, link, self.why.clone().unwrap_or(Refusal::Tombstone))
-    }
-}
-
 /// The request ledger of one incarnation of an agent.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ledger {
@@ -158,7 +75,8 @@
     present: VecDeque<id::RequestId>,
     /// Ids that finished in the previous epoch.
     previous: VecDeque<id::RequestId>,
-    /// Done requests whose bytes are kept, oldest first.
+    /// Done requests whose bytes are retained, oldest first; may name ids whose
+    /// bytes were dropped since.
     kept: VecDeque<id::RequestId>,
     retained: u64,
     leaving: bool,
@@ -225,7 +143,7 @@
         let Offer { id, link, .. } = offer;
         if let Some(entry) = self.entries.get(&id) {
             return vec![match entry.state {
-                State::Tombstone => entry.refuse(id, link),
+                State::Tombstone => refuse(id, link, entry.refusal()),
                 _ => broken(id, link, Cause::Duplicate),
             }];
         }
@@ -455,7 +373,7 @@
             return self.settle_unseen(now, settle);
         };
         match entry.state {
-            State::Tombstone => vec![entry.refuse(id, link)],
+            State::Tombstone => vec![refuse(id, link, entry.refusal())],
             State::Broken(cause) => vec![broken(id, link, cause)],
             State::Queued => {
                 entry.link = Some(link);
@@ -586,6 +504,9 @@
             actions.extend(self.drop_bytes(id));
             self.entries.remove(&id);
         }
+        let entries = &self.entries;
+        self.kept
+            .retain(|id| entries.get(id).is_some_and(|entry| entry.retained));
         actions
     }
 
@@ -939,14 +860,15 @@
     /// Counts the kept bytes of a done request and drops the oldest ones over
     /// the limit.
     fn keep(&mut self, id: id::RequestId) -> Vec<Action> {
-        let Some(entry) = self.entries.get(&id) else {
+        let Some(entry) = self.entries.get_mut(&id) else {
             return Vec::new();
         };
+        entry.retained = true;
         self.retained += entry.produced - entry.kept;
         self.kept.push_back(id);
         let mut actions = Vec::new();
         while self.retained > self.limits.retained {
-            let Some(oldest) = self.kept.front().copied() else {
+            let Some(oldest) = self.kept.pop_front() else {
                 break;
             };
             actions.extend(self.drop_bytes(oldest));
@@ -955,15 +877,15 @@
     }
 
     fn drop_bytes(&mut self, id: id::RequestId) -> Vec<Action> {
-        let Some(place) = self.kept.iter().position(|kept| *kept == id) else {
-            return Vec::new();
-        };
-        self.kept.remove(place);
-        if let Some(entry) = self.entries.get_mut(&id) {
-            self.retained -= entry.produced - entry.kept;
-            entry.kept = entry.produced;
+        match self.entries.get_mut(&id) {
+            Some(entry) if entry.retained => {
+                entry.retained = false;
+                self.retained -= entry.produced - entry.kept;
+                entry.kept = entry.produced;
+                vec![Action::Forget(id)]
+            }
+            _ => Vec::new(),
         }
-        vec![Action::Forget(id)]
     }
 }
 
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod action;
 pub mod batch;
 pub mod claim;
+pub mod entry;
 pub mod epoch;
 pub mod event;
 pub mod holding;
--- a/crates/once/tests/memory.rs
+++ b/crates/once/tests/memory.rs
@@ -8,9 +8,10 @@
 use once::{
     action::{Action, Cause},
     claim,
+    entry::State,
     epoch::Epoch,
     event::{Class, Link, Offer},
-    ledger::{Limits, State},
+    ledger::Limits,
     refusal::Refusal,
 };
 
--- a/crates/once/tests/random.rs
+++ b/crates/once/tests/random.rs
@@ -11,9 +11,10 @@
 use once::{
     action::Action,
     claim::{Answer, Ask, Condition, Op, Row},
+    entry::State,
     epoch::Epoch,
     event::{Class, Link, Offer, Settle},
-    ledger::{Ledger, Limits, State},
+    ledger::{Ledger, Limits},
     refusal::Refusal,
 };
 use proptest::{
--- a/crates/once/tests/world/mod.rs
+++ b/crates/once/tests/world/mod.rs
@@ -14,6 +14,7 @@
 use once::{
     action::Action,
     claim::{self, Answer, Ask, Condition, Op, Row},
+    entry,
     epoch::Epoch,
     event::{self, Link},
     ledger::{self, Ledger},
@@ -971,7 +972,7 @@
             // running row for one that was never dispatched.
             let running = matches!(
                 state.ledger.state(id::RequestId(1)),
-                Some(ledger::State::Dispatched)
+                Some(entry::State::Dispatched)
             );
             if running && offer.id == id::RequestId(2) {
                 state.ledger = Ledger::new(state.me.clone(), limits(), state.now);
@@ -998,7 +999,7 @@
         }
         let seen = state.ledger.state(settle.id);
         let skip = scenario.is(Seeded::NoTombstone) && seen.is_none()
-            || scenario.is(Seeded::SettleQueued) && seen == Some(ledger::State::Queued);
+            || scenario.is(Seeded::SettleQueued) && seen == Some(entry::State::Queued);
         let mut ledger = state.ledger.clone();
         let actions = ledger.settle(state.now, settle);
         if skip {
