--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -624,6 +624,8 @@
             nonce,
             state: claim::State::Running,
         };
+        // An active holding would have made this request a follower.
+        debug_assert!(self.holdings.get(&key).is_none_or(Holding::abandoned));
         let mut holding = Holding::new(key.clone(), claim, id);
         let ask = holding.start();
         self.holdings.insert(key, holding);
