--- /dev/null
+++ b/crates/admit/src/quarantine.rs
@@ -0,0 +1,388 @@
+//! Refuses requests that crash the targets that run them.
+//!
+//! Each crash of a target makes the fingerprints in flight there suspects. A
+//! fingerprint that was present at crashes of two different targets is
+//! refused, unless another suspect was present at the same crashes too: then
+//! either may be the cause, and they are kept apart until one of them is
+//! cleared by a completion or a further crash tells them apart.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::{id, span, time};
+
+/// Crashes of different targets that lead to refusal.
+const LIMIT: usize = 2;
+
+/// Fingerprints that are remembered at most, about 1 MB.
+const MOST_RECORDS: usize = 4_096;
+
+/// Crashes that are remembered for one fingerprint at most.
+const MOST_CRASHES: usize = 16;
+
+/// Bits of a crash number below the agent's incarnation.
+const COUNT_BITS: u32 = 20;
+
+/// Numbers the crashes of one target; a larger number is a later crash.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CrashNumber(pub u64);
+
+/// One crash of one target.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Crash {
+    /// The target.
+    pub target: id::TargetId,
+    /// Tells the crashes of the target apart.
+    pub number: CrashNumber,
+}
+
+/// What a fingerprint is held to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Not under suspicion.
+    Clear,
+    /// Present at a crash; may run.
+    Suspect,
+    /// Present at the same crashes as another suspect; may run where no such
+    /// other one is in flight.
+    Apart,
+    /// Refused.
+    Refused {
+        /// Time until it may be tried again.
+        remaining: span::Span,
+    },
+}
+
+/// What is known of one fingerprint, as it is exchanged and shown to operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The fingerprint.
+    pub fingerprint: id::Fingerprint,
+    /// The crashes at which it was in flight and that are not excused.
+    pub crashes: BTreeSet<Crash>,
+    /// For each target, the latest crash that a completion or an operator has
+    /// excused; earlier ones are excused too.
+    pub excused: BTreeMap<id::TargetId, CrashNumber>,
+    /// Time until the entry ends.
+    pub remaining: span::Span,
+    /// What it is held to be by the sender.
+    pub verdict: Verdict,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    /// The crashes that count: those that are not excused.
+    crashes: BTreeSet<Crash>,
+    excused: BTreeMap<id::TargetId, CrashNumber>,
+    until: time::Mono,
+}
+
+impl Record {
+    /// Returns the number of targets that crashed.
+    fn targets(&self) -> usize {
+        let mut previous = None;
+        self.crashes
+            .iter()
+            .filter(|crash| previous.replace(&crash.target) != Some(&crash.target))
+            .count()
+    }
+
+    /// Returns whether this one was present at all crashes of the other.
+    fn covers(&self, other: &Self) -> bool {
+        self.crashes.is_superset(&other.crashes)
+    }
+
+    fn is_excused(&self, crash: &Crash) -> bool {
+        let excused = self.excused.get(&crash.target);
+        excused.is_some_and(|excused| crash.number <= *excused)
+    }
+
+    fn excuse(&mut self) {
+        for crash in std::mem::take(&mut self.crashes) {
+            let excused = self.excused.entry(crash.target).or_default();
+            *excused = crash.number.max(*excused);
+        }
+    }
+
+    /// Adds what another process knows; returns whether it was new.
+    fn merge(&mut self, entry: &Entry) -> bool {
+        let mut has_news = false;
+        for (target, number) in &entry.excused {
+            let known = self.excused.get(target);
+            if known.is_none_or(|known| known < number) {
+                self.excused.insert(target.clone(), *number);
+                has_news = true;
+            }
+        }
+        let mut crashes = std::mem::take(&mut self.crashes);
+        crashes.retain(|crash| !self.is_excused(crash));
+        for crash in &entry.crashes {
+            if crashes.len() < MOST_CRASHES && !self.is_excused(crash) {
+                has_news |= crashes.insert(crash.clone());
+            }
+        }
+        self.crashes = crashes;
+        has_news
+    }
+}
+
+/// The suspects and the refused fingerprints that a process knows.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    term: span::Span,
+    records: BTreeMap<id::Fingerprint, Record>,
+    /// The fingerprints that were in flight at each crash. Suspects can only be
+    /// mistaken for those that were present at the same crash.
+    cohorts: BTreeMap<Crash, BTreeSet<id::Fingerprint>>,
+    next: u64,
+}
+
+impl Quarantine {
+    /// Starts empty. `term` is the length of a quarantine; the incarnation
+    /// makes the numbers of a restarted agent larger than its earlier ones.
+    pub fn new(term: span::Span, incarnation: id::Incarnation) -> Self {
+        Self {
+            term,
+            records: BTreeMap::new(),
+            cohorts: BTreeMap::new(),
+            next: (incarnation.0 << COUNT_BITS) + 1,
+        }
+    }
+
+    /// Returns what a fingerprint is held to be.
+    pub fn check(&self, now: time::Mono, fingerprint: id::Fingerprint) -> Verdict {
+        match self.records.get(&fingerprint) {
+            Some(record) if record.until > now => self.judge(now, fingerprint, record),
+            _ => Verdict::Clear,
+        }
+    }
+
+    fn judge(&self, now: time::Mono, fingerprint: id::Fingerprint, record: &Record) -> Verdict {
+        let targets = record.targets();
+        let mut has_rival = false;
+        for rival in self.rivals(now, fingerprint, record) {
+            // A refused one explains the crashes at which both were present.
+            if rival.targets() >= LIMIT && !record.covers(rival) {
+                return Verdict::Clear;
+            }
+            has_rival = true;
+        }
+        match targets {
+            0 => Verdict::Clear,
+            1 => Verdict::Suspect,
+            _ if has_rival => Verdict::Apart,
+            _ => Verdict::Refused {
+                remaining: record.until.since(now),
+            },
+        }
+    }
+
+    /// Returns the other records that were present at all crashes of this one.
+    fn rivals<'a>(
+        &'a self,
+        now: time::Mono,
+        fingerprint: id::Fingerprint,
+        record: &'a Record,
+    ) -> impl Iterator<Item = &'a Record> {
+        let cohort = record
+            .crashes
+            .first()
+            .and_then(|crash| self.cohorts.get(crash));
+        cohort
+            .into_iter()
+            .flatten()
+            .filter(move |other| **other != fingerprint)
+            .filter_map(|other| self.records.get(other))
+            .filter(move |rival| rival.until > now && rival.covers(record))
+    }
+
+    /// Returns whether a request may start beside those in flight: two
+    /// suspects that must be told apart may not run together.
+    pub fn may_join<'a>(
+        &self,
+        now: time::Mono,
+        fingerprint: id::Fingerprint,
+        in_flight: impl IntoIterator<Item = &'a id::Fingerprint>,
+    ) -> bool {
+        match self.check(now, fingerprint) {
+            Verdict::Clear | Verdict::Suspect => true,
+            Verdict::Refused { .. } => false,
+            Verdict::Apart => in_flight
+                .into_iter()
+                .all(|other| *other == fingerprint || self.check(now, *other) != Verdict::Apart),
+        }
+    }
+
+    /// Notes that a target crashed with these fingerprints in flight. To be
+    /// called by the target's own agent, once for each crash.
+    pub fn crash(
+        &mut self,
+        now: time::Mono,
+        target: &id::TargetId,
+        in_flight: impl IntoIterator<Item = id::Fingerprint>,
+    ) {
+        let number = CrashNumber(self.next);
+        self.next += 1;
+        let crash = Crash {
+            target: target.clone(),
+            number,
+        };
+        for fingerprint in in_flight {
+            self.merge(
+                now,
+                &Entry {
+                    fingerprint,
+                    crashes: BTreeSet::from([crash.clone()]),
+                    excused: BTreeMap::new(),
+                    remaining: self.term,
+                    verdict: Verdict::Suspect,
+                },
+            );
+        }
+    }
+
+    /// Notes that a request with this fingerprint ran to its end, which clears
+    /// it: a request that crashes every target never does.
+    pub fn completed(&mut self, fingerprint: id::Fingerprint) {
+        self.change(fingerprint, Record::excuse);
+    }
+
+    /// Takes in an entry of another process. Late, repeated and reordered
+    /// entries do no harm: crashes and excuses only add up.
+    pub fn merge(&mut self, now: time::Mono, entry: &Entry) {
+        let until = now + entry.remaining.min(self.term);
+        self.make_room(now, entry.fingerprint);
+        self.records.entry(entry.fingerprint).or_insert(Record {
+            crashes: BTreeSet::new(),
+            excused: BTreeMap::new(),
+            until,
+        });
+        self.change(entry.fingerprint, |record| {
+            if record.until <= now {
+                // The term is over; only later crashes count.
+                record.excuse();
+            }
+            // Only news prolongs an entry. Otherwise two processes that
+            // exchange it would prolong it for ever by the time on the way.
+            record.until = if record.merge(entry) {
+                record.until.max(until)
+            } else {
+                record.until.min(until)
+            };
+        });
+    }
+
+    /// Changes a record, if there is one, and keeps the cohorts up to date.
+    fn change(&mut self, fingerprint: id::Fingerprint, apply: impl FnOnce(&mut Record)) {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return;
+        };
+        let before = record.crashes.clone();
+        apply(record);
+        let after = record.crashes.clone();
+        for crash in before.difference(&after) {
+            self.leave(crash, fingerprint);
+        }
+        for crash in after.difference(&before) {
+            let cohort = self.cohorts.entry(crash.clone()).or_default();
+            cohort.insert(fingerprint);
+        }
+    }
+
+    fn leave(&mut self, crash: &Crash, fingerprint: id::Fingerprint) {
+        if let Some(cohort) = self.cohorts.get_mut(crash) {
+            cohort.remove(&fingerprint);
+            if cohort.is_empty() {
+                self.cohorts.remove(crash);
+            }
+        }
+    }
+
+    /// Forgets records for a new one, if necessary.
+    ///
+    /// A record whose term is over is kept for as long again, so that a late
+    /// copy of the entry does not bring it back.
+    fn make_room(&mut self, now: time::Mono, fingerprint: id::Fingerprint) {
+        let is_full = self.records.len() >= MOST_RECORDS;
+        if self.records.contains_key(&fingerprint) {
+            return;
+        }
+        let term = self.term;
+        let over: Vec<_> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.until + term <= now)
+            .map(|(fingerprint, _)| *fingerprint)
+            .collect();
+        for fingerprint in &over {
+            self.forget(*fingerprint);
+        }
+        if is_full && over.is_empty() {
+            let least = self
+                .records
+                .iter()
+                .min_by_key(|(_, record)| (record.targets(), record.until))
+                .map(|(fingerprint, _)| *fingerprint);
+            least.into_iter().for_each(|least| self.forget(least));
+        }
+    }
+
+    fn forget(&mut self, fingerprint: id::Fingerprint) {
+        if let Some(record) = self.records.remove(&fingerprint) {
+            for crash in &record.crashes {
+                self.leave(crash, fingerprint);
+            }
+        }
+    }
+
+    /// Lifts a quarantine by an operator's command; returns whether there was
+    /// an entry. Later crashes count again.
+    pub fn lift(&mut self, now: time::Mono, fingerprint: id::Fingerprint) -> bool {
+        let is_known = self
+            .records
+            .get(&fingerprint)
+            .is_some_and(|record| record.until > now);
+        self.change(fingerprint, Record::excuse);
+        is_known
+    }
+
+    /// Returns all entries, also cleared ones, whose excuses other processes
+    /// must learn.
+    pub fn entries(&self, now: time::Mono) -> Vec<Entry> {
+        self.records
+            .iter()
+            .filter(|(_, record)| record.until > now)
+            .map(|(fingerprint, record)| self.entry(now, *fingerprint, record))
+            .collect()
+    }
+
+    /// Returns the entries of a fingerprint and of all that were present at
+    /// its crashes.
+    ///
+    /// They go with the report of the crash to the router, and with the resent
+    /// request to the next agent, so that both can tell the cause from the
+    /// others before the exchange reaches them.
+    pub fn related(&self, now: time::Mono, fingerprint: id::Fingerprint) -> Vec<Entry> {
+        let Some(record) = self.records.get(&fingerprint) else {
+            return Vec::new();
+        };
+        let cohorts = record.crashes.iter().filter_map(|c| self.cohorts.get(c));
+        let mut related: BTreeSet<_> = cohorts.flatten().copied().collect();
+        related.insert(fingerprint);
+        related
+            .into_iter()
+            .filter_map(|related| Some((related, self.records.get(&related)?)))
+            .filter(|(_, record)| record.until > now)
+            .map(|(related, record)| self.entry(now, related, record))
+            .collect()
+    }
+
+    fn entry(&self, now: time::Mono, fingerprint: id::Fingerprint, record: &Record) -> Entry {
+        Entry {
+            fingerprint,
+            crashes: record.crashes.clone(),
+            excused: record.excused.clone(),
+            remaining: record.until.since(now),
+            verdict: self.judge(now, fingerprint, record),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/exchange.rs
@@ -0,0 +1,1045 @@
+//! The exchange of members and loads with a few neighbours.
+//!
+//! Once a second a process sends one message to one neighbour and gets one
+//! back. A message holds the most valuable records that its share of the byte
+//! budget allows: changes of state first, then quarantine entries, answers to
+//! what the receiver asked for, the loads of the receiver's service group, and
+//! last the pulses, by which every member remains known everywhere.
+//!
+//! See [the design page](../../../docs/design.md), section 2.7.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net,
+};
+
+use base::{hash, id, span, time};
+use prost::Message;
+use wire::msg;
+
+use crate::{budget, convert, member, neighbour, rules};
+
+/// Time between two exchanges that a process starts.
+pub const INTERVAL: span::Span = span::Span::from_secs(1);
+
+/// Time between two exchanges while urgent news have not been passed on often
+/// enough.
+pub const URGENT: span::Span = span::Span::from_millis(100);
+
+/// Exchanges that a process starts at once for urgent news. Together with the
+/// exchanges that others start, 4 leave few processes to the usual interval.
+const FAN: u32 = 4;
+
+/// Bytes that urgent news leave in the budget for what the interval needs.
+const RESERVE: i64 = 2_000;
+
+/// Largest message that is sent for urgent news, in bytes.
+const URGENT_SIZE: i64 = 600;
+
+/// Messages of one interval: sent and received, as the one who starts and as
+/// the one who answers.
+const MESSAGES: i64 = 4;
+
+/// Share of the rate that the usual exchange uses, in percent. The rest keeps
+/// the bucket filled for urgent news and for new processes.
+const STEADY: i64 = 85;
+
+/// Smallest message worth sending, in bytes.
+const SMALLEST: i64 = 200;
+
+/// Largest message that a process composes, in bytes; one part of the members
+/// for a new process fits in it.
+const LARGEST: i64 = 16_000;
+
+/// Most keys in `wants` and in `stale`, 8 bytes each.
+const ASKED: usize = 16;
+
+/// Age from which a process asks for a fresher report.
+const OLD: span::Span = span::Span::from_secs(35);
+
+/// Every how many turns a lost or merely listed member or a seed is tried, so
+/// that the two sides of a healed cut find each other.
+const PROBE: u64 = 10;
+
+/// Messages that carry a quarantine entry on from one process.
+const SUSPECT_NEWS: u32 = 12;
+
+/// Parts in which a new process learns the members, each from another peer.
+/// With 1,110 members a part is about 14 KB.
+const PARTS: u32 = 8;
+
+/// Parts of the members that are compared by digest; 64 digests take 256 bytes,
+/// and with 1,110 members a part that differs takes 18 load records.
+const DIGESTS: u64 = 64;
+
+/// Parts that differ of which one answer holds the loads.
+const REPAIRED: usize = 4;
+
+/// Time between two exchanges of a process that learns the members.
+const JOIN: span::Span = span::Span::from_millis(200);
+
+/// A process that lacks more than about one in this many of the members that
+/// a partner knows asks for all parts again; fewer are found by `wants`.
+const MISSING: u32 = 8;
+
+/// A member, or a seed whose process is not known, to exchange with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Partner {
+    /// The process expected at the address.
+    pub process: Option<id::ProcessId>,
+    /// Where to send.
+    pub address: net::SocketAddr,
+}
+
+/// What a received message changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Applied {
+    /// Members whose place or standing changed.
+    pub changed: Vec<id::ProcessId>,
+    /// Quarantine entries that were new or changed, for the quarantine.
+    pub suspects: Vec<msg::Suspect>,
+    /// The sender's configuration version, when it is above this process's.
+    pub newer: Option<id::Version>,
+    /// The incarnation that the fleet knows of this process, when it is above
+    /// its own; the process must take a higher one.
+    pub renumber: Option<id::Incarnation>,
+    /// Whether the fleet holds this incarnation to be leaving while it is not.
+    pub accused: bool,
+    /// Records that could not be read.
+    pub invalid: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Suspicion {
+    entry: msg::Suspect,
+    until: time::Mono,
+    left: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Own {
+    standing: member::Standing,
+    version: id::Version,
+    load: u32,
+    cap: u32,
+}
+
+/// The exchange of one process.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// The members that the exchange keeps up to date.
+    pub members: member::Members,
+    own: Own,
+    reported: time::Mono,
+    key: u64,
+    seeds: Vec<net::SocketAddr>,
+    turn: u64,
+    /// When the last exchange of the usual interval was started.
+    regular: time::Mono,
+    /// When the last exchange of any kind was started.
+    started: time::Mono,
+    /// Whether the present exchange is for urgent news alone.
+    early: bool,
+    /// Exchanges that are still to be started for urgent news.
+    fan: u32,
+    urgent: VecDeque<id::ProcessId>,
+    wants: BTreeMap<u64, time::Mono>,
+    suspects: BTreeMap<u64, Suspicion>,
+    /// Parts of the members that have not arrived, and when each was last
+    /// asked for.
+    parts: BTreeMap<u32, Option<time::Mono>>,
+    /// Whether the last answer had another digest.
+    differs: bool,
+}
+
+impl Exchange {
+    /// Starts with this process as the only member. `seeds` are addresses of
+    /// other processes from the settings; `seed` makes processes that start
+    /// together choose different first peers.
+    pub fn new(
+        now: time::Mono,
+        own: member::Member,
+        rules: rules::Rules,
+        seeds: Vec<net::SocketAddr>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            own: Own {
+                standing: own.standing,
+                version: own.version,
+                load: own.load,
+                cap: own.cap,
+            },
+            reported: now,
+            key: member::key(&own.process),
+            members: member::Members::new(now, own, rules),
+            regular: now,
+            started: now,
+            early: false,
+            fan: 0,
+            seeds,
+            turn: hash::mix(seed, 0) % (1 << 16) * PROBE,
+            urgent: VecDeque::new(),
+            wants: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            parts: all_parts(),
+            differs: false,
+        }
+    }
+
+    /// Sets what this process tells about itself from now on.
+    pub fn update(
+        &mut self,
+        now: time::Mono,
+        standing: member::Standing,
+        version: id::Version,
+        load: u32,
+        cap: u32,
+    ) {
+        let urgent = standing != self.own.standing || version > self.own.version;
+        self.own = Own {
+            standing,
+            version: version.max(self.own.version),
+            load,
+            cap,
+        };
+        if urgent {
+            self.report(now);
+            self.fan = FAN;
+        }
+    }
+
+    /// Returns when the next exchange should start: after the interval, or
+    /// sooner while there are urgent news and bytes for them.
+    pub fn due(&self, now: time::Mono, budget: &mut budget::Budget) -> time::Mono {
+        if self.joining(now, budget) {
+            return (self.started + JOIN).min(self.regular + INTERVAL);
+        }
+        let urgent = self.fan > 0 || !self.urgent.is_empty();
+        if urgent && budget.available(now) > RESERVE {
+            return (self.started + URGENT).min(self.regular + INTERVAL);
+        }
+        self.regular + INTERVAL
+    }
+
+    /// Takes over what a reply says about its sender. A sender or incarnation
+    /// that is not known becomes the next partner.
+    pub fn stamp(&mut self, now: time::Mono, stamp: &member::Stamp) -> member::Outcome {
+        let outcome = self.members.stamp(now, stamp);
+        if outcome == member::Outcome::Unknown {
+            self.wants.insert(member::key(&stamp.process), now);
+            if !self.urgent.contains(&stamp.process) {
+                self.urgent.push_back(stamp.process.clone());
+            }
+        }
+        outcome
+    }
+
+    /// Returns whether parts are still missing and the join allowance lasts.
+    fn joining(&self, now: time::Mono, budget: &mut budget::Budget) -> bool {
+        let burst = i64::try_from(budget::BURST).unwrap_or(i64::MAX);
+        !self.parts.is_empty() && budget.available(now) > burst
+    }
+
+    /// Adds a quarantine entry of this process, or a change of one.
+    pub fn suspect(&mut self, now: time::Mono, entry: msg::Suspect) {
+        self.merge_suspect(now, entry);
+    }
+
+    /// Returns the quarantine entries that have not ended, by fingerprint.
+    pub fn suspects(&self, now: time::Mono) -> Vec<msg::Suspect> {
+        self.suspects
+            .values()
+            .filter(|suspicion| now < suspicion.until)
+            .map(|suspicion| {
+                let mut entry = suspicion.entry.clone();
+                let remaining = suspicion.until.since(now).as_millis();
+                entry.remaining = u32::try_from(remaining).unwrap_or(u32::MAX);
+                entry
+            })
+            .collect()
+    }
+
+    /// Returns the partner of this interval, or none when no other process is
+    /// known.
+    pub fn partner(&mut self, now: time::Mono) -> Option<Partner> {
+        self.early = now.since(self.regular) < INTERVAL;
+        self.started = now;
+        if !self.early {
+            self.regular = now;
+        }
+        self.fan = self.fan.saturating_sub(1);
+        while let Some(process) = self.urgent.pop_front() {
+            if let Some(entry) = self.members.entry(&process) {
+                return Some(partner(entry));
+            }
+        }
+        self.turn += 1;
+        if !self.parts.is_empty() {
+            return self.anyone().or_else(|| self.probe());
+        }
+        if self.turn.is_multiple_of(PROBE)
+            && let Some(probe) = self.probe()
+        {
+            return Some(probe);
+        }
+        self.neighbour(now, self.turn % neighbour::SLOTS)
+            .or_else(|| self.probe())
+    }
+
+    /// Composes the message that starts an exchange, or none while the budget
+    /// is in debt. The bytes are charged.
+    pub fn compose(
+        &mut self,
+        now: time::Mono,
+        budget: &mut budget::Budget,
+        to: &Partner,
+    ) -> Option<msg::Exchange> {
+        let limit = match self.early {
+            true => self.share(now, budget).min(URGENT_SIZE),
+            false => self.share(now, budget),
+        };
+        if limit < SMALLEST {
+            return None;
+        }
+        let mut message = self.head(now, to.process.as_ref());
+        if self.early {
+            message.urgent = true;
+            message.wants = self.wants.keys().copied().take(ASKED).collect();
+            self.ask_part(now, &mut message);
+            let mut room = Room::new(limit, &message);
+            self.add_news(now, &mut message, &mut room, to.process.as_ref());
+            charge(now, budget, &message);
+            return Some(message);
+        }
+        self.ask(now, &mut message);
+        self.fill(now, &mut message, to.process.as_ref(), limit);
+        charge(now, budget, &message);
+        Some(message)
+    }
+
+    /// Merges the message that started an exchange and composes the answer.
+    /// An answer is always given; in debt it holds only the stamp.
+    pub fn answer(
+        &mut self,
+        now: time::Mono,
+        budget: &mut budget::Budget,
+        request: &msg::Exchange,
+    ) -> (msg::Exchange, Applied) {
+        let applied = self.merge(now, budget, request);
+        let limit = match request.parts {
+            0 if request.urgent => self.share(now, budget).min(URGENT_SIZE),
+            0 => self.share(now, budget),
+            _ => budget.available(now).min(LARGEST),
+        };
+        let to: Option<id::ProcessId> = request
+            .sender
+            .as_ref()
+            .and_then(|stamp| stamp.process.parse().ok());
+        let mut answer = self.head(now, to.as_ref());
+        answer.urgent = request.urgent;
+        let mut room = Room::new(limit, &answer);
+        self.add_correction(now, &mut answer, &mut room, request);
+        self.add_asked(now, &mut answer, &mut room, request);
+        self.add_part(now, &mut answer, &mut room, request);
+        self.add_repairs(now, &mut answer, &mut room, request);
+        match request.urgent {
+            true => self.add_news(now, &mut answer, &mut room, to.as_ref()),
+            false => self.fill(now, &mut answer, to.as_ref(), limit),
+        }
+        charge(now, budget, &answer);
+        (answer, applied)
+    }
+
+    /// Merges the answer to an exchange that this process started. The bytes
+    /// are charged.
+    pub fn apply(
+        &mut self,
+        now: time::Mono,
+        budget: &mut budget::Budget,
+        answer: &msg::Exchange,
+    ) -> Applied {
+        let applied = self.merge(now, budget, answer);
+        self.differs = answer.digest != digest(&digests(&self.members));
+        if answer.parts == PARTS {
+            self.parts.remove(&answer.part);
+            self.keep_quiet(answer);
+        }
+        let known = u32::try_from(self.members.reporting()).unwrap_or(u32::MAX);
+        if self.parts.is_empty() && answer.known > known + known.div_ceil(MISSING) {
+            self.parts = all_parts();
+        }
+        applied
+    }
+
+    /// Keeps members that came in a part from being passed on as news: only
+    /// this process did not know them.
+    fn keep_quiet(&mut self, answer: &msg::Exchange) {
+        for record in &answer.members {
+            if let Ok(process) = record.process.parse()
+                && let Some(entry) = self.members.entry_mut(&process)
+            {
+                entry.news = 0;
+                entry.pulses = 0;
+            }
+        }
+    }
+
+    fn merge(
+        &mut self,
+        now: time::Mono,
+        budget: &mut budget::Budget,
+        message: &msg::Exchange,
+    ) -> Applied {
+        charge(now, budget, message);
+        let mut applied = Applied::default();
+        for record in &message.members {
+            match convert::member(record) {
+                Ok(member) => self.apply_member(now, member, &mut applied),
+                Err(_) => applied.invalid += 1,
+            }
+        }
+        for record in &message.loads {
+            match convert::load(record) {
+                Ok(load) => self.apply_load(now, load, &mut applied),
+                Err(_) => applied.invalid += 1,
+            }
+        }
+        for entry in &message.suspects {
+            if let Some(merged) = self.merge_suspect(now, entry.clone()) {
+                applied.suspects.push(merged);
+            }
+        }
+        self.apply_sender(now, message, &mut applied);
+        self.ask_back(message);
+        applied
+    }
+
+    /// Makes the sender the next partner when its loads named members that are
+    /// not known here: it has their records.
+    fn ask_back(&mut self, message: &msg::Exchange) {
+        let named = message
+            .loads
+            .iter()
+            .any(|load| self.wants.contains_key(&load.process));
+        let sender = message.sender.as_ref();
+        let Some(process) = sender.and_then(|s| s.process.parse::<id::ProcessId>().ok()) else {
+            return;
+        };
+        if named && self.parts.is_empty() && !self.urgent.contains(&process) {
+            self.urgent.push_back(process);
+        }
+    }
+
+    /// Notes that the exchange with a partner failed.
+    pub fn failed(&mut self, now: time::Mono, to: &Partner, failure: member::Failure) {
+        if let Some(process) = &to.process {
+            self.members.failure(now, process, failure);
+        }
+    }
+
+    fn report(&mut self, now: time::Mono) {
+        self.reported = now;
+        let own = self.own;
+        self.members
+            .update(now, own.standing, own.version, own.load, own.cap);
+    }
+
+    /// Returns the bytes for one message of the usual exchange.
+    fn share(&self, now: time::Mono, budget: &mut budget::Budget) -> i64 {
+        let rate = i64::try_from(budget.rate().0).unwrap_or(i64::MAX);
+        let micros = i64::try_from(INTERVAL.as_micros()).unwrap_or(i64::MAX);
+        let even = rate * micros / 1_000_000 / MESSAGES * STEADY / 100;
+        let overhead = i64::try_from(budget::OVERHEAD).unwrap_or(0);
+        even.min(budget.available(now)) - overhead
+    }
+
+    /// Returns one of all reporting members, another at each turn, so that the
+    /// parts for a new process are taken from many budgets.
+    fn anyone(&self) -> Option<Partner> {
+        let own = &self.members.own().process;
+        let candidates = self
+            .members
+            .entries()
+            .filter(|entry| entry.state == member::State::Reported)
+            .map(|entry| &entry.member.process)
+            .filter(|process| *process != own);
+        let process = neighbour::pick(hash::mix(self.key, self.turn), candidates)?;
+        self.members.entry(process).map(partner)
+    }
+
+    fn neighbour(&self, now: time::Mono, slot: u64) -> Option<Partner> {
+        let own = self.members.own();
+        let grouped = slot.is_multiple_of(neighbour::GROUP_EVERY) && own.service.is_some();
+        let salt = neighbour::salt(now, self.key, slot);
+        let usable = |entry: &&member::Entry| {
+            entry.state == member::State::Reported
+                && entry.member.process != own.process
+                && entry.standing(now, self.members.rules()) != member::Standing::Down
+        };
+        let among = |same: bool| {
+            let candidates = self
+                .members
+                .entries()
+                .filter(usable)
+                .filter(|entry| !same || entry.member.service == own.service)
+                .map(|entry| &entry.member.process);
+            neighbour::pick(salt, candidates)
+        };
+        let process = grouped
+            .then(|| among(true))
+            .flatten()
+            .or_else(|| among(false))?;
+        self.members.entry(process).map(partner)
+    }
+
+    /// Returns a member that sends no reports, or a seed, in turn.
+    fn probe(&self) -> Option<Partner> {
+        let silent: Vec<Partner> = self
+            .members
+            .entries()
+            .filter(|entry| matches!(entry.state, member::State::Lost(_) | member::State::Listed))
+            .map(partner)
+            .collect();
+        let known = |address: &net::SocketAddr| {
+            self.members
+                .entries()
+                .any(|entry| entry.present() && entry.member.address == *address)
+        };
+        let seeds = self
+            .seeds
+            .iter()
+            .filter(|address| !known(address))
+            .map(|address| Partner {
+                process: None,
+                address: *address,
+            });
+        let all: Vec<Partner> = silent.into_iter().chain(seeds).collect();
+        let count = u64::try_from(all.len()).unwrap_or(u64::MAX);
+        let nth = hash::mix(self.key, self.turn).checked_rem(count)?;
+        all.into_iter().nth(usize::try_from(nth).unwrap_or(0))
+    }
+
+    /// Starts a message with the stamp and the own report.
+    fn head(&mut self, now: time::Mono, to: Option<&id::ProcessId>) -> msg::Exchange {
+        if now.since(self.reported) >= INTERVAL {
+            self.report(now);
+        }
+        let own = self.members.own().clone();
+        let mut message = msg::Exchange {
+            sender: Some(convert::stamp_record(&own)),
+            known: u32::try_from(self.members.reporting()).unwrap_or(u32::MAX),
+            digest: digest(&digests(&self.members)),
+            ..Default::default()
+        };
+        let entry = self.members.entry_mut(&own.process);
+        let Some(entry) = entry else {
+            return message;
+        };
+        let whole = entry.whole && entry.news > 0 || to.is_none();
+        entry.news = entry.news.saturating_sub(1);
+        if whole {
+            message.members.push(convert::member_record(&own));
+        } else {
+            message.loads.push(convert::load_record(&own.load()));
+        }
+        message
+    }
+
+    /// Asks for a part that was never asked for, or whose answer is overdue.
+    fn ask_part(&mut self, now: time::Mono, message: &mut msg::Exchange) {
+        let overdue = |asked: Option<time::Mono>| asked.is_none_or(|a| now.since(a) >= INTERVAL);
+        let next = self.parts.iter_mut().find(|(_, asked)| overdue(**asked));
+        if let Some((part, asked)) = next {
+            *asked = Some(now);
+            message.part = *part;
+            message.parts = PARTS;
+        }
+    }
+
+    /// Adds what this process wants to know.
+    fn ask(&mut self, now: time::Mono, message: &mut msg::Exchange) {
+        self.ask_part(now, message);
+        if self.differs && message.parts == 0 {
+            message.digests = digests(&self.members);
+        }
+        let silence = self.members.rules().silence;
+        self.wants.retain(|_, since| now.since(*since) < silence);
+        message.wants = self.wants.keys().copied().take(ASKED).collect();
+        let mut old: Vec<(span::Span, u64)> = self
+            .members
+            .entries()
+            .filter(|entry| entry.state == member::State::Reported)
+            .filter(|entry| entry.member.process != self.members.own().process)
+            .map(|entry| (entry.age(now), member::key(&entry.member.process)))
+            .filter(|(age, _)| *age >= OLD)
+            .collect();
+        old.sort_by(|a, b| b.cmp(a));
+        message.stale = old.into_iter().map(|(_, key)| key).take(ASKED).collect();
+    }
+
+    /// Tells the receiver what the fleet knows of it, when that is a newer
+    /// incarnation, or a leaving state that it does not state itself.
+    fn add_correction(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        request: &msg::Exchange,
+    ) {
+        let Some(stamp) = request.sender.as_ref().and_then(|s| convert::stamp(s).ok()) else {
+            return;
+        };
+        let Some(entry) = self.members.entry(&stamp.process) else {
+            return;
+        };
+        let newer = entry.member.incarnation > stamp.incarnation;
+        let accused = entry.member.incarnation == stamp.incarnation
+            && entry.leaving
+            && stamp.standing != member::Standing::Leaving;
+        if newer || accused {
+            room.load(message, &entry.relayed(now).load());
+        }
+    }
+
+    /// Adds the records that the receiver asked for.
+    fn add_asked(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        request: &msg::Exchange,
+    ) {
+        for key in &request.wants {
+            let Some(entry) = self.members.by_key(*key).filter(|e| fresh(now, e)) else {
+                continue;
+            };
+            room.member(message, &entry.relayed(now));
+        }
+        for key in &request.stale {
+            let Some(entry) = self.members.by_key(*key) else {
+                continue;
+            };
+            if entry.state == member::State::Reported && entry.age(now) < OLD {
+                room.load(message, &entry.relayed(now).load());
+            }
+        }
+    }
+
+    /// Adds the part of all members that a new process asked for.
+    fn add_part(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        request: &msg::Exchange,
+    ) {
+        if request.parts == 0 {
+            return;
+        }
+        let parts = u64::from(request.parts);
+        let own = self.key;
+        let mut whole = true;
+        for entry in self.members.entries() {
+            let key = member::key(&entry.member.process);
+            if key % parts == u64::from(request.part) && key != own && fresh(now, entry) {
+                whole &= room.member(message, &entry.relayed(now));
+            }
+        }
+        if whole {
+            message.part = request.part;
+            message.parts = request.parts;
+        }
+    }
+
+    /// Adds the loads of parts whose digests differ, so that the receiver finds
+    /// the members that it does not know or holds in another state.
+    fn add_repairs(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        request: &msg::Exchange,
+    ) {
+        let own = digests(&self.members);
+        if request.digests.len() != own.len() {
+            return;
+        }
+        let mut different: Vec<u64> = (0..DIGESTS)
+            .zip(own.iter().zip(&request.digests))
+            .filter(|(_, (own, other))| own != other)
+            .map(|(part, _)| part)
+            .collect();
+        // Another order in each message, so that a part that can't be repaired
+        // does not stop the others.
+        different.sort_by_key(|part| hash::mix(self.turn, *part));
+        different.truncate(REPAIRED);
+        for entry in self.members.entries() {
+            let key = member::key(&entry.member.process);
+            if different.contains(&(key % DIGESTS)) && fresh(now, entry) {
+                room.load(message, &entry.relayed(now).load());
+            }
+        }
+    }
+
+    /// Fills a message with the most valuable records.
+    fn fill(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        to: Option<&id::ProcessId>,
+        limit: i64,
+    ) {
+        let mut room = Room::new(limit, message);
+        self.add_news(now, message, &mut room, to);
+        self.add_suspects(now, message, &mut room);
+        self.add_group(now, message, &mut room, to);
+        self.add_pulses(now, message, &mut room, to);
+    }
+
+    fn add_news(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        to: Option<&id::ProcessId>,
+    ) {
+        let mut news: Vec<(time::Mono, id::ProcessId)> = self
+            .members
+            .entries()
+            .filter(|entry| entry.news > 0 && fresh(now, entry))
+            .filter(|entry| self.passes(entry, to))
+            .map(|entry| (entry.changed, entry.member.process.clone()))
+            .collect();
+        news.sort_by(|a, b| b.cmp(a));
+        for (_, process) in news {
+            let Some(entry) = self.members.entry_mut(&process) else {
+                continue;
+            };
+            let relayed = entry.relayed(now);
+            let added = match entry.whole {
+                true => room.member(message, &relayed),
+                false => room.load(message, &relayed.load()),
+            };
+            if !added {
+                return;
+            }
+            entry.news -= 1;
+            entry.pulses = entry.pulses.saturating_sub(1);
+        }
+    }
+
+    fn add_suspects(&mut self, now: time::Mono, message: &mut msg::Exchange, room: &mut Room) {
+        self.suspects.retain(|_, suspicion| now < suspicion.until);
+        for suspicion in self.suspects.values_mut() {
+            if suspicion.left == 0 {
+                continue;
+            }
+            let mut entry = suspicion.entry.clone();
+            let remaining = suspicion.until.since(now).as_millis();
+            entry.remaining = u32::try_from(remaining).unwrap_or(u32::MAX);
+            if room.suspect(message, entry) {
+                suspicion.left -= 1;
+            }
+        }
+    }
+
+    /// Adds the loads of the receiver's service group, the freshest first, in
+    /// at most half of the room.
+    fn add_group(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        to: Option<&id::ProcessId>,
+    ) {
+        let Some(service) = to
+            .and_then(|to| self.members.entry(to))
+            .and_then(|entry| entry.member.service.clone())
+        else {
+            return;
+        };
+        let mut group: Vec<(span::Span, &member::Entry)> = self
+            .members
+            .entries()
+            .filter(|entry| entry.member.service.as_ref() == Some(&service))
+            .filter(|entry| fresh(now, entry) && self.passes(entry, to))
+            .map(|entry| (entry.age(now), entry))
+            .collect();
+        group.sort_by_key(|(age, _)| *age);
+        let floor = room.left / 2;
+        for (_, entry) in group {
+            if room.left <= floor || !room.load(message, &entry.relayed(now).load()) {
+                return;
+            }
+        }
+    }
+
+    /// Adds the pulses that this process learned last.
+    fn add_pulses(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut Room,
+        to: Option<&id::ProcessId>,
+    ) {
+        let mut pulses: Vec<(time::Mono, id::ProcessId)> = self
+            .members
+            .entries()
+            .filter(|entry| entry.pulses > 0 && fresh(now, entry))
+            .filter(|entry| self.passes(entry, to))
+            .map(|entry| (entry.pulsed, entry.member.process.clone()))
+            .collect();
+        pulses.sort_by(|a, b| b.cmp(a));
+        for (_, process) in pulses {
+            let Some(entry) = self.members.entry_mut(&process) else {
+                continue;
+            };
+            if !room.load(message, &entry.relayed(now).load()) {
+                return;
+            }
+            entry.pulses -= 1;
+        }
+    }
+
+    /// Returns whether a record is worth sending: neither the sender's own,
+    /// which every message has, nor the receiver's.
+    fn passes(&self, entry: &member::Entry, to: Option<&id::ProcessId>) -> bool {
+        let process = &entry.member.process;
+        Some(process) != to && *process != self.members.own().process
+    }
+
+    fn apply_member(&mut self, now: time::Mono, member: member::Member, applied: &mut Applied) {
+        let process = member.process.clone();
+        let (incarnation, standing) = (member.incarnation, member.standing);
+        let outcome = self.members.report(now, member);
+        match outcome {
+            member::Outcome::Own => self.apply_own(incarnation, standing, applied),
+            member::Outcome::Changed => {
+                self.fan = FAN;
+                applied.changed.push(process.clone());
+            }
+            member::Outcome::Added | member::Outcome::Restarted => {
+                applied.changed.push(process.clone());
+            }
+            _ => {}
+        }
+        self.wants.remove(&member::key(&process));
+    }
+
+    fn apply_load(&mut self, now: time::Mono, load: member::Load, applied: &mut Applied) {
+        match self.members.load(now, load) {
+            member::Outcome::Own => self.apply_own(load.incarnation, load.standing, applied),
+            member::Outcome::Unknown => {
+                self.wants.entry(load.process).or_insert(now);
+            }
+            outcome @ (member::Outcome::Added | member::Outcome::Changed) => {
+                if outcome == member::Outcome::Changed {
+                    self.fan = FAN;
+                }
+                let entry = self.members.by_key(load.process);
+                applied
+                    .changed
+                    .extend(entry.map(|e| e.member.process.clone()));
+            }
+            _ => {}
+        }
+    }
+
+    fn apply_own(
+        &mut self,
+        incarnation: id::Incarnation,
+        standing: member::Standing,
+        applied: &mut Applied,
+    ) {
+        let own = self.members.own();
+        if incarnation > own.incarnation {
+            applied.renumber = applied.renumber.max(Some(incarnation));
+        }
+        let leaving = own.standing == member::Standing::Leaving;
+        if incarnation == own.incarnation && standing == member::Standing::Leaving && !leaving {
+            applied.accused = true;
+        }
+    }
+
+    fn apply_sender(&mut self, now: time::Mono, message: &msg::Exchange, applied: &mut Applied) {
+        let Some(record) = &message.sender else {
+            return;
+        };
+        let Ok(stamp) = convert::stamp(record) else {
+            applied.invalid += 1;
+            return;
+        };
+        if stamp.version > self.own.version {
+            applied.newer = Some(stamp.version);
+        }
+        match self.stamp(now, &stamp) {
+            member::Outcome::Changed => {
+                self.fan = FAN;
+                applied.changed.push(stamp.process);
+            }
+            member::Outcome::Own => self.apply_own(stamp.incarnation, stamp.standing, applied),
+            _ => {}
+        }
+    }
+
+    /// Merges a quarantine entry and returns it when that changed something.
+    /// Crashes and excuses only add up, so the order does not matter.
+    fn merge_suspect(&mut self, now: time::Mono, entry: msg::Suspect) -> Option<msg::Suspect> {
+        let until = convert::until(now, entry.remaining);
+        let Some(known) = self.suspects.get_mut(&entry.fingerprint) else {
+            let left = SUSPECT_NEWS;
+            let suspicion = Suspicion {
+                entry: entry.clone(),
+                until,
+                left,
+            };
+            self.suspects.insert(entry.fingerprint, suspicion);
+            return Some(entry);
+        };
+        let mut merged = known.entry.clone();
+        if merged.service.is_empty() {
+            merged.service = entry.service;
+        }
+        merged.excused = latest(merged.excused.into_iter().chain(entry.excused));
+        merged.crashes = pending(
+            merged.crashes.into_iter().chain(entry.crashes),
+            &merged.excused,
+        );
+        known.until = known.until.max(until);
+        if merged == known.entry {
+            return None;
+        }
+        known.entry = merged;
+        known.left = SUSPECT_NEWS;
+        let mut entry = known.entry.clone();
+        let remaining = known.until.since(now).as_millis();
+        entry.remaining = u32::try_from(remaining).unwrap_or(u32::MAX);
+        Some(entry)
+    }
+}
+
+/// Returns the latest crash of each target.
+fn latest(crashes: impl Iterator<Item = msg::Crash>) -> Vec<msg::Crash> {
+    let mut latest: BTreeMap<String, u64> = BTreeMap::new();
+    for crash in crashes {
+        let number = latest.entry(crash.target).or_default();
+        *number = crash.number.max(*number);
+    }
+    latest
+        .into_iter()
+        .map(|(target, number)| msg::Crash { target, number })
+        .collect()
+}
+
+/// Returns the crashes that are not excused, each once.
+fn pending(crashes: impl Iterator<Item = msg::Crash>, excused: &[msg::Crash]) -> Vec<msg::Crash> {
+    let pending: BTreeSet<msg::Crash> = crashes
+        .filter(|crash| {
+            let of_target = excused.iter().find(|e| e.target == crash.target);
+            of_target.is_none_or(|excused| excused.number < crash.number)
+        })
+        .collect();
+    pending.into_iter().collect()
+}
+
+/// Returns whether a report may be passed on; one that is nearly as old as
+/// the time of silence would only delay the removal.
+fn fresh(now: time::Mono, entry: &member::Entry) -> bool {
+    entry.state == member::State::Reported && entry.age(now) < FRESH
+}
+
+/// Age up to which reports are passed on.
+const FRESH: span::Span = span::Span::from_secs(50);
+
+/// Returns the digest of each part of the reporting members.
+fn digests(members: &member::Members) -> Vec<u32> {
+    let mut digests = vec![0; usize::try_from(DIGESTS).unwrap_or(0)];
+    for entry in members.entries() {
+        if entry.state != member::State::Reported {
+            continue;
+        }
+        let key = member::key(&entry.member.process);
+        let run = entry.member.incarnation.0 * 2 + u64::from(entry.leaving);
+        if let Some(digest) = usize::try_from(key % DIGESTS)
+            .ok()
+            .and_then(|part| digests.get_mut(part))
+        {
+            *digest ^= (hash::mix(key, run) >> 32) as u32;
+        }
+    }
+    digests
+}
+
+fn digest(digests: &[u32]) -> u64 {
+    digests
+        .iter()
+        .fold(0, |sum, digest| hash::mix(sum, u64::from(*digest)))
+}
+
+fn all_parts() -> BTreeMap<u32, Option<time::Mono>> {
+    (0..PARTS).map(|part| (part, None)).collect()
+}
+
+fn partner(entry: &member::Entry) -> Partner {
+    Partner {
+        process: Some(entry.member.process.clone()),
+        address: entry.member.address,
+    }
+}
+
+fn charge(now: time::Mono, budget: &mut budget::Budget, message: &msg::Exchange) {
+    let bytes = u64::try_from(message.encoded_len()).unwrap_or(u64::MAX);
+    budget.charge(now, bytes + budget::OVERHEAD);
+}
+
+/// The bytes that are left in a message.
+struct Room {
+    left: i64,
+}
+
+/// Bytes of a field's tag and of the length of a record up to 16 KiB.
+const RECORD: usize = 3;
+
+impl Room {
+    fn new(limit: i64, message: &msg::Exchange) -> Self {
+        let used = i64::try_from(message.encoded_len()).unwrap_or(i64::MAX);
+        Self { left: limit - used }
+    }
+
+    fn take(&mut self, bytes: usize) -> bool {
+        let bytes = i64::try_from(bytes + RECORD).unwrap_or(i64::MAX);
+        if bytes > self.left {
+            return false;
+        }
+        self.left -= bytes;
+        true
+    }
+
+    fn member(&mut self, message: &mut msg::Exchange, member: &member::Member) -> bool {
+        let record = convert::member_record(member);
+        let added = self.take(record.encoded_len());
+        if added {
+            message.members.push(record);
+        }
+        added
+    }
+
+    fn load(&mut self, message: &mut msg::Exchange, load: &member::Load) -> bool {
+        let record = convert::load_record(load);
+        let repeated = message.loads.iter().any(|l| l.process == record.process);
+        let added = repeated || self.take(record.encoded_len());
+        if added && !repeated {
+            message.loads.push(record);
+        }
+        added
+    }
+
+    fn suspect(&mut self, message: &mut msg::Exchange, entry: msg::Suspect) -> bool {
+        let added = self.take(entry.encoded_len());
+        if added {
+            message.suspects.push(entry);
+        }
+        added
+    }
+}
--- a/crates/once/src/entry.rs
+++ b/crates/once/src/entry.rs
@@ -39,9 +39,14 @@
     }
 
     /// Tells whether the target has the request.
-    pub fn running(self) -> bool {
+    pub fn runs(self) -> bool {
         matches!(self, Self::Dispatched | Self::Answering)
     }
+
+    /// Tells whether the outcome is unknown.
+    pub fn failed(self) -> bool {
+        matches!(self, Self::Broken(_))
+    }
 }
 
 /// One request id in a ledger.
@@ -92,7 +97,7 @@
     /// is worth less than the rest of its run; the others may be settled later,
     /// and a key's outcome is recorded. Another caller may wait for it too.
     pub(crate) fn detached(&self) -> bool {
-        let single = self.class != Class::Repeatable && self.state.running();
+        let single = self.class != Class::Repeatable && self.state.runs();
         single || !self.followers.is_empty()
     }
 
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -112,6 +112,11 @@
         self.entries.get(&id).map(|entry| entry.state)
     }
 
+    /// Returns the reply stream of a request, if it has one.
+    pub fn link(&self, id: id::RequestId) -> Option<Link> {
+        self.entries.get(&id)?.link
+    }
+
     /// Returns the number of entries, finished ones included.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -340,7 +345,7 @@
         let running: Vec<id::RequestId> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.state.running())
+            .filter(|(_, entry)| entry.state.runs())
             .map(|(id, _)| *id)
             .collect();
         running
@@ -511,9 +516,7 @@
     }
 
     fn running(&mut self, id: id::RequestId) -> Option<&mut Entry> {
-        self.entries
-            .get_mut(&id)
-            .filter(|entry| entry.state.running())
+        self.entries.get_mut(&id).filter(|entry| entry.state.runs())
     }
 
     /// Looks for a claim of the same key that this agent already holds.
@@ -793,7 +796,7 @@
         let Some(entry) = self.entries.get_mut(&id) else {
             return Vec::new();
         };
-        let admitted = entry.state == State::Claiming || entry.state.running();
+        let admitted = entry.state == State::Claiming || entry.state.runs();
         let answered = entry.state == State::Answering;
         entry.state = State::Broken(cause);
         let link = entry.link.take();
--- /dev/null
+++ b/crates/place/src/choose.rs
@@ -0,0 +1,596 @@
+//! The choice of a target for one request.
+
+use std::{cmp::Ordering, fmt, sync::Arc};
+
+use base::{hash, id};
+
+use crate::{
+    policy::Policy,
+    rank::{Near, Ranking},
+    view::{Standing, Target, View},
+};
+
+/// What the choice needs to know about a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Query {
+    /// Identifies the chat.
+    pub chat: id::ChatHash,
+    /// Earlier answers of the model in the prompt; 0 for a new chat.
+    pub turns: u32,
+    /// Estimated length of the prompt in tokens.
+    pub prefix: u32,
+    /// The router's data centre.
+    pub centre: id::DataCentre,
+    /// The target that a valid hint of the caller names.
+    pub hint: Option<id::TargetId>,
+    /// Attempts that were refused, the latest last.
+    pub tried: Vec<Tried>,
+}
+
+impl Query {
+    /// Returns whether an engine may hold the beginning of the prompt.
+    pub fn is_returning(&self) -> bool {
+        self.turns > 0
+    }
+}
+
+/// An attempt that was not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tried {
+    /// The target that refused.
+    pub target: id::TargetId,
+    /// Agents that the refusal named as less loaded.
+    pub peers: Vec<id::ProcessId>,
+}
+
+/// Why a target was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// First in the chat's ranking.
+    Home,
+    /// The caller's hint names it.
+    Hint,
+    /// First that is not warming up; the chat is older than the warming target.
+    Previous,
+    /// Warming up, and the KV cache is moved there.
+    Import,
+    /// Warming up, and the chat's previous home takes no work.
+    Joining,
+    /// First in the ranking below its cap.
+    Spill,
+    /// The less loaded of two after a refusal.
+    Choice,
+    /// Every target is believed to be at its cap.
+    Saturated,
+    /// Nothing better than a target that has not reported.
+    Unproven,
+    /// Least loaded.
+    Least,
+    /// Random.
+    Random,
+    /// No target can be tried.
+    None,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Home => "home",
+            Self::Hint => "hint",
+            Self::Previous => "previous",
+            Self::Import => "import",
+            Self::Joining => "joining",
+            Self::Spill => "spill",
+            Self::Choice => "choice",
+            Self::Saturated => "saturated",
+            Self::Unproven => "unproven",
+            Self::Least => "least",
+            Self::Random => "random",
+            Self::None => "none",
+        })
+    }
+}
+
+/// Why a better ranked target was passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// It refused this request.
+    Tried,
+    /// It is in the instance list only.
+    Listed,
+    /// It is warming up and the chat's cache is elsewhere.
+    Warming,
+    /// It is leaving.
+    Leaving,
+    /// It does not answer.
+    Down,
+    /// It is believed to be at its cap.
+    Full,
+    /// It is more loaded than the other of two.
+    Loaded,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Tried => "tried",
+            Self::Listed => "listed",
+            Self::Warming => "warming",
+            Self::Leaving => "leaving",
+            Self::Down => "down",
+            Self::Full => "full",
+            Self::Loaded => "loaded",
+        })
+    }
+}
+
+/// A target that was passed over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejected {
+    /// The target.
+    pub target: id::TargetId,
+    /// Why it was passed over.
+    pub cause: Cause,
+}
+
+/// The outcome of a choice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The target to try, if any.
+    pub target: Option<Arc<Target>>,
+    /// Why it was chosen.
+    pub reason: Reason,
+    /// A target whose engine may hold the chat's KV cache when the chosen one
+    /// does not, and from which importing it is cheaper than computing it.
+    pub previous: Option<Arc<Target>>,
+    /// The first targets that were passed over, in the order in which they
+    /// were seen.
+    pub rejected: Vec<Rejected>,
+    /// Further targets that were passed over.
+    pub omitted: u32,
+}
+
+/// Rejected targets that a choice lists at most. The list is written to the
+/// log for each request, and listing all 33 targets of a service that is full
+/// doubled the time of a choice.
+const MOST_REJECTED: usize = 8;
+
+/// The targets that were passed over so far.
+#[derive(Default)]
+struct Rejections {
+    list: Vec<Rejected>,
+    omitted: u32,
+}
+
+impl Rejections {
+    fn add(&mut self, target: &Target, cause: Cause) {
+        if self.list.len() == MOST_REJECTED {
+            self.omitted += 1;
+            return;
+        }
+        if self.list.is_empty() {
+            self.list.reserve_exact(MOST_REJECTED);
+        }
+        self.list.push(Rejected {
+            target: target.id.clone(),
+            cause,
+        });
+    }
+
+    fn chosen(self, target: &Arc<Target>, reason: Reason) -> Choice {
+        Choice {
+            target: Some(target.clone()),
+            reason,
+            previous: None,
+            rejected: self.list,
+            omitted: self.omitted,
+        }
+    }
+
+    fn nothing(self) -> Choice {
+        Choice {
+            target: None,
+            reason: Reason::None,
+            previous: None,
+            rejected: self.list,
+            omitted: self.omitted,
+        }
+    }
+}
+
+/// Writes the choice as the key=value pairs of a log line.
+impl fmt::Display for Choice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.target {
+            Some(target) => write!(f, "target={}", target.id)?,
+            None => f.write_str("target=none")?,
+        }
+        write!(f, " reason={}", self.reason)?;
+        if let Some(previous) = &self.previous {
+            write!(f, " previous={}", previous.id)?;
+        }
+        for (place, rejected) in self.rejected.iter().enumerate() {
+            let lead = if place == 0 { " rejected=" } else { "," };
+            write!(f, "{lead}{}:{}", rejected.target, rejected.cause)?;
+        }
+        if self.omitted > 0 {
+            write!(f, " omitted={}", self.omitted)?;
+        }
+        Ok(())
+    }
+}
+
+/// Chooses a target.
+///
+/// `seed` breaks ties and drives the random policy; pass a different one for
+/// each request.
+pub fn choose(view: &View, query: &Query, seed: u64) -> Choice {
+    match view.tuning().policy {
+        Policy::Random => random(view, query, seed),
+        Policy::Least => least(view, query, seed),
+        Policy::Hash => ranked(view, query, false),
+        Policy::Bounded => ranked(view, query, true),
+        Policy::Full => Search::new(view, query).run(),
+    }
+}
+
+/// Returns why a target must not be tried now, whatever its load.
+fn closed(query: &Query, target: &Target) -> Option<Cause> {
+    if query.tried.iter().any(|tried| tried.target == target.id) {
+        return Some(Cause::Tried);
+    }
+    match target.standing {
+        Standing::Listed => Some(Cause::Listed),
+        Standing::Leaving => Some(Cause::Leaving),
+        Standing::Down => Some(Cause::Down),
+        Standing::Warming { .. } | Standing::Flapping { .. } | Standing::Up => None,
+    }
+}
+
+/// Returns the targets that may be tried, in the order of their ids.
+fn open<'a>(view: &'a View, query: &Query, rejections: &mut Rejections) -> Vec<&'a Arc<Target>> {
+    let mut found = Vec::with_capacity(view.targets().len());
+    for target in view.targets() {
+        match closed(query, target) {
+            Some(cause) => rejections.add(target, cause),
+            None if target.weight > 0 => found.push(target),
+            None => {}
+        }
+    }
+    found
+}
+
+fn random(view: &View, query: &Query, seed: u64) -> Choice {
+    let mut rejections = Rejections::default();
+    let open = open(view, query, &mut rejections);
+    let total: u64 = open.iter().map(|target| u64::from(target.weight)).sum();
+    if total == 0 {
+        return rejections.nothing();
+    }
+    let mut point = hash::mix(seed, query.chat.0) % total;
+    let chosen = open.into_iter().find(|target| {
+        let weight = u64::from(target.weight);
+        let found = point < weight;
+        point = point.saturating_sub(weight);
+        found
+    });
+    match chosen {
+        Some(target) => rejections.chosen(target, Reason::Random),
+        None => rejections.nothing(),
+    }
+}
+
+fn least(view: &View, query: &Query, seed: u64) -> Choice {
+    let mut rejections = Rejections::default();
+    let open = open(view, query, &mut rejections);
+    let key = |target: &Target| hash::mix(seed, hash::bytes(target.id.as_str().as_bytes()));
+    let chosen = open.into_iter().min_by(|a, b| {
+        let left = u64::from(a.load) * u64::from(b.weight);
+        let right = u64::from(b.load) * u64::from(a.weight);
+        left.cmp(&right).then_with(|| key(a).cmp(&key(b)))
+    });
+    match chosen {
+        Some(target) => rejections.chosen(target, Reason::Least),
+        None => rejections.nothing(),
+    }
+}
+
+fn ranked(view: &View, query: &Query, bounded: bool) -> Choice {
+    let mut rejections = Rejections::default();
+    let mut first_full = None;
+    for index in Ranking::new(view, query.chat, None) {
+        let target = &view.targets()[index];
+        if let Some(cause) = closed(query, target) {
+            rejections.add(target, cause);
+            continue;
+        }
+        if bounded && target.is_full() {
+            first_full.get_or_insert(target);
+            rejections.add(target, Cause::Full);
+            continue;
+        }
+        let reason = if rejections.list.is_empty() {
+            Reason::Home
+        } else {
+            Reason::Spill
+        };
+        return rejections.chosen(target, reason);
+    }
+    match first_full {
+        Some(target) => rejections.chosen(target, Reason::Saturated),
+        None => rejections.nothing(),
+    }
+}
+
+/// Compares the loads of two targets relative to their caps.
+fn relative(a: &Target, b: &Target) -> Ordering {
+    let left = u64::from(a.load) * u64::from(b.cap.max(1));
+    let right = u64::from(b.load) * u64::from(a.cap.max(1));
+    left.cmp(&right)
+}
+
+/// The state of one choice under [`Policy::Full`].
+struct Search<'a> {
+    view: &'a View,
+    query: &'a Query,
+    rejections: Rejections,
+    /// Why the latest target was passed over.
+    latest: Option<Cause>,
+    /// Whether a target that takes no work ranks before the first that does;
+    /// then it was the chat's home.
+    must_move: bool,
+    /// The best ranked target that may hold the cache and was passed over.
+    holder: Option<&'a Arc<Target>>,
+    /// The two best ranked targets at their cap.
+    full: [Option<&'a Arc<Target>>; 2],
+    /// The best ranked warming target that was passed over for a returning chat.
+    warming: Option<&'a Arc<Target>>,
+    /// The best ranked target that has not reported.
+    listed: Option<&'a Arc<Target>>,
+}
+
+impl<'a> Search<'a> {
+    fn new(view: &'a View, query: &'a Query) -> Self {
+        Self {
+            view,
+            query,
+            rejections: Rejections::default(),
+            latest: None,
+            must_move: false,
+            holder: None,
+            full: [None; 2],
+            warming: None,
+            listed: None,
+        }
+    }
+
+    fn run(mut self) -> Choice {
+        if !self.query.tried.is_empty() {
+            return self.retry();
+        }
+        if let Some(target) = self.hinted() {
+            return self.chosen(target, Reason::Hint);
+        }
+        let mut ranking = self.ranking();
+        while let Some(target) = self.next(&mut ranking) {
+            if let Some(joining) = self.homeless() {
+                return self.chosen(joining, Reason::Joining);
+            }
+            if self.is_foreign(target) {
+                if self.may_import(target) {
+                    return self.import(target, ranking);
+                }
+                self.pass(target, Cause::Warming);
+                continue;
+            }
+            if target.is_full() {
+                self.pass_full(target);
+                continue;
+            }
+            let reason = self.ranked_reason();
+            return self.chosen(target, reason);
+        }
+        self.last_resort()
+    }
+
+    fn ranking(&self) -> Ranking {
+        let factor = self.view.tuning().near;
+        let prefers_near = factor != 1.0 && !self.query.is_returning();
+        let near = prefers_near.then_some(Near {
+            centre: &self.query.centre,
+            factor,
+        });
+        Ranking::new(self.view, self.query.chat, near)
+    }
+
+    /// Returns the next target of the ranking that may be tried.
+    fn next(&mut self, ranking: &mut Ranking) -> Option<&'a Arc<Target>> {
+        for index in ranking {
+            let target = &self.view.targets()[index];
+            let Some(cause) = closed(self.query, target) else {
+                return Some(target);
+            };
+            self.pass(target, cause);
+        }
+        None
+    }
+
+    fn pass(&mut self, target: &'a Arc<Target>, cause: Cause) {
+        self.rejections.add(target, cause);
+        self.must_move |= matches!(cause, Cause::Leaving | Cause::Down);
+        self.latest = Some(cause);
+        match cause {
+            Cause::Listed => {
+                self.listed.get_or_insert(target);
+            }
+            // An engine that leaves or is full still exports its cache.
+            Cause::Leaving | Cause::Tried | Cause::Full if target.is_alive() => {
+                self.holder.get_or_insert(target);
+            }
+            Cause::Warming => {
+                self.warming.get_or_insert(target);
+            }
+            _ => {}
+        }
+    }
+
+    fn pass_full(&mut self, target: &'a Arc<Target>) {
+        self.pass(target, Cause::Full);
+        if let Some(place) = self.full.iter_mut().find(|place| place.is_none()) {
+            *place = Some(target);
+        }
+    }
+
+    fn hinted(&mut self) -> Option<&'a Arc<Target>> {
+        let target = self.view.of_target(self.query.hint.as_ref()?)?;
+        if target.is_open() && !target.is_full() {
+            return Some(target);
+        }
+        // The hint is certain knowledge of where the cache was.
+        if target.is_alive() {
+            self.holder = Some(target);
+        }
+        None
+    }
+
+    /// Returns whether the chat is older than a warming target, so that its
+    /// cache is elsewhere.
+    ///
+    /// A chat with `k` earlier turns began about `k` pauses ago. Without this
+    /// estimate, chats that began at the warming target would leave it at
+    /// their second turn.
+    fn is_foreign(&self, target: &Target) -> bool {
+        let age = match target.standing {
+            Standing::Warming { age } | Standing::Flapping { age } => age,
+            _ => return false,
+        };
+        let pause = self.view.tuning().pause.as_micros();
+        u64::from(self.query.turns).saturating_mul(pause) > age.as_micros()
+    }
+
+    /// Returns the warming target to which a chat goes at once, because it has
+    /// to leave its previous home and would move there later anyway.
+    fn homeless(&self) -> Option<&'a Arc<Target>> {
+        self.warming
+            .filter(|target| self.must_move && !target.is_full())
+    }
+
+    /// Returns whether the cache is better moved to a warming target.
+    fn may_import(&self, target: &Target) -> bool {
+        let is_warming = matches!(target.standing, Standing::Warming { .. });
+        is_warming && !target.is_full() && self.import_pays()
+    }
+
+    /// Returns whether moving the cache is cheaper than computing it again.
+    fn import_pays(&self) -> bool {
+        let threshold = self.view.tuning().import;
+        self.query.is_returning() && threshold.is_some_and(|tokens| self.query.prefix >= tokens)
+    }
+
+    /// Chooses a warming target, with the next in the ranking as the holder of
+    /// the cache.
+    fn import(mut self, target: &Arc<Target>, ranking: Ranking) -> Choice {
+        let mut rest = ranking.map(|index| &self.view.targets()[index]);
+        let home = rest.find(|next| matches!(next.standing, Standing::Up | Standing::Leaving));
+        self.holder = self.holder.or(home);
+        self.chosen(target, Reason::Import)
+    }
+
+    fn ranked_reason(&self) -> Reason {
+        match self.latest {
+            None => Reason::Home,
+            Some(Cause::Warming) => Reason::Previous,
+            Some(_) => Reason::Spill,
+        }
+    }
+
+    /// Takes the less loaded of the first two targets of the ranking, those
+    /// named by the refusals first: the agents know the loads better.
+    fn retry(mut self) -> Choice {
+        let named: Vec<_> = self
+            .query
+            .tried
+            .iter()
+            .flat_map(|tried| &tried.peers)
+            .collect();
+        let mut ranking = self.ranking();
+        let mut pair: Vec<&Arc<Target>> = Vec::with_capacity(2);
+        let mut others: Vec<&Arc<Target>> = Vec::with_capacity(2);
+        while let Some(target) = self.next(&mut ranking) {
+            if named.contains(&&target.process) {
+                pair.push(target);
+            } else if target.is_full() {
+                self.pass_full(target);
+            } else if self.is_foreign(target) {
+                self.pass(target, Cause::Warming);
+            } else if others.len() < 2 {
+                others.push(target);
+            }
+            if pair.len() == 2 || (named.is_empty() && others.len() == 2) {
+                break;
+            }
+        }
+        if pair.is_empty() {
+            pair = others;
+        }
+        match pair[..] {
+            [] => self.last_resort(),
+            [only] => self.chosen(only, Reason::Choice),
+            [first, second, ..] => {
+                let (best, worse) = self.better(first, second);
+                self.rejections.add(worse, Cause::Loaded);
+                self.chosen(best, Reason::Choice)
+            }
+        }
+    }
+
+    /// Orders two targets by relative load, then by data centre, then by rank.
+    fn better(
+        &self,
+        first: &'a Arc<Target>,
+        second: &'a Arc<Target>,
+    ) -> (&'a Arc<Target>, &'a Arc<Target>) {
+        let far = |target: &Target| target.centre != self.query.centre;
+        let order = relative(first, second).then_with(|| far(first).cmp(&far(second)));
+        if order == Ordering::Greater {
+            (second, first)
+        } else {
+            (first, second)
+        }
+    }
+
+    /// Chooses among targets that were passed over: a warming one below its
+    /// cap, the less loaded of the first two full ones, a listed one.
+    ///
+    /// Loads are stale, so a full target may have room; its agent decides.
+    fn last_resort(self) -> Choice {
+        if let Some(target) = self.warming.filter(|target| !target.is_full()) {
+            return self.chosen(target, Reason::Spill);
+        }
+        let full = match self.full {
+            [None, _] => self.warming,
+            [Some(first), Some(second)] if !self.query.tried.is_empty() => {
+                Some(self.better(first, second).0)
+            }
+            [Some(first), _] => Some(first),
+        };
+        if let Some(target) = full {
+            return self.chosen(target, Reason::Saturated);
+        }
+        match self.listed {
+            Some(target) => self.chosen(target, Reason::Unproven),
+            None => self.rejections.nothing(),
+        }
+    }
+
+    fn chosen(self, target: &Arc<Target>, reason: Reason) -> Choice {
+        let previous = self
+            .holder
+            .filter(|holder| self.import_pays() && holder.id != target.id)
+            .cloned();
+        Choice {
+            previous,
+            ..self.rejections.chosen(target, reason)
+        }
+    }
+}
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -71,6 +71,9 @@
     /// Whether it takes new work.
     #[prost(enumeration = "Standing", tag = "6")]
     pub standing: i32,
+    /// Present epoch of an agent's ledger; 0 from a router.
+    #[prost(uint64, tag = "7")]
+    pub epoch: u64,
 }
 
 /// Asks an agent to run a request at its target.
@@ -139,6 +142,13 @@
     /// The freshest loads of other agents of the service, at most 8.
     #[prost(message, repeated, tag = "21")]
     pub loads: Vec<Load>,
+    /// Latest epoch of the agent's ledger that the router knows; 0 for none.
+    #[prost(uint64, tag = "22")]
+    pub epoch: u64,
+    /// What is known of the request's content and of all that was in flight at
+    /// the same crashes.
+    #[prost(message, repeated, tag = "23")]
+    pub suspects: Vec<Suspect>,
 }
 
 /// Why a request was not run.
@@ -248,6 +258,9 @@
     /// Whether another target may continue from the offset.
     #[prost(bool, tag = "4")]
     pub resumable: bool,
+    /// What is known of the request's content after a crash.
+    #[prost(message, repeated, tag = "5")]
+    pub suspects: Vec<Suspect>,
 }
 
 /// One frame of an agent's reply stream.
@@ -299,6 +312,9 @@
     /// Milliseconds that remain until the deadline.
     #[prost(uint32, tag = "5")]
     pub remaining: u32,
+    /// Epoch that the `Run` message carried.
+    #[prost(uint64, tag = "6")]
+    pub epoch: u64,
 }
 
 /// Tells that the caller left.
@@ -351,6 +367,10 @@
     /// Outstanding requests that the bound allows.
     #[prost(uint32, tag = "13")]
     pub cap: u32,
+    /// Time since the report left its source, in tenths of a second; the sum of
+    /// the times that it was held, so that no two clocks are compared.
+    #[prost(uint32, tag = "14")]
+    pub age: u32,
 }
 
 /// A load report, smaller than a member.
@@ -374,29 +394,43 @@
     /// Configuration version in use.
     #[prost(uint64, tag = "6")]
     pub version: u64,
+    /// Time since the report left its source, in tenths of a second.
+    #[prost(uint32, tag = "7")]
+    pub age: u32,
+    /// Whether it takes new work.
+    #[prost(enumeration = "Standing", tag = "8")]
+    pub standing: i32,
 }
 
-/// A request content that is refused, or suspected, after crashes.
+/// A crash of a target.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, prost::Message)]
+pub struct Crash {
+    /// Target id.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Tells the crashes of the target apart; a larger number is a later one.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
+
+/// A request content that was in flight at crashes.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Suspect {
     /// Content fingerprint.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
-    /// Service id.
+    /// Service id; empty when the sender does not know it.
     #[prost(string, tag = "2")]
     pub service: String,
-    /// Targets that crashed while it was in flight.
-    #[prost(string, repeated, tag = "3")]
-    pub targets: Vec<String>,
+    /// The crashes that count against it.
+    #[prost(message, repeated, tag = "7")]
+    pub crashes: Vec<Crash>,
+    /// For each target, the latest crash that is excused.
+    #[prost(message, repeated, tag = "8")]
+    pub excused: Vec<Crash>,
     /// Milliseconds until the entry ends.
     #[prost(uint32, tag = "4")]
     pub remaining: u32,
-    /// Whether it is refused already.
-    #[prost(bool, tag = "5")]
-    pub refused: bool,
-    /// Whether an operator lifted it; wins over every report of the same crashes.
-    #[prost(bool, tag = "6")]
-    pub lifted: bool,
 }
 
 /// One exchange between two processes, in either direction.
@@ -414,6 +448,32 @@
     /// Quarantine entries.
     #[prost(message, repeated, tag = "4")]
     pub suspects: Vec<Suspect>,
+    /// Processes of which the sender wants the member record, as in [`Load`].
+    #[prost(fixed64, repeated, tag = "5")]
+    pub wants: Vec<u64>,
+    /// Processes of which the sender's report is old, as in [`Load`].
+    #[prost(fixed64, repeated, tag = "6")]
+    pub stale: Vec<u64>,
+    /// Part of all members that a new process asks for, below `parts`.
+    #[prost(uint32, tag = "7")]
+    pub part: u32,
+    /// Number of parts; 0 when the sender asks for none.
+    #[prost(uint32, tag = "8")]
+    pub parts: u32,
+    /// Number of members that report to the sender, itself included.
+    #[prost(uint32, tag = "9")]
+    pub known: u32,
+    /// Whether the message holds urgent news alone; the answer is kept short.
+    #[prost(bool, tag = "10")]
+    pub urgent: bool,
+    /// Combined hash of process, incarnation and leaving state of all members
+    /// that report to the sender.
+    #[prost(fixed64, tag = "11")]
+    pub digest: u64,
+    /// The same for each part of the members, shortened; sent while digests
+    /// differ.
+    #[prost(fixed32, repeated, tag = "12")]
+    pub digests: Vec<u32>,
 }
 
 /// Asks a peer for configuration changes.
