--- a/crates/once/src/settle.rs
+++ b/crates/once/src/settle.rs
@@ -247,7 +247,8 @@
         self.give_up(why, after)
     }
 
-    /// The `Run` message was not sent: the connection was refused.
+    /// The `Run` message was not sent: the connection was refused. This proves
+    /// nothing once a settlement was needed, and is then passed over.
     pub fn unsent(&mut self) -> Step {
         let Phase::Open(to) = self.phase.clone() else {
             return Step::Read;
@@ -380,6 +381,12 @@
         }
     }
 
+    /// The agent took the settlement and its reply stream is open, so it is
+    /// reachable however long the target needs for its first byte.
+    pub fn attached(&mut self) {
+        self.settles = 0;
+    }
+
     /// The agent runs in another incarnation, or refuses connections, which
     /// means that the process that had the request is gone.
     pub fn unreachable(&mut self) -> Step {
--- a/crates/once/tests/settle.rs
+++ b/crates/once/tests/settle.rs
@@ -413,3 +413,19 @@
             step=settle agent=a incarnation=1 epoch=1 offset=0 pause=0us
     "#]]);
 }
+
+/// A slow target behind a flapping link is not an unreachable agent.
+#[test]
+fn slow_target() {
+    let mut request = Request::new(id::RequestId(1), Class::Once, Limits::default());
+    request.sent(Sent {
+        agent: "a".parse().unwrap(),
+        incarnation: id::Incarnation(1),
+        epoch: Epoch::FIRST,
+    });
+    for _ in 0..3 * Limits::default().settles {
+        let step = request.link_lost();
+        assert!(matches!(step, Step::Settle { .. }), "{step}");
+        request.attached();
+    }
+}
