--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -7,9 +7,12 @@
 //!
 //! See [the design page](../../../docs/design.md), sections 2.7 and 3.2.
 
+mod allowed;
 pub mod change;
+mod check;
 pub mod command;
 pub mod difference;
+mod entry;
 pub mod history;
 mod jsonc;
 pub mod map;
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use conf::settings;
-use expect_test::{Expect, expect};
+use expect_test::expect;
 
 const ROUTER: &str = r#"{
   // A router of the tests.
@@ -54,7 +54,7 @@
 
 fn outcome(text: &str) -> String {
     match settings::parse(text, "router.json", Path::new("/nowhere")) {
-        Ok(_) => "accepted".to_owned(),
+        Ok(_) => "accepted\n".to_owned(),
         Err(error) => lines(&error),
     }
 }
@@ -64,16 +64,19 @@
     format!("{error}\n").replace("; allowed: ", "\n  allowed: ")
 }
 
-/// Replaces one part of a valid text and compares the error.
-fn check(base: &str, from: &str, to: &str, expected: Expect) {
-    assert!(base.contains(from), "the text has no {from}");
-    expected.assert_eq(&outcome(&base.replacen(from, to, 1)));
+/// Replaces one part of a valid text at a time and returns the errors.
+fn errors(cases: &[(&str, &str, &str)]) -> String {
+    let error = |(base, from, to): &(&str, &str, &str)| {
+        assert!(base.contains(from), "the text has no {from}");
+        outcome(&base.replacen(from, to, 1))
+    };
+    cases.iter().map(error).collect()
 }
 
 #[test]
 fn valid_text() {
-    assert_eq!(outcome(ROUTER), "accepted");
-    assert_eq!(outcome(AGENT), "accepted");
+    assert_eq!(outcome(ROUTER), "accepted\n");
+    assert_eq!(outcome(AGENT), "accepted\n");
 }
 
 #[test]
@@ -127,334 +130,185 @@
 
 #[test]
 fn unknown_key() {
-    check(
-        ROUTER,
-        "\"threads\"",
-        "\"thread\"",
-        expect![[r#"
+    let cases = [
+        (ROUTER, "\"threads\"", "\"thread\""),
+        (ROUTER, "\"body\"", "\"bodies\""),
+    ];
+    expect![[r#"
         router.json:20: thread: unknown key
           allowed: the keys process, role, data_centre, listen, advertise, seeds, platform, tls, limits, threads, control_rate, settle_time, drain_time, statsd, log, hint_secret, bootstrap, agent
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"body\"",
-        "\"bodies\"",
-        expect![[r#"
         router.json:19: limits.bodies: unknown key
           allowed: the keys body, header, connections, header_time, body_time, deadline
-    "#]],
-    );
+    "#]].assert_eq(&errors(&cases));
 }
 
 #[test]
 fn missing_key() {
-    check(
-        ROUTER,
-        "\"process\": \"router-1\",",
-        "",
-        expect![[r#"
+    let cases = [
+        (ROUTER, "\"process\": \"router-1\",", ""),
+        (ROUTER, "\"table\": \"127.0.0.1:7801\",", ""),
+        (ROUTER, "\"peers\": \"127.0.0.1:7002\",", ""),
+        (ROUTER, "\"callers\": \"127.0.0.1:7001\",", ""),
+        (AGENT, "\"service\": \"drafting\",", ""),
+    ];
+    expect![[r#"
         router.json:1: process: the key is missing
           allowed: an id of letters, digits, '.', '_' and '-', at most 64 characters
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"table\": \"127.0.0.1:7801\",",
-        "",
-        expect![[r#"
         router.json:14: platform.table: the key is missing
           allowed: an IP address and a port, such as "127.0.0.1:7001"
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"peers\": \"127.0.0.1:7002\",",
-        "",
-        expect![[r#"
         router.json:6: listen.peers: the key is missing
           allowed: an IP address and a port, such as "127.0.0.1:7001"
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"callers\": \"127.0.0.1:7001\",",
-        "",
-        expect![[r#"
-            router.json:6: listen.callers: a router needs this address
-              allowed: an IP address and a port, such as "127.0.0.1:7001"
-        "#]],
-    );
-    check(
-        AGENT,
-        "\"service\": \"drafting\",",
-        "",
-        expect![[r#"
+        router.json:6: listen.callers: a router needs this address
+          allowed: an IP address and a port, such as "127.0.0.1:7001"
         router.json:12: agent.service: the key is missing
           allowed: the id of a service of the configuration
-    "#]],
-    );
+    "#]]
+    .assert_eq(&errors(&cases));
 }
 
 #[test]
 fn double_key() {
-    check(
+    let cases = [(
         ROUTER,
         "\"threads\": 2,",
         "\"threads\": 2,\n\"threads\": 3,",
-        expect![[r#"
-            router.json:21: threads: the key is given twice
-              allowed: 1 to 256
-        "#]],
-    );
+    )];
+    expect![[r#"
+        router.json:21: threads: the key is given twice
+          allowed: 1 to 256
+    "#]]
+    .assert_eq(&errors(&cases));
 }
 
 #[test]
 fn wrong_unit() {
-    check(
-        ROUTER,
-        "\"1MiB\"",
-        "\"1mb\"",
-        expect![[r#"
+    let cases = [
+        (ROUTER, "\"1MiB\"", "\"1mb\""),
+        (ROUTER, "\"1MiB\"", "1048576"),
+        (ROUTER, "\"2min\"", "\"2 minutes\""),
+        (ROUTER, "\"5KiB/s\"", "\"5KiB\""),
+        (ROUTER, "\"threads\": 2", "\"threads\": \"2\""),
+    ];
+    expect![[r#"
         router.json:19: limits.body: "1mb" is not a size; write a whole number with B, KiB, MiB or GiB, such as "16KiB"
           allowed: a size of 1KiB to 4MiB, such as "1MiB"
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"1MiB\"",
-        "1048576",
-        expect![[r#"
         router.json:19: limits.body: found integer `1048576`, expected a string
           allowed: a size of 1KiB to 4MiB, such as "1MiB"
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"2min\"",
-        "\"2 minutes\"",
-        expect![[r#"
         router.json:19: limits.deadline: "2 minutes" is not a time span; write a whole number with us, ms, s, min or h, such as "250ms"
           allowed: a time of 1s to 24h, above limits.header_time and limits.body_time
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"5KiB/s\"",
-        "\"5KiB\"",
-        expect![[r#"
         router.json:21: control_rate: "5KiB" is not a byte rate; write a size with /s, such as "5KiB/s"
           allowed: a byte rate of 1KiB/s to 1MiB/s, such as "5KiB/s"
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"threads\": 2",
-        "\"threads\": \"2\"",
-        expect![[r#"
-            router.json:20: threads: found string "2", expected a whole number
-              allowed: 1 to 256
-        "#]],
-    );
+        router.json:20: threads: found string "2", expected a whole number
+          allowed: 1 to 256
+    "#]].assert_eq(&errors(&cases));
 }
 
 #[test]
 fn wrong_address() {
-    check(
-        ROUTER,
-        "\"127.0.0.1:7801\"",
-        "\"table.local:7801\"",
-        expect![[r#"
-            router.json:15: platform.table: "table.local:7801" is not an address
-              allowed: an IP address and a port, such as "127.0.0.1:7001"
-        "#]],
-    );
-    check(
-        ROUTER,
-        "\"127.0.0.1:7012\"",
-        "\"127.0.0.1\"",
-        expect![[r#"
+    let cases = [
+        (ROUTER, "\"127.0.0.1:7801\"", "\"table.local:7801\""),
+        (ROUTER, "\"127.0.0.1:7012\"", "\"127.0.0.1\""),
+        (
+            ROUTER,
+            "\"advertise\": \"127.0.0.1:7002\"",
+            "\"advertise\": \"0.0.0.0:7002\"",
+        ),
+    ];
+    expect![[r#"
+        router.json:15: platform.table: "table.local:7801" is not an address
+          allowed: an IP address and a port, such as "127.0.0.1:7001"
         router.json:13: seeds.0: "127.0.0.1" is not an address
           allowed: a list of IP addresses with ports
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"advertise\": \"127.0.0.1:7002\"",
-        "\"advertise\": \"0.0.0.0:7002\"",
-        expect![[r#"
-            router.json:12: advertise: 0.0.0.0:7002 cannot be reached by other processes
-              allowed: an IP address and a port, not 0.0.0.0 or ::
-        "#]],
-    );
+        router.json:12: advertise: 0.0.0.0:7002 cannot be reached by other processes
+          allowed: an IP address and a port, not 0.0.0.0 or ::
+    "#]]
+    .assert_eq(&errors(&cases));
 }
 
 #[test]
 fn wrong_name() {
-    check(
-        ROUTER,
-        "\"router-1\"",
-        "\"router 1\"",
-        expect![[r#"
+    let cases = [
+        (ROUTER, "\"router-1\"", "\"router 1\""),
+        (ROUTER, "\"role\": \"router\"", "\"role\": \"proxy\""),
+        (AGENT, "\"kind\": \"engine\"", "\"kind\": \"model\""),
+    ];
+    expect![[r#"
         router.json:3: process: character ' ' is not allowed in an id; use letters, digits, '.', '_' and '-'
           allowed: an id of letters, digits, '.', '_' and '-', at most 64 characters
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"role\": \"router\"",
-        "\"role\": \"proxy\"",
-        expect![[r#"
-            router.json:4: role: unknown value "proxy"
-              allowed: one of router, agent
-        "#]],
-    );
-    check(
-        AGENT,
-        "\"kind\": \"engine\"",
-        "\"kind\": \"model\"",
-        expect![[r#"
-            router.json:16: agent.kind: unknown value "model"
-              allowed: one of engine, plain
-        "#]],
-    );
+        router.json:4: role: unknown value "proxy"
+          allowed: one of router, agent
+        router.json:16: agent.kind: unknown value "model"
+          allowed: one of engine, plain
+    "#]].assert_eq(&errors(&cases));
 }
 
 #[test]
 fn wrong_range() {
-    check(
-        ROUTER,
-        "\"1MiB\"",
-        "\"1GiB\"",
-        expect![[r#"
+    let cases = [
+        (ROUTER, "\"1MiB\"", "\"1GiB\""),
+        (ROUTER, "\"threads\": 2", "\"threads\": 0"),
+        (AGENT, "\"slots\": 16", "\"slots\": 0"),
+        (AGENT, "\"slots\": 16", "\"weight\": 0"),
+        (ROUTER, "\"0123456789abcdef0123456789abcdef\"", "\"short\""),
+    ];
+    expect![[r#"
         router.json:19: limits.body: 1GiB is out of range
           allowed: a size of 1KiB to 4MiB, such as "1MiB"
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"threads\": 2",
-        "\"threads\": 0",
-        expect![[r#"
         router.json:20: threads: 0 is out of range
           allowed: 1 to 256
-    "#]],
-    );
-    check(
-        AGENT,
-        "\"slots\": 16",
-        "\"slots\": 0",
-        expect![[r#"
         router.json:17: agent.slots: 0 is out of range
           allowed: 1 to 100000
-    "#]],
-    );
-    check(
-        AGENT,
-        "\"slots\": 16",
-        "\"weight\": 0",
-        expect![[r#"
         router.json:17: agent.weight: 0 is not a weight; write a whole number from 1 to 10000, where 100 is normal
           allowed: 1 to 10000, where 100 is normal
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"0123456789abcdef0123456789abcdef\"",
-        "\"short\"",
-        expect![[r#"
-            router.json:23: hint_secret: a secret of 5 characters is too short or too long
-              allowed: a text of 32 to 128 characters, required for a router, the same for all routers
-        "#]],
-    );
+        router.json:23: hint_secret: a secret of 5 characters is too short or too long
+          allowed: a text of 32 to 128 characters, required for a router, the same for all routers
+    "#]].assert_eq(&errors(&cases));
 }
 
 #[test]
 fn impossible_pair() {
-    check(
-        ROUTER,
-        "\"2min\"",
-        "\"20s\"",
-        expect![[r#"
+    let slow = ROUTER.replace("\"5s\"", "\"50s\"");
+    let cases = [
+        (ROUTER, "\"2min\"", "\"20s\""),
+        (
+            ROUTER,
+            "\"settle_time\": \"5s\"",
+            "\"settle_time\": \"1min\"",
+        ),
+        (&slow, "\"2min\"", "\"40s\""),
+        (ROUTER, "127.0.0.1:7004", "127.0.0.1:7001"),
+        (ROUTER, "\"127.0.0.1:7012\"", "\"127.0.0.1:7002\""),
+        (ROUTER, "\"role\": \"router\"", "\"role\": \"agent\""),
+        (AGENT, "\"role\": \"agent\"", "\"role\": \"router\""),
+        (AGENT, "\"kind\": \"engine\"", "\"kind\": \"plain\""),
+    ];
+    expect![[r#"
         router.json:19: limits.deadline: 20s is not above the time 30s that a request may take to arrive
           allowed: a time of 1s to 24h, above limits.header_time and limits.body_time
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"settle_time\": \"5s\"",
-        "\"settle_time\": \"1min\"",
-        expect!["accepted"],
-    );
-    let slow = ROUTER.replace("\"5s\"", "\"50s\"");
-    check(
-        &slow,
-        "\"2min\"",
-        "\"40s\"",
-        expect![[r#"
+        accepted
         router.json:22: settle_time: 50s is not below limits.deadline, 40s
           allowed: a time of 100ms to 1min, below limits.deadline
-    "#]],
-    );
-    check(
-        ROUTER,
-        "127.0.0.1:7004",
-        "127.0.0.1:7001",
-        expect![[r#"
         router.json:10: listen.health: 127.0.0.1:7001 is already used by listen.callers
           allowed: an IP address and a port, such as "127.0.0.1:7001"
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"127.0.0.1:7012\"",
-        "\"127.0.0.1:7002\"",
-        expect![[r#"
-            router.json:13: seeds: 127.0.0.1:7002 is this process's own address
-              allowed: a list of IP addresses with ports
-        "#]],
-    );
-    check(
-        ROUTER,
-        "\"role\": \"router\"",
-        "\"role\": \"agent\"",
-        expect![[r#"
-            router.json:1: agent: an agent needs this object
-              allowed: an object with target, address, service and kind, for role agent only
-        "#]],
-    );
-    check(
-        AGENT,
-        "\"role\": \"agent\"",
-        "\"role\": \"router\"",
-        expect![[r#"
-            router.json:5: listen.callers: a router needs this address
-              allowed: an IP address and a port, such as "127.0.0.1:7001"
-        "#]],
-    );
-    check(
-        AGENT,
-        "\"kind\": \"engine\"",
-        "\"kind\": \"plain\"",
-        expect![[r#"
-            router.json:18: agent.orders: a plain service accepts no orders
-              allowed: an IP address and a port, such as "127.0.0.1:7001"
-        "#]],
-    );
+        router.json:13: seeds: 127.0.0.1:7002 is this process's own address
+          allowed: a list of IP addresses with ports
+        router.json:1: agent: an agent needs this object
+          allowed: an object with target, address, service and kind, for role agent only
+        router.json:5: listen.callers: a router needs this address
+          allowed: an IP address and a port, such as "127.0.0.1:7001"
+        router.json:18: agent.orders: a plain service accepts no orders
+          allowed: an IP address and a port, such as "127.0.0.1:7001"
+    "#]].assert_eq(&errors(&cases));
 }
 
 #[test]
 fn missing_file() {
     let tls = "\"tls\": { \"callers\": { \"certificate\": \"cert.pem\", \"key\": \"key.pem\" } },\n  \"threads\"";
-    check(
-        ROUTER,
-        "\"threads\"",
-        tls,
-        expect![[r#"
+    expect![[r#"
         router.json:20: tls.callers.certificate: file /nowhere/cert.pem does not exist
           allowed: the name of a PEM file, relative to the directory of the settings file
-    "#]],
-    );
+    "#]]
+    .assert_eq(&errors(&[(ROUTER, "\"threads\"", tls)]));
     let error = settings::load(Path::new("/nowhere/router.json")).unwrap_err();
     expect![[r#"
         /nowhere/router.json:1: the file cannot be read: No such file or directory (os error 2)
@@ -465,24 +319,15 @@
 
 #[test]
 fn broken_text() {
-    check(
-        ROUTER,
-        "\"process\":",
-        "\"process\"",
-        expect![[r#"
+    expect![[r#"
         router.json:3: not valid JSON at column 13: Expected colon after the string or word in object property
           allowed: JSON with comments and trailing commas
-    "#]],
-    );
-    check(
-        ROUTER,
-        "\"threads\": 2,",
-        "\"threads\": 0x2,",
-        expect![[r#"
-            router.json:20: not valid JSON at column 14: Hexadecimal numbers are not allowed
-              allowed: JSON with comments and trailing commas
-        "#]],
-    );
+    "#]].assert_eq(&errors(&[(ROUTER, "\"process\":", "\"process\"")]));
+    expect![[r#"
+        router.json:20: not valid JSON at column 14: Hexadecimal numbers are not allowed
+          allowed: JSON with comments and trailing commas
+    "#]]
+    .assert_eq(&errors(&[(ROUTER, "\"threads\": 2,", "\"threads\": 0x2,")]));
     expect![[r#"
         router.json:1: the file is empty
           allowed: JSON with comments and trailing commas
--- /dev/null
+++ b/crates/plan/src/advance.rs
@@ -0,0 +1,286 @@
+//! How any process advances a plan.
+//!
+//! Advancing is a pure function of the row and of what the process observes. Two
+//! processes may both advance a plan: the compare-and-set on the row lets one of
+//! them win, and the other reads again.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::id;
+
+use crate::{
+    plan::{Action, Plan, Progress, Stage, State},
+    weights::{Holder, Slots},
+};
+
+/// A target's condition, as members report it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Condition {
+    /// It takes new work.
+    Up,
+    /// It is known but takes no new work, or its caches are cold.
+    Other,
+}
+
+/// What the process that advances a plan observes.
+///
+/// The row of fencing tokens is read first, then all other rows: a step that
+/// another process opens in between changes that row, and the transaction of the
+/// slower process fails.
+#[derive(Clone, Debug, Default)]
+pub struct Observed {
+    /// Targets of the service that the instance list or members name; one that is
+    /// absent has gone.
+    pub targets: BTreeMap<id::TargetId, Condition>,
+    /// Targets that other plans keep out of service.
+    pub out: BTreeSet<id::TargetId>,
+    /// The last fencing token that was given out.
+    pub fence: id::Fence,
+    /// The row of slots for weight loads.
+    pub slots: Slots,
+    /// Weight loads that may run at once.
+    pub loads: u32,
+    /// Whether the rate of weight loads allows a start now.
+    pub pace: bool,
+}
+
+/// A plan's next row, with the rows that change in the same transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Advance {
+    /// The plan.
+    pub plan: Plan,
+    /// The last fencing token given out.
+    pub fence: id::Fence,
+    /// The slots for weight loads.
+    pub slots: Slots,
+}
+
+impl Plan {
+    /// Returns the next row, for the process to write by compare-and-set; none
+    /// when no step can be taken now. [`Plan::waits`] says why.
+    pub fn advance(&self, observed: &Observed) -> Option<Advance> {
+        if !matches!(self.state, State::Running | State::Aborting) {
+            return self.release_slots(observed);
+        }
+        let mut next = Advance {
+            plan: self.clone(),
+            fence: observed.fence,
+            slots: observed.slots.clone(),
+        };
+        let mut reasons = Vec::new();
+        next.drop_gone(observed, &mut reasons);
+        next.pass_awaited(observed, &mut reasons);
+        next.free_slots();
+        next.open_steps(observed, &mut reasons);
+        next.end(&mut reasons);
+        next.changed(self, observed, reasons)
+    }
+
+    fn release_slots(&self, observed: &Observed) -> Option<Advance> {
+        let mut next = Advance {
+            plan: self.clone(),
+            fence: observed.fence,
+            slots: observed.slots.clone(),
+        };
+        next.free_slots();
+        next.changed(self, observed, vec!["released weight slots".to_owned()])
+    }
+
+    /// Returns why each target of the present wave waits, for operators.
+    pub fn waits(&self, observed: &Observed) -> BTreeMap<id::TargetId, String> {
+        let wave = self.wave();
+        self.targets
+            .iter()
+            .filter(|(_, progress)| Some(progress.wave) == wave)
+            .filter_map(|(target, progress)| {
+                let wait = self.wait(target, progress, observed)?;
+                Some((target.clone(), wait))
+            })
+            .collect()
+    }
+
+    fn wait(
+        &self,
+        target: &id::TargetId,
+        progress: &Progress,
+        observed: &Observed,
+    ) -> Option<String> {
+        let step = progress.step()?;
+        if self.state == State::Paused && progress.stage == Stage::Waiting {
+            return Some(format!("{step}: the plan is paused"));
+        }
+        match &progress.stage {
+            Stage::Open(_) => Some(format!("{step}: waits for the agent")),
+            Stage::Taken(taken) => Some(format!("{step}: under way, token {}", taken.fence)),
+            Stage::Unsettled(fence) => Some(format!(
+                "{step}: the outcome of token {fence} is unknown and the target ignores tokens; restart the target, then confirm it"
+            )),
+            Stage::Failed(cause) => Some(format!("{step}: failed: {cause}")),
+            Stage::Waiting => {
+                let holder = self.holder(target);
+                let cause = self.missing(step, &holder, observed)?;
+                Some(format!("{step}: {cause}"))
+            }
+        }
+    }
+
+    /// Returns which precondition of a step does not hold.
+    fn missing(&self, step: &Action, holder: &Holder, observed: &Observed) -> Option<String> {
+        match step {
+            Action::Drain => self.missing_capacity(&holder.target, observed),
+            Action::Load(_) => missing_slot(holder, observed),
+            Action::AwaitUp(target) => match observed.targets.get(target) {
+                Some(Condition::Up) => None,
+                Some(Condition::Other) => Some(format!("target {target} is not up")),
+                None => Some(format!("target {target} is not known")),
+            },
+            Action::Unload(_) | Action::Role(_) | Action::Reopen => None,
+        }
+    }
+
+    /// A target is drained only while enough others are up. Targets that plans
+    /// keep out do not count, although a lagging member report may still call them
+    /// up.
+    fn missing_capacity(&self, target: &id::TargetId, observed: &Observed) -> Option<String> {
+        let up = observed
+            .targets
+            .iter()
+            .filter(|(other, condition)| {
+                let out = self.keeps_out(other) || observed.out.contains(*other);
+                **condition == Condition::Up && *other != target && !out
+            })
+            .count();
+        if up >= self.keep as usize {
+            return None;
+        }
+        Some(format!(
+            "other targets that are up: {up}, needed: {}",
+            self.keep
+        ))
+    }
+}
+
+fn missing_slot(holder: &Holder, observed: &Observed) -> Option<String> {
+    if observed.slots.taken.contains(holder) {
+        return None;
+    }
+    let taken = observed.slots.taken.len();
+    if taken >= observed.loads as usize {
+        let holders: Vec<String> = observed.slots.taken.iter().map(Holder::to_string).collect();
+        return Some(format!(
+            "{taken} of {} weight loads run: {}",
+            observed.loads,
+            holders.join(", ")
+        ));
+    }
+    match observed.pace {
+        true => None,
+        false => Some("the rate of weight loads allows no start yet".to_owned()),
+    }
+}
+
+impl Advance {
+    /// Finishes targets that have gone with their instances.
+    fn drop_gone(&mut self, observed: &Observed, reasons: &mut Vec<String>) {
+        for (target, progress) in &mut self.plan.targets {
+            if observed.targets.contains_key(target) || progress.steps.is_empty() {
+                continue;
+            }
+            progress.steps.clear();
+            progress.stage = Stage::Waiting;
+            progress.out = false;
+            reasons.push(format!("target {target} has gone"));
+        }
+    }
+
+    fn pass_awaited(&mut self, observed: &Observed, reasons: &mut Vec<String>) {
+        for (target, progress) in &mut self.plan.targets {
+            let Some(Action::AwaitUp(awaited)) = progress.step() else {
+                continue;
+            };
+            if observed.targets.get(awaited) == Some(&Condition::Up) {
+                reasons.push(format!("target {target}: target {awaited} is up"));
+                progress.finish_step();
+            }
+        }
+    }
+
+    /// Gives back the slots of targets that are not loading.
+    fn free_slots(&mut self) {
+        let plan = &self.plan;
+        self.slots.taken.retain(|holder| {
+            holder.plan != plan.id
+                || plan.targets.get(&holder.target).is_some_and(|progress| {
+                    matches!(progress.step(), Some(Action::Load(_)))
+                        && !matches!(progress.stage, Stage::Waiting | Stage::Failed(_))
+                })
+        });
+    }
+
+    fn open_steps(&mut self, observed: &Observed, reasons: &mut Vec<String>) {
+        let wave = self.plan.wave();
+        let targets: BTreeSet<id::TargetId> = self
+            .plan
+            .targets
+            .iter()
+            .filter(|(_, progress)| Some(progress.wave) == wave && progress.stage == Stage::Waiting)
+            .map(|(target, _)| target.clone())
+            .collect();
+        for target in targets {
+            self.open_step(&target, observed, reasons);
+        }
+    }
+
+    /// Opens a target's step when its precondition holds. The precondition is
+    /// checked against the plan and the slots as they are after the steps opened
+    /// before it in this transaction.
+    fn open_step(&mut self, target: &id::TargetId, observed: &Observed, reasons: &mut Vec<String>) {
+        let Some(step) = self.plan.targets[target].step().cloned() else {
+            return;
+        };
+        if matches!(step, Action::AwaitUp(_)) {
+            return;
+        }
+        let holder = self.plan.holder(target);
+        let seen = Observed {
+            slots: self.slots.clone(),
+            pace: observed.pace && self.slots.starts == observed.slots.starts,
+            ..observed.clone()
+        };
+        if self.plan.missing(&step, &holder, &seen).is_some() {
+            return;
+        }
+        if matches!(step, Action::Load(_)) {
+            self.slots.take(holder, observed.loads);
+        }
+        self.fence = self.fence.next();
+        let progress = self
+            .plan
+            .targets
+            .get_mut(target)
+            .expect("the target is in the plan");
+        progress.stage = Stage::Open(self.fence);
+        progress.out |= step == Action::Drain;
+        reasons.push(format!("target {target}: {step} is open"));
+    }
+
+    fn end(&mut self, reasons: &mut Vec<String>) {
+        if self.plan.wave().is_some() {
+            return;
+        }
+        self.plan.state = match self.plan.state {
+            State::Aborting => State::Aborted,
+            _ => State::Done,
+        };
+        reasons.push("all targets are finished".to_owned());
+    }
+
+    fn changed(mut self, before: &Plan, observed: &Observed, reasons: Vec<String>) -> Option<Self> {
+        if self.plan == *before && self.slots == observed.slots {
+            return None;
+        }
+        self.plan.version += 1;
+        self.plan.reason = reasons.join("; ");
+        Some(self)
+    }
+}
--- /dev/null
+++ b/crates/plan/src/operate.rs
@@ -0,0 +1,117 @@
+//! What operators may do with a plan.
+
+use base::id;
+use serde::{Deserialize, Serialize};
+
+use crate::plan::{Plan, Progress, Rejection, Stage, State};
+
+/// What operators may do with a plan.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Operation {
+    /// Opens no more steps.
+    Pause,
+    /// Goes on; failed steps are tried again, also those of an abort.
+    Resume,
+    /// Puts targets back into service and ends; also after a drain is done.
+    Abort,
+    /// Confirms that no order is under way at a target, after its restart for
+    /// example.
+    Confirm(id::TargetId),
+}
+
+impl Plan {
+    /// Applies an operation of an operator and returns the next row.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the operation does not fit the state.
+    pub fn operate(&self, operation: &Operation) -> Result<Self, Rejection> {
+        let mut next = self.clone();
+        next.version += 1;
+        match operation {
+            Operation::Pause => next.pause()?,
+            Operation::Resume => next.resume()?,
+            Operation::Abort => next.abort()?,
+            Operation::Confirm(target) => next.confirm(target)?,
+        }
+        Ok(next)
+    }
+
+    fn pause(&mut self) -> Result<(), Rejection> {
+        self.expect(&[State::Running], "pause")?;
+        self.state = State::Paused;
+        self.reason = "paused by an operator".to_owned();
+        self.take_back();
+        Ok(())
+    }
+
+    fn resume(&mut self) -> Result<(), Rejection> {
+        let failed = |progress: &Progress| matches!(progress.stage, Stage::Failed(_));
+        match self.state {
+            State::Aborting if self.targets.values().any(failed) => (),
+            _ => {
+                self.expect(&[State::Paused], "resume")?;
+                self.state = State::Running;
+            }
+        }
+        self.reason = "resumed by an operator".to_owned();
+        for progress in self.targets.values_mut() {
+            if failed(progress) {
+                progress.stage = Stage::Waiting;
+            }
+        }
+        Ok(())
+    }
+
+    fn abort(&mut self) -> Result<(), Rejection> {
+        let left_out = self.targets.values().any(|progress| progress.out);
+        if !(self.state == State::Done && left_out) {
+            self.expect(&[State::Running, State::Paused], "abort")?;
+        }
+        self.state = State::Aborting;
+        self.reason = "aborted by an operator".to_owned();
+        self.take_back();
+        for progress in self.targets.values_mut() {
+            if !progress.is_under_way() {
+                progress.give_up();
+            }
+        }
+        Ok(())
+    }
+
+    fn confirm(&mut self, target: &id::TargetId) -> Result<(), Rejection> {
+        let aborting = self.state == State::Aborting;
+        let unsettled = |progress: &&mut Progress| matches!(progress.stage, Stage::Unsettled(_));
+        let Some(progress) = self.targets.get_mut(target).filter(unsettled) else {
+            return Err(Rejection::Settled(target.clone()));
+        };
+        progress.stage = Stage::Waiting;
+        if aborting {
+            progress.give_up();
+        }
+        self.reason = format!("target {target} was confirmed by an operator");
+        Ok(())
+    }
+
+    /// Takes back steps that no agent has taken. An agent that has read the row
+    /// before fails to take its step, because the row has changed.
+    fn take_back(&mut self) {
+        for progress in self.targets.values_mut() {
+            if matches!(progress.stage, Stage::Open(_)) {
+                progress.stage = Stage::Waiting;
+            }
+        }
+    }
+
+    fn expect(&self, states: &[State], operation: &'static str) -> Result<(), Rejection> {
+        if states.contains(&self.state) {
+            return Ok(());
+        }
+        Err(Rejection::State {
+            plan: self.id.clone(),
+            state: self.state,
+            operation,
+        })
+    }
+}
--- a/crates/plan/src/plan.rs
+++ b/crates/plan/src/plan.rs
@@ -1,20 +1,18 @@
-//! A planned change: its steps, how any process advances it, and what operators
-//! may do with it.
-//!
-//! Advancing is a pure function of the row and of what the process observes. Two
-//! processes may both advance a plan: the compare-and-set on the row lets one of
-//! them win, and the other reads again.
+//! A planned change as its row holds it: its targets, their steps, and how far
+//! each step is.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt,
-};
+use std::{collections::BTreeMap, fmt};
 
 use base::id;
 use conf::value::Model;
 use serde::{Deserialize, Serialize};
 
-use crate::weights::{Holder, Slots};
+use crate::weights::Holder;
+pub use crate::{
+    advance::{Advance, Condition, Observed},
+    operate::Operation,
+    request::Request,
+};
 
 /// A model with an optional adapter and version, as engines name them.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -208,66 +206,6 @@
     pub targets: BTreeMap<id::TargetId, Progress>,
 }
 
-/// A request for a new plan.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Request {
-    /// Id of the plan.
-    pub id: id::PlanId,
-    /// The service whose targets it changes.
-    pub service: id::ServiceId,
-    /// What it does.
-    pub kind: Kind,
-    /// The targets, in the order of the waves.
-    pub targets: Vec<id::TargetId>,
-    /// Targets in one wave.
-    pub wave: u32,
-    /// Fewest targets of the service that stay up.
-    pub keep: u32,
-}
-
-/// A target's condition, as members report it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Condition {
-    /// It takes new work.
-    Up,
-    /// It is known but takes no new work, or its caches are cold.
-    Other,
-}
-
-/// What the process that advances a plan observes.
-///
-/// The row of fencing tokens is read first, then all other rows: a step that
-/// another process opens in between changes that row, and the transaction of the
-/// slower process fails.
-#[derive(Clone, Debug, Default)]
-pub struct Observed {
-    /// Targets of the service that the instance list or members name; one that is
-    /// absent has gone.
-    pub targets: BTreeMap<id::TargetId, Condition>,
-    /// Targets that other plans keep out of service.
-    pub out: BTreeSet<id::TargetId>,
-    /// The last fencing token that was given out.
-    pub fence: id::Fence,
-    /// The row of slots for weight loads.
-    pub slots: Slots,
-    /// Weight loads that may run at once.
-    pub loads: u32,
-    /// Whether the rate of weight loads allows a start now.
-    pub pace: bool,
-}
-
-/// A plan's next row, with the rows that change in the same transaction.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Advance {
-    /// The plan.
-    pub plan: Plan,
-    /// The last fencing token given out.
-    pub fence: id::Fence,
-    /// The slots for weight loads.
-    pub slots: Slots,
-}
-
 /// States why a plan or an operation on one is not accepted.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Rejection {
@@ -314,120 +252,6 @@
     Settled(id::TargetId),
 }
 
-/// What operators may do with a plan.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Operation {
-    /// Opens no more steps.
-    Pause,
-    /// Goes on; failed steps are tried again, also those of an abort.
-    Resume,
-    /// Puts targets back into service and ends; also after a drain is done.
-    Abort,
-    /// Confirms that no order is under way at a target, after its restart for
-    /// example.
-    Confirm(id::TargetId),
-}
-
-impl Request {
-    /// Makes the plan.
-    ///
-    /// `others` are the plans that exist. The transaction that creates the plan
-    /// also writes the row of fencing tokens, so that of two plans for one target
-    /// that are created at once, one is rejected.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the plan is not accepted.
-    pub fn plan(
-        &self,
-        fencing: bool,
-        observed: &Observed,
-        others: &[Plan],
-    ) -> Result<Plan, Rejection> {
-        self.check(observed)?;
-        for target in &self.targets {
-            if let Some(other) = others.iter().find(|other| other.holds(target)) {
-                return Err(Rejection::Busy(target.clone(), other.id.clone()));
-            }
-        }
-        let mut targets = BTreeMap::new();
-        for (index, target) in self.targets.iter().enumerate() {
-            let progress = Progress {
-                wave: index as u32 / self.wave,
-                steps: self.steps(target)?,
-                stage: Stage::Waiting,
-                out: false,
-            };
-            if targets.insert(target.clone(), progress).is_some() {
-                return Err(Rejection::Double(target.clone()));
-            }
-        }
-        Ok(Plan {
-            id: self.id.clone(),
-            version: 1,
-            service: self.service.clone(),
-            kind: self.kind.clone(),
-            fencing,
-            keep: self.keep,
-            state: State::Running,
-            reason: "created".to_owned(),
-            targets,
-        })
-    }
-
-    fn check(&self, observed: &Observed) -> Result<(), Rejection> {
-        if self.targets.is_empty() {
-            return Err(Rejection::NoTargets);
-        }
-        if self.wave == 0 {
-            return Err(Rejection::EmptyWave);
-        }
-        let known = observed.targets.len();
-        let unknown = self
-            .targets
-            .iter()
-            .find(|target| !observed.targets.contains_key(*target));
-        if let Some(target) = unknown {
-            return Err(Rejection::Unknown(target.clone(), self.service.clone()));
-        }
-        if self.keep as usize >= known {
-            return Err(Rejection::Keep {
-                keep: self.keep,
-                known,
-                most: known - 1,
-            });
-        }
-        Ok(())
-    }
-
-    fn steps(&self, target: &id::TargetId) -> Result<Vec<Action>, Rejection> {
-        match &self.kind {
-            Kind::Drain => Ok(vec![Action::Drain]),
-            Kind::Replace(replace) => {
-                let by = replace.by.get(target);
-                let by = by.ok_or_else(|| Rejection::NoReplacement(target.clone()))?;
-                Ok(vec![Action::AwaitUp(by.clone()), Action::Drain])
-            }
-            Kind::Roll(roll) => {
-                let orders = [
-                    Some(Action::Load(roll.load.clone())),
-                    roll.unload.clone().map(Action::Unload),
-                ];
-                Ok(out_and_back(target, orders.into_iter().flatten()))
-            }
-            Kind::Role(role) => Ok(out_and_back(target, [Action::Role(role.clone())])),
-        }
-    }
-}
-
-fn out_and_back(target: &id::TargetId, orders: impl IntoIterator<Item = Action>) -> Vec<Action> {
-    let mut steps = vec![Action::Drain];
-    steps.extend(orders);
-    steps.extend([Action::Reopen, Action::AwaitUp(target.clone())]);
-    steps
-}
-
 impl Progress {
     /// Returns the present step.
     pub fn step(&self) -> Option<&Action> {
@@ -444,7 +268,7 @@
     }
 
     /// Leaves only the steps that put the target back into service.
-    fn give_up(&mut self) {
+    pub(crate) fn give_up(&mut self) {
         self.stage = Stage::Waiting;
         self.steps = match self.out {
             true => vec![Action::Reopen],
@@ -479,110 +303,7 @@
             .is_some_and(|progress| progress.out)
     }
 
-    /// Returns the next row, for the process to write by compare-and-set; none
-    /// when no step can be taken now. [`Plan::waits`] says why.
-    pub fn advance(&self, observed: &Observed) -> Option<Advance> {
-        if !matches!(self.state, State::Running | State::Aborting) {
-            return self.release_slots(observed);
-        }
-        let mut next = Advance {
-            plan: self.clone(),
-            fence: observed.fence,
-            slots: observed.slots.clone(),
-        };
-        let mut reasons = Vec::new();
-        next.drop_gone(observed, &mut reasons);
-        next.pass_awaited(observed, &mut reasons);
-        next.free_slots();
-        next.open_steps(observed, &mut reasons);
-        next.end(&mut reasons);
-        next.changed(self, observed, reasons)
-    }
-
-    fn release_slots(&self, observed: &Observed) -> Option<Advance> {
-        let mut next = Advance {
-            plan: self.clone(),
-            fence: observed.fence,
-            slots: observed.slots.clone(),
-        };
-        next.free_slots();
-        next.changed(self, observed, vec!["released weight slots".to_owned()])
-    }
-
-    /// Returns why each target of the present wave waits, for operators.
-    pub fn waits(&self, observed: &Observed) -> BTreeMap<id::TargetId, String> {
-        let wave = self.wave();
-        self.targets
-            .iter()
-            .filter(|(_, progress)| Some(progress.wave) == wave)
-            .filter_map(|(target, progress)| {
-                let wait = self.wait(target, progress, observed)?;
-                Some((target.clone(), wait))
-            })
-            .collect()
-    }
-
-    fn wait(
-        &self,
-        target: &id::TargetId,
-        progress: &Progress,
-        observed: &Observed,
-    ) -> Option<String> {
-        let step = progress.step()?;
-        if self.state == State::Paused && progress.stage == Stage::Waiting {
-            return Some(format!("{step}: the plan is paused"));
-        }
-        match &progress.stage {
-            Stage::Open(_) => Some(format!("{step}: waits for the agent")),
-            Stage::Taken(taken) => Some(format!("{step}: under way, token {}", taken.fence)),
-            Stage::Unsettled(fence) => Some(format!(
-                "{step}: the outcome of token {fence} is unknown and the target ignores tokens; restart the target, then confirm it"
-            )),
-            Stage::Failed(cause) => Some(format!("{step}: failed: {cause}")),
-            Stage::Waiting => {
-                let holder = self.holder(target);
-                let cause = self.missing(step, &holder, observed)?;
-                Some(format!("{step}: {cause}"))
-            }
-        }
-    }
-
-    /// Returns which precondition of a step does not hold.
-    fn missing(&self, step: &Action, holder: &Holder, observed: &Observed) -> Option<String> {
-        match step {
-            Action::Drain => self.missing_capacity(&holder.target, observed),
-            Action::Load(_) => missing_slot(holder, observed),
-            Action::AwaitUp(target) => match observed.targets.get(target) {
-                Some(Condition::Up) => None,
-                Some(Condition::Other) => Some(format!("target {target} is not up")),
-                None => Some(format!("target {target} is not known")),
-            },
-            Action::Unload(_) | Action::Role(_) | Action::Reopen => None,
-        }
-    }
-
-    /// A target is drained only while enough others are up. Targets that plans
-    /// keep out do not count, although a lagging member report may still call them
-    /// up.
-    fn missing_capacity(&self, target: &id::TargetId, observed: &Observed) -> Option<String> {
-        let up = observed
-            .targets
-            .iter()
-            .filter(|(other, condition)| {
-                let out = self.keeps_out(other) || observed.out.contains(*other);
-                **condition == Condition::Up && *other != target && !out
-            })
-            .count();
-        if up >= self.keep as usize {
-            return None;
-        }
-        Some(format!(
-            "other targets that are up: {up}, needed: {}",
-            self.keep
-        ))
-    }
-
-    fn holder(&self, target: &id::TargetId) -> Holder {
+    pub(crate) fn holder(&self, target: &id::TargetId) -> Holder {
         Holder {
             plan: self.id.clone(),
             target: target.clone(),
@@ -590,7 +311,7 @@
     }
 
     /// Returns the first wave with a target that is not finished.
-    fn wave(&self) -> Option<u32> {
+    pub(crate) fn wave(&self) -> Option<u32> {
         self.targets
             .values()
             .filter(|progress| !progress.steps.is_empty())
@@ -598,100 +319,6 @@
             .min()
     }
 
-    /// Applies an operation of an operator and returns the next row.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the operation does not fit the state.
-    pub fn operate(&self, operation: &Operation) -> Result<Self, Rejection> {
-        let mut next = self.clone();
-        next.version += 1;
-        match operation {
-            Operation::Pause => next.pause()?,
-            Operation::Resume => next.resume()?,
-            Operation::Abort => next.abort()?,
-            Operation::Confirm(target) => next.confirm(target)?,
-        }
-        Ok(next)
-    }
-
-    fn pause(&mut self) -> Result<(), Rejection> {
-        self.expect(&[State::Running], "pause")?;
-        self.state = State::Paused;
-        self.reason = "paused by an operator".to_owned();
-        self.take_back();
-        Ok(())
-    }
-
-    fn resume(&mut self) -> Result<(), Rejection> {
-        let failed = |progress: &Progress| matches!(progress.stage, Stage::Failed(_));
-        match self.state {
-            State::Aborting if self.targets.values().any(failed) => (),
-            _ => {
-                self.expect(&[State::Paused], "resume")?;
-                self.state = State::Running;
-            }
-        }
-        self.reason = "resumed by an operator".to_owned();
-        for progress in self.targets.values_mut() {
-            if failed(progress) {
-                progress.stage = Stage::Waiting;
-            }
-        }
-        Ok(())
-    }
-
-    fn abort(&mut self) -> Result<(), Rejection> {
-        let left_out = self.targets.values().any(|progress| progress.out);
-        if !(self.state == State::Done && left_out) {
-            self.expect(&[State::Running, State::Paused], "abort")?;
-        }
-        self.state = State::Aborting;
-        self.reason = "aborted by an operator".to_owned();
-        self.take_back();
-        for progress in self.targets.values_mut() {
-            if !progress.is_under_way() {
-                progress.give_up();
-            }
-        }
-        Ok(())
-    }
-
-    fn confirm(&mut self, target: &id::TargetId) -> Result<(), Rejection> {
-        let aborting = self.state == State::Aborting;
-        let unsettled = |progress: &&mut Progress| matches!(progress.stage, Stage::Unsettled(_));
-        let Some(progress) = self.targets.get_mut(target).filter(unsettled) else {
-            return Err(Rejection::Settled(target.clone()));
-        };
-        progress.stage = Stage::Waiting;
-        if aborting {
-            progress.give_up();
-        }
-        self.reason = format!("target {target} was confirmed by an operator");
-        Ok(())
-    }
-
-    /// Takes back steps that no agent has taken. An agent that has read the row
-    /// before fails to take its step, because the row has changed.
-    fn take_back(&mut self) {
-        for progress in self.targets.values_mut() {
-            if matches!(progress.stage, Stage::Open(_)) {
-                progress.stage = Stage::Waiting;
-            }
-        }
-    }
-
-    fn expect(&self, states: &[State], operation: &'static str) -> Result<(), Rejection> {
-        if states.contains(&self.state) {
-            return Ok(());
-        }
-        Err(Rejection::State {
-            plan: self.id.clone(),
-            state: self.state,
-            operation,
-        })
-    }
-
     pub(crate) fn set_stage(&mut self, target: &id::TargetId, stage: Stage) {
         if let Some(progress) = self.targets.get_mut(target) {
             progress.stage = stage;
@@ -714,128 +341,3 @@
         }
     }
 }
-
-fn missing_slot(holder: &Holder, observed: &Observed) -> Option<String> {
-    if observed.slots.taken.contains(holder) {
-        return None;
-    }
-    let taken = observed.slots.taken.len();
-    if taken >= observed.loads as usize {
-        let holders: Vec<String> = observed.slots.taken.iter().map(Holder::to_string).collect();
-        return Some(format!(
-            "{taken} of {} weight loads run: {}",
-            observed.loads,
-            holders.join(", ")
-        ));
-    }
-    match observed.pace {
-        true => None,
-        false => Some("the rate of weight loads allows no start yet".to_owned()),
-    }
-}
-
-impl Advance {
-    /// Finishes targets that have gone with their instances.
-    fn drop_gone(&mut self, observed: &Observed, reasons: &mut Vec<String>) {
-        for (target, progress) in &mut self.plan.targets {
-            if observed.targets.contains_key(target) || progress.steps.is_empty() {
-                continue;
-            }
-            progress.steps.clear();
-            progress.stage = Stage::Waiting;
-            progress.out = false;
-            reasons.push(format!("target {target} has gone"));
-        }
-    }
-
-    fn pass_awaited(&mut self, observed: &Observed, reasons: &mut Vec<String>) {
-        for (target, progress) in &mut self.plan.targets {
-            let Some(Action::AwaitUp(awaited)) = progress.step() else {
-                continue;
-            };
-            if observed.targets.get(awaited) == Some(&Condition::Up) {
-                reasons.push(format!("target {target}: target {awaited} is up"));
-                progress.finish_step();
-            }
-        }
-    }
-
-    /// Gives back the slots of targets that are not loading.
-    fn free_slots(&mut self) {
-        let plan = &self.plan;
-        self.slots.taken.retain(|holder| {
-            holder.plan != plan.id
-                || plan.targets.get(&holder.target).is_some_and(|progress| {
-                    matches!(progress.step(), Some(Action::Load(_)))
-                        && !matches!(progress.stage, Stage::Waiting | Stage::Failed(_))
-                })
-        });
-    }
-
-    fn open_steps(&mut self, observed: &Observed, reasons: &mut Vec<String>) {
-        let wave = self.plan.wave();
-        let targets: BTreeSet<id::TargetId> = self
-            .plan
-            .targets
-            .iter()
-            .filter(|(_, progress)| Some(progress.wave) == wave && progress.stage == Stage::Waiting)
-            .map(|(target, _)| target.clone())
-            .collect();
-        for target in targets {
-            self.open_step(&target, observed, reasons);
-        }
-    }
-
-    /// Opens a target's step when its precondition holds. The precondition is
-    /// checked against the plan and the slots as they are after the steps opened
-    /// before it in this transaction.
-    fn open_step(&mut self, target: &id::TargetId, observed: &Observed, reasons: &mut Vec<String>) {
-        let Some(step) = self.plan.targets[target].step().cloned() else {
-            return;
-        };
-        if matches!(step, Action::AwaitUp(_)) {
-            return;
-        }
-        let holder = self.plan.holder(target);
-        let seen = Observed {
-            slots: self.slots.clone(),
-            pace: observed.pace && self.slots.starts == observed.slots.starts,
-            ..observed.clone()
-        };
-        if self.plan.missing(&step, &holder, &seen).is_some() {
-            return;
-        }
-        if matches!(step, Action::Load(_)) {
-            self.slots.take(holder, observed.loads);
-        }
-        self.fence = self.fence.next();
-        let progress = self
-            .plan
-            .targets
-            .get_mut(target)
-            .expect("the target is in the plan");
-        progress.stage = Stage::Open(self.fence);
-        progress.out |= step == Action::Drain;
-        reasons.push(format!("target {target}: {step} is open"));
-    }
-
-    fn end(&mut self, reasons: &mut Vec<String>) {
-        if self.plan.wave().is_some() {
-            return;
-        }
-        self.plan.state = match self.plan.state {
-            State::Aborting => State::Aborted,
-            _ => State::Done,
-        };
-        reasons.push("all targets are finished".to_owned());
-    }
-
-    fn changed(mut self, before: &Plan, observed: &Observed, reasons: Vec<String>) -> Option<Self> {
-        if self.plan == *before && self.slots == observed.slots {
-            return None;
-        }
-        self.plan.version += 1;
-        self.plan.reason = reasons.join("; ");
-        Some(self)
-    }
-}
--- /dev/null
+++ b/crates/plan/src/request.rs
@@ -0,0 +1,128 @@
+//! A request for a new plan, and the checks that it must pass.
+
+use std::collections::BTreeMap;
+
+use base::id;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    advance::Observed,
+    plan::{Action, Kind, Plan, Progress, Rejection, Stage, State},
+};
+
+/// A request for a new plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Request {
+    /// Id of the plan.
+    pub id: id::PlanId,
+    /// The service whose targets it changes.
+    pub service: id::ServiceId,
+    /// What it does.
+    pub kind: Kind,
+    /// The targets, in the order of the waves.
+    pub targets: Vec<id::TargetId>,
+    /// Targets in one wave.
+    pub wave: u32,
+    /// Fewest targets of the service that stay up.
+    pub keep: u32,
+}
+
+impl Request {
+    /// Makes the plan.
+    ///
+    /// `others` are the plans that exist. The transaction that creates the plan
+    /// also writes the row of fencing tokens, so that of two plans for one target
+    /// that are created at once, one is rejected.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the plan is not accepted.
+    pub fn plan(
+        &self,
+        fencing: bool,
+        observed: &Observed,
+        others: &[Plan],
+    ) -> Result<Plan, Rejection> {
+        self.check(observed)?;
+        for target in &self.targets {
+            if let Some(other) = others.iter().find(|other| other.holds(target)) {
+                return Err(Rejection::Busy(target.clone(), other.id.clone()));
+            }
+        }
+        let mut targets = BTreeMap::new();
+        for (index, target) in self.targets.iter().enumerate() {
+            let progress = Progress {
+                wave: index as u32 / self.wave,
+                steps: self.steps(target)?,
+                stage: Stage::Waiting,
+                out: false,
+            };
+            if targets.insert(target.clone(), progress).is_some() {
+                return Err(Rejection::Double(target.clone()));
+            }
+        }
+        Ok(Plan {
+            id: self.id.clone(),
+            version: 1,
+            service: self.service.clone(),
+            kind: self.kind.clone(),
+            fencing,
+            keep: self.keep,
+            state: State::Running,
+            reason: "created".to_owned(),
+            targets,
+        })
+    }
+
+    fn check(&self, observed: &Observed) -> Result<(), Rejection> {
+        if self.targets.is_empty() {
+            return Err(Rejection::NoTargets);
+        }
+        if self.wave == 0 {
+            return Err(Rejection::EmptyWave);
+        }
+        let known = observed.targets.len();
+        let unknown = self
+            .targets
+            .iter()
+            .find(|target| !observed.targets.contains_key(*target));
+        if let Some(target) = unknown {
+            return Err(Rejection::Unknown(target.clone(), self.service.clone()));
+        }
+        if self.keep as usize >= known {
+            return Err(Rejection::Keep {
+                keep: self.keep,
+                known,
+                most: known - 1,
+            });
+        }
+        Ok(())
+    }
+
+    fn steps(&self, target: &id::TargetId) -> Result<Vec<Action>, Rejection> {
+        match &self.kind {
+            Kind::Drain => Ok(vec![Action::Drain]),
+            Kind::Replace(replace) => {
+                let by = replace.by.get(target);
+                let by = by.ok_or_else(|| Rejection::NoReplacement(target.clone()))?;
+                Ok(vec![Action::AwaitUp(by.clone()), Action::Drain])
+            }
+            Kind::Roll(roll) => {
+                let orders = [
+                    Some(Action::Load(roll.load.clone())),
+                    roll.unload.clone().map(Action::Unload),
+                ];
+                Ok(out_and_back(target, orders.into_iter().flatten()))
+            }
+            Kind::Role(role) => Ok(out_and_back(target, [Action::Role(role.clone())])),
+        }
+    }
+}
+
+fn out_and_back(target: &id::TargetId, orders: impl IntoIterator<Item = Action>) -> Vec<Action> {
+    let mut steps = vec![Action::Drain];
+    steps.extend(orders);
+    steps.extend([Action::Reopen, Action::AwaitUp(target.clone())]);
+    steps
+}
