--- a/crates/conf/src/row.rs
+++ b/crates/conf/src/row.rs
@@ -286,6 +286,42 @@
 }
 
 impl Snapshot {
+    /// Writes the snapshot in pieces of at most `limit` bytes: a digest, then the
+    /// JSON. With 34,000 teams it has about 5 MB, more than one frame between
+    /// processes may have.
+    pub fn pieces(&self, limit: usize) -> Vec<Vec<u8>> {
+        let json =
+            serde_json::to_vec(self).expect("snapshots have no maps with other keys than text");
+        let mut text = digest(&json).to_vec();
+        text.extend(json);
+        let pieces = text.chunks(limit.max(1));
+        pieces.map(<[u8]>::to_vec).collect()
+    }
+
+    /// Reads a snapshot from all its pieces in order.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause when a piece is missing or the content is not valid. The
+    /// digest finds a missing piece that leaves valid JSON.
+    pub fn join<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> Result<Self, RowError> {
+        let fail = |cause: String| RowError {
+            key: SNAPSHOT.to_owned(),
+            cause,
+        };
+        let mut text = Vec::new();
+        for piece in pieces {
+            text.extend_from_slice(piece);
+        }
+        let Some((start, json)) = text.split_first_chunk::<DIGEST>() else {
+            return Err(fail("the digest is missing".to_owned()));
+        };
+        if *start != digest(json) {
+            return Err(fail("the digest does not match".to_owned()));
+        }
+        serde_json::from_slice(json).map_err(|cause| fail(cause.to_string()))
+    }
+
     /// Tells whether the rows follow each other up to the configuration.
     pub fn is_whole(&self) -> bool {
         let pairs = self.rows.windows(2);
@@ -307,6 +343,13 @@
     }
 }
 
+/// Length of a snapshot's digest, in bytes.
+const DIGEST: usize = 32;
+
+fn digest(json: &[u8]) -> [u8; DIGEST] {
+    Sha256::digest(json).into()
+}
+
 /// A condition on the present state of a row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Condition {
@@ -396,9 +439,9 @@
     }
 }
 
-/// Reports a row of the table that does not hold what its key says.
+/// Reports a row, or an object, that does not hold what its key says.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("row {key} of the table is not valid: {cause}")]
+#[error("row {key} is not valid: {cause}")]
 pub struct RowError {
     /// Key of the row.
     pub key: String,
--- a/crates/conf/tests/history.rs
+++ b/crates/conf/tests/history.rs
@@ -135,6 +135,24 @@
     assert_eq!(History::new().adopt(gap), Adoption::Invalid);
 }
 
+/// A snapshot at the design size is larger than a frame between processes, so it
+/// travels in pieces; a lost piece must not pass as a smaller configuration.
+#[test]
+fn snapshot_pieces() {
+    let snapshot = at(40).snapshot();
+    let pieces = snapshot.pieces(1000);
+    assert!(pieces.len() > 10);
+    assert!(pieces.iter().all(|piece| piece.len() <= 1000));
+    let all = || pieces.iter().map(Vec::as_slice);
+    assert_eq!(row::Snapshot::join(all()).unwrap(), snapshot);
+    assert!(row::Snapshot::join(all().skip(1)).is_err());
+    assert!(row::Snapshot::join(all().take(pieces.len() - 1)).is_err());
+    let middle = all().take(3).chain(all().skip(4));
+    let error = row::Snapshot::join(middle).unwrap_err();
+    expect!["row conf/snapshot is not valid: the digest does not match"]
+        .assert_eq(&error.to_string());
+}
+
 #[test]
 fn fork_found() {
     let other = Arc::new(ChangeRow::after(at(2).point(), team(9)));
@@ -356,7 +374,7 @@
         value: "{}".to_owned(),
     };
     let error = command::read_back(&proposal, Head::default(), Some(&broken)).unwrap_err();
-    expect!["row conf/command/00000000000000000000000000000009 of the table is not valid: missing field `version` at line 1 column 2"].assert_eq(&error.to_string());
+    expect!["row conf/command/00000000000000000000000000000009 is not valid: missing field `version` at line 1 column 2"].assert_eq(&error.to_string());
 }
 
 #[test]
