Let requests of quiet teams wait for the next free places; retry budgets by team

Causes: they waited 0.5 s as the surging team does, although a place becomes free every 0.5 s on average, and a team with half as many running requests as the largest was held to be surging too.

The shared retry budget of a router was used up by the surging team's refusals. RetryBudgets keeps one for each team.

--- a/crates/admit/src/budget.rs
+++ b/crates/admit/src/budget.rs
@@ -1,5 +1,9 @@
 //! The retry budget of a router.
 
+use std::collections::BTreeMap;
+
+use base::id;
+
 /// Attempts that one request may have, the first included.
 pub const MAX_ATTEMPTS: u32 = 3;
 
@@ -35,6 +39,10 @@
         self.tokens = (self.tokens + 1).min(SAVED_RETRIES * RETRY_COST);
     }
 
+    fn is_full(&self) -> bool {
+        self.tokens == SAVED_RETRIES * RETRY_COST
+    }
+
     /// Takes one retry from the budget; returns whether there was one.
     pub fn retry(&mut self) -> bool {
         let left = self.tokens.checked_sub(RETRY_COST);
@@ -42,3 +50,33 @@
         left.is_some()
     }
 }
+
+/// One retry budget for each team, so that the refusals of a surging team do
+/// not use up the retries of the others.
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudgets {
+    /// The teams whose budget is not full; a full one is like a new one.
+    teams: BTreeMap<id::TeamId, RetryBudget>,
+}
+
+impl RetryBudgets {
+    /// Starts with all saved retries for every team.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes a new request of a team.
+    pub fn request(&mut self, team: &id::TeamId) {
+        if let Some(budget) = self.teams.get_mut(team) {
+            budget.request();
+            if budget.is_full() {
+                self.teams.remove(team);
+            }
+        }
+    }
+
+    /// Takes one retry from a team's budget; returns whether there was one.
+    pub fn retry(&mut self, team: &id::TeamId) -> bool {
+        self.teams.entry(team.clone()).or_default().retry()
+    }
+}
--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -137,6 +137,14 @@
         Some(waiting.ticket)
     }
 
+    /// Returns whether a team surges.
+    pub(crate) fn is_pressing(&self, now: time::Mono, team: &id::TeamId, cap: u32) -> bool {
+        let weights: u64 = self.teams.values().map(|team| team.weight).sum();
+        self.teams
+            .get(team)
+            .is_some_and(|team| self.is_surging(now, team, cap, weights))
+    }
+
     /// Notes that a request of the team had to wait.
     pub(crate) fn press(&mut self, now: time::Mono, team: &id::TeamId) {
         if let Some(team) = self.teams.get_mut(team) {
@@ -214,14 +222,15 @@
         self.running() + reserve < cap
     }
 
-    /// Returns whether a team is above its share, among the largest teams, and
-    /// either had to wait lately or holds most of the places.
+    /// Returns whether a team is above its share, more than two thirds as large
+    /// as the largest team, and either had to wait lately or holds most of the
+    /// places.
     fn is_surging(&self, now: time::Mono, team: &Team, cap: u32, weights: u64) -> bool {
         if team.running < share(team, cap, weights) {
             return false;
         }
         let is_large = self.teams.values().all(|other| {
-            2 * u64::from(team.running) * other.weight >= u64::from(other.running) * team.weight
+            3 * u64::from(team.running) * other.weight > 2 * u64::from(other.running) * team.weight
         });
         is_large && (now < team.pressing || 2 * team.running > cap)
     }
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -54,6 +54,13 @@
 /// `1 / PACE_WEIGHT`.
 const PACE_WEIGHT: u64 = 8;
 
+/// Completions for which a request of a team that does not surge waits.
+const COMPLETIONS: u64 = 4;
+
+/// A request waits for no more than one part in so many of its remaining time,
+/// if that is more than the usual patience.
+const REMAINING_PART: u64 = 16;
+
 /// Admits, queues and refuses the requests to one target.
 #[derive(Clone, Debug)]
 pub struct Gate {
@@ -95,7 +102,7 @@
             };
         }
         let team = ticket.team.clone();
-        let until = ticket.deadline.min(now + self.settings.queue.patience);
+        let until = ticket.deadline.min(now + self.patience(now, &ticket));
         self.fair.push(now, ticket, until);
         let mut events = self.pump(now);
         if self.is_queued(id) {
@@ -112,6 +119,22 @@
         Offered { verdict, events }
     }
 
+    /// Returns how long a request may wait.
+    ///
+    /// A team that does not surge gets one of the next places that become
+    /// free, so its requests may wait for some completions, but for no more
+    /// than a small part of the time that their callers allow.
+    fn patience(&self, now: time::Mono, ticket: &Ticket) -> span::Span {
+        let shortest = self.settings.queue.patience;
+        if self.fair.is_pressing(now, &ticket.team, self.cap(now)) {
+            return shortest;
+        }
+        let completions = span::Span::from_micros(COMPLETIONS * self.pace.as_micros());
+        let remaining = ticket.deadline.since(now).as_micros();
+        let part = span::Span::from_micros(remaining / REMAINING_PART);
+        completions.min(part).max(shortest)
+    }
+
     fn refusal(&self, now: time::Mono, ticket: &Ticket) -> Option<Reason> {
         if self.fair.knows(ticket.id) {
             return Some(Reason::Duplicate);
--- a/crates/admit/tests/budget.rs
+++ b/crates/admit/tests/budget.rs
@@ -1,6 +1,7 @@
 //! Guards against retries that multiply the load when everything is refused.
 
-use admit::budget::RetryBudget;
+use admit::budget::{RetryBudget, RetryBudgets};
+use base::id;
 
 #[test]
 fn tenth_of_requests() {
@@ -28,3 +29,18 @@
     budget.request();
     assert!(budget.retry());
 }
+
+#[test]
+fn teams_apart() {
+    let mut budgets = RetryBudgets::new();
+    let team = |name: &str| name.parse::<id::TeamId>().unwrap();
+    let (surging, quiet) = (team("surging"), team("quiet"));
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budgets.request(&surging);
+        retries += u32::from(budgets.retry(&surging));
+    }
+    assert!((100..=110).contains(&retries), "{retries} retries");
+    budgets.request(&quiet);
+    assert!(budgets.retry(&quiet));
+}
--- a/crates/admit/tests/fairness.rs
+++ b/crates/admit/tests/fairness.rs
@@ -200,10 +200,11 @@
     run.outcome
 }
 
-/// Returns rates at which the others keep four places busy on average and the
-/// first team `busy` places, if it got them.
-fn rates(busy: f64) -> [f64; TEAMS] {
-    let mut rates = [4.0 / SERVICE / (TEAMS - 1) as f64; TEAMS];
+/// Returns rates at which the others keep a quarter of the places busy on
+/// average and the first team `busy` places, if it got them.
+fn rates(cap: u32, busy: f64) -> [f64; TEAMS] {
+    let others = f64::from(cap) / 4.0;
+    let mut rates = [others / SERVICE / (TEAMS - 1) as f64; TEAMS];
     rates[SURGING] = busy / SERVICE;
     rates
 }
@@ -215,11 +216,11 @@
 
 #[test]
 fn surge_spares_others() {
-    for cap in [16, 24] {
+    for cap in [8, 12, 16, 24] {
         for seed in 1..=4 {
-            let calm = run(fixed(cap), seed, &rates(2.0)).p99_of_others();
+            let calm = run(fixed(cap), seed, &rates(cap, f64::from(cap) / 8.0)).p99_of_others();
             for offered in [20.0, 100.0] {
-                let surge = run(fixed(cap), seed, &rates(offered)).p99_of_others();
+                let surge = run(fixed(cap), seed, &rates(cap, offered)).p99_of_others();
                 assert!(
                     surge < 1.1 * calm,
                     "cap {cap} seed {seed} offered {offered}: p99 {calm} became {surge}"
@@ -233,8 +234,8 @@
 fn surge_keeps_share() {
     for cap in [8, 16, 24] {
         for seed in 1..=4 {
-            let calm = run(fixed(cap), seed, &rates(2.0));
-            let surge = run(fixed(cap), seed, &rates(100.0));
+            let calm = run(fixed(cap), seed, &rates(cap, f64::from(cap) / 8.0));
+            let surge = run(fixed(cap), seed, &rates(cap, 100.0));
             let (before, during) = (busy(&calm, SURGING), busy(&surge, SURGING));
             let share = f64::from(cap) / TEAMS as f64;
             assert!(
@@ -248,7 +249,7 @@
 #[test]
 fn surges_share_equally() {
     for seed in 1..=4 {
-        let mut rates = rates(100.0);
+        let mut rates = rates(16, 100.0);
         rates[SECOND] = 50.0;
         let outcome = run(fixed(16), seed, &rates);
         let (first, second) = (busy(&outcome, SURGING), busy(&outcome, SECOND));
--- a/crates/admit/tests/queue.rs
+++ b/crates/admit/tests/queue.rs
@@ -103,6 +103,25 @@
     assert_eq!(gate.next_expiry(), None);
 }
 
+#[test]
+fn quiet_waits_longer() {
+    // A team without running requests gets one of the next free places; it is
+    // still refused long before its deadline.
+    for (life, wait) in [(3_600_000, 2_000), (16_000, 1_000), (4_000, 500)] {
+        let mut gate = gate(fixed(4));
+        for id in 1..=4 {
+            gate.offer(at(0), ticket(id, "busy"));
+        }
+        let quiet = Ticket {
+            deadline: at(life),
+            ..ticket(5, "quiet")
+        };
+        assert_eq!(gate.offer(at(0), quiet).verdict, Verdict::Queued);
+        assert_eq!(gate.next_expiry(), Some(at(wait)), "life {life}");
+        assert_eq!(refusals(&gate.expire(at(wait))), [(5, Reason::Bound)]);
+    }
+}
+
 #[test]
 fn deadline_ends() {
     let mut gate = gate(fixed(1));
