--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -57,6 +57,9 @@
 /// Completions for which a request of a team that does not surge waits.
 const COMPLETIONS: u64 = 4;
 
+/// It waits for at most so many times the usual patience.
+const PATIENCE_FACTOR: u64 = 8;
+
 /// A request waits for no more than one part in so many of its remaining time,
 /// if that is more than the usual patience.
 const REMAINING_PART: u64 = 16;
@@ -132,7 +135,8 @@
         let completions = span::Span::from_micros(COMPLETIONS * self.pace.as_micros());
         let remaining = ticket.deadline.since(now).as_micros();
         let part = span::Span::from_micros(remaining / REMAINING_PART);
-        completions.min(part).max(shortest)
+        let longest = span::Span::from_micros(PATIENCE_FACTOR * shortest.as_micros());
+        completions.min(part).clamp(shortest, longest)
     }
 
     fn refusal(&self, now: time::Mono, ticket: &Ticket) -> Option<Reason> {
