Pack load reports, fit pulses to the fleet and refer new processes

Cause: a load record took 33 bytes, so that 200 members used 3 KB/s and reports were up to 38 s old; pulses every 16 s do not fit in the budget of 1,110 members; with one seed a fleet that started at once never learned itself, because the seed was in debt and answered with nothing but its stamp.

--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -86,6 +86,18 @@
         Ok(added)
     }
 
+    /// Gives every member the instance list, as at the start of a whole fleet.
+    fn list(&self) {
+        let instances: Vec<member::Instance> = self.peers.iter().map(|p| instance(p)).collect();
+        let list = member::Instances {
+            revision: 1,
+            instances,
+        };
+        for peer in &self.peers {
+            peer.state().exchange.members.list(peer.now(), &list);
+        }
+    }
+
     /// Waits until all members agree; returns the seconds or none.
     async fn until(&self, holds: impl Fn(&peer::Peer) -> bool) -> Option<f64> {
         let start = Instant::now();
@@ -108,6 +120,18 @@
     }
 }
 
+fn instance(peer: &peer::Peer) -> member::Instance {
+    let own = peer.state().exchange.members.own().clone();
+    member::Instance {
+        process: own.process,
+        role: own.role,
+        address: own.address,
+        centre: own.centre,
+        service: own.service,
+        leaving: false,
+    }
+}
+
 /// Makes a third of the members routers, as at the design size.
 fn describe(nth: usize, address: net::SocketAddr) -> member::Member {
     let router = nth.is_multiple_of(3);
@@ -149,11 +173,18 @@
     for _ in 0..options.members {
         fleet.add().await?;
     }
+    fleet.list();
     let count = options.members;
     let start = fleet
         .until(|peer| peer.state().exchange.members.reporting() >= count)
         .await;
-    println!("all {count} members know each other after {}", show(start));
+    let reporting = |peer: &peer::Peer| peer.state().exchange.members.reporting() as u64;
+    println!(
+        "all {count} members know each other after {}; {} of {} pairs are known",
+        show(start),
+        fleet.sum(reporting),
+        count * count
+    );
 
     let steady = steady(&fleet, options.steady).await?;
     let (version, leaving) = news(&fleet).await;
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -47,7 +47,8 @@
     }
 
     /// Makes the bucket of a starting process: the usual rate with an
-    /// allowance of [`JOIN`] bytes, which does not come back once used.
+    /// allowance of [`JOIN`] bytes, which ends with [`Budget::settle`] and does
+    /// not come back once used.
     pub fn joining(now: time::Mono) -> Self {
         let mut budget = Self::new(now, RATE, BURST);
         budget.micros += i128::from(JOIN) * MICROS;
@@ -67,6 +68,11 @@
         self.spent += bytes;
     }
 
+    /// Ends the join allowance; what is left of it is given up.
+    pub fn settle(&mut self) {
+        self.micros = self.micros.min(i128::from(self.burst) * MICROS);
+    }
+
     /// Returns the bytes a second of this budget.
     pub fn rate(&self) -> rate::ByteRate {
         rate::ByteRate(self.rate)
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -17,7 +17,7 @@
 use prost::Message;
 use wire::msg;
 
-use crate::{budget, convert, member, neighbour, rules};
+use crate::{budget, convert, member, neighbour, pack, rules};
 
 /// Time between two exchanges that a process starts.
 pub const INTERVAL: span::Span = span::Span::from_secs(1);
@@ -54,6 +54,9 @@
 /// Most keys in `wants` and in `stale`, 8 bytes each.
 const ASKED: usize = 16;
 
+/// Largest answer with member records that were asked for, in bytes.
+const ASKED_SIZE: i64 = 2_500;
+
 /// Age from which a process asks for a fresher report.
 const OLD: span::Span = span::Span::from_secs(35);
 
@@ -61,6 +64,14 @@
 /// that the two sides of a healed cut find each other.
 const PROBE: u64 = 10;
 
+/// Time between two pulses of a process, for each member. A process receives
+/// about 100 load records a second; with 30 ms it receives each pulse three
+/// times on average, and 1,110 members pulse every 33 s.
+const PULSE_EACH: span::Span = span::Span::from_millis(30);
+
+/// Shortest time between two pulses.
+const PULSE_LEAST: span::Span = span::Span::from_secs(4);
+
 /// Messages that carry a quarantine entry on from one process.
 const SUSPECT_NEWS: u32 = 12;
 
@@ -72,8 +83,15 @@
 /// and with 1,110 members a part that differs takes 18 load records.
 const DIGESTS: u64 = 64;
 
-/// Parts that differ of which one answer holds the loads.
-const REPAIRED: usize = 4;
+/// Most parts that differ of which one answer holds the loads.
+const REPAIRED: usize = 16;
+
+/// Members that an answer names to a new process when the budget has no room
+/// for a part, so that not all new processes ask the same seed for ever.
+const REFERRED: usize = 3;
+
+/// Room below which a part is replaced by a few members.
+const REFERRED_SIZE: i64 = 500;
 
 /// Time between two exchanges of a process that learns the members.
 const JOIN: span::Span = span::Span::from_millis(200);
@@ -131,6 +149,7 @@
     pub members: member::Members,
     own: Own,
     reported: time::Mono,
+    pulsed: time::Mono,
     key: u64,
     seeds: Vec<net::SocketAddr>,
     turn: u64,
@@ -171,6 +190,7 @@
                 cap: own.cap,
             },
             reported: now,
+            pulsed: now,
             key: member::key(&own.process),
             members: member::Members::new(now, own, rules),
             regular: now,
@@ -227,7 +247,8 @@
     pub fn stamp(&mut self, now: time::Mono, stamp: &member::Stamp) -> member::Outcome {
         let outcome = self.members.stamp(now, stamp);
         if outcome == member::Outcome::Unknown {
-            self.wants.insert(member::key(&stamp.process), now);
+            let run = member::run(&stamp.process, stamp.incarnation);
+            self.wants.insert(run, now);
             if !self.urgent.contains(&stamp.process) {
                 self.urgent.push_back(stamp.process.clone());
             }
@@ -313,11 +334,7 @@
         request: &msg::Exchange,
     ) -> (msg::Exchange, Applied) {
         let applied = self.merge(now, budget, request);
-        let limit = match request.parts {
-            0 if request.urgent => self.share(now, budget).min(URGENT_SIZE),
-            0 => self.share(now, budget),
-            _ => budget.available(now).min(LARGEST),
-        };
+        let limit = self.answer_limit(now, budget, request);
         let to: Option<id::ProcessId> = request
             .sender
             .as_ref()
@@ -347,6 +364,9 @@
     ) -> Applied {
         let applied = self.merge(now, budget, answer);
         self.differs = answer.digest != digest(&digests(&self.members));
+        if self.parts.is_empty() && !self.differs {
+            budget.settle();
+        }
         if answer.parts == PARTS {
             self.parts.remove(&answer.part);
             self.keep_quiet(answer);
@@ -385,12 +405,7 @@
                 Err(_) => applied.invalid += 1,
             }
         }
-        for record in &message.loads {
-            match convert::load(record) {
-                Ok(load) => self.apply_load(now, load, &mut applied),
-                Err(_) => applied.invalid += 1,
-            }
-        }
+        self.apply_loads(now, message, &mut applied);
         for entry in &message.suspects {
             if let Some(merged) = self.merge_suspect(now, entry.clone()) {
                 applied.suspects.push(merged);
@@ -404,10 +419,8 @@
     /// Makes the sender the next partner when its loads named members that are
     /// not known here: it has their records.
     fn ask_back(&mut self, message: &msg::Exchange) {
-        let named = message
-            .loads
-            .iter()
-            .any(|load| self.wants.contains_key(&load.process));
+        let runs = message.loads.iter().flat_map(|loads| &loads.runs);
+        let named = runs.into_iter().any(|run| self.wants.contains_key(run));
         let sender = message.sender.as_ref();
         let Some(process) = sender.and_then(|s| s.process.parse::<id::ProcessId>().ok()) else {
             return;
@@ -426,9 +439,21 @@
 
     fn report(&mut self, now: time::Mono) {
         self.reported = now;
+        let pulse = now.since(self.pulsed) >= self.pulse();
+        if pulse {
+            self.pulsed = now;
+        }
         let own = self.own;
         self.members
-            .update(now, own.standing, own.version, own.load, own.cap);
+            .update(now, own.standing, own.version, own.load, own.cap, pulse);
+    }
+
+    /// Returns the time between two pulses of this process, which grows with
+    /// the fleet so that the pulses of all members fit in the budget.
+    fn pulse(&self) -> span::Span {
+        let members = self.members.reporting() as u64;
+        let micros = PULSE_EACH.as_micros() * members;
+        span::Span::from_micros(micros.max(PULSE_LEAST.as_micros()))
     }
 
     /// Returns the bytes for one message of the usual exchange.
@@ -440,20 +465,42 @@
         even.min(budget.available(now)) - overhead
     }
 
-    /// Returns one of all reporting members, another at each turn, so that the
-    /// parts for a new process are taken from many budgets.
+    /// Returns one of all members, another at each turn, so that the parts for a
+    /// new process are taken from many budgets.
     fn anyone(&self) -> Option<Partner> {
         let own = &self.members.own().process;
         let candidates = self
             .members
             .entries()
-            .filter(|entry| entry.state == member::State::Reported)
+            .filter(|entry| entry.present())
             .map(|entry| &entry.member.process)
             .filter(|process| *process != own);
         let process = neighbour::pick(hash::mix(self.key, self.turn), candidates)?;
         self.members.entry(process).map(partner)
     }
 
+    /// Returns the bytes for an answer. Records that were asked for may take what
+    /// the bucket holds above the reserve.
+    fn answer_limit(
+        &self,
+        now: time::Mono,
+        budget: &mut budget::Budget,
+        request: &msg::Exchange,
+    ) -> i64 {
+        let share = match request.urgent {
+            true => self.share(now, budget).min(URGENT_SIZE),
+            false => self.share(now, budget),
+        };
+        let spare = budget.available(now) - RESERVE;
+        if request.parts > 0 {
+            return share.max(spare.min(LARGEST));
+        }
+        if !request.wants.is_empty() {
+            return share.max(spare.min(ASKED_SIZE));
+        }
+        share
+    }
+
     fn neighbour(&self, now: time::Mono, slot: u64) -> Option<Partner> {
         let own = self.members.own();
         let grouped = slot.is_multiple_of(neighbour::GROUP_EVERY) && own.service.is_some();
@@ -527,7 +574,9 @@
         if whole {
             message.members.push(convert::member_record(&own));
         } else {
-            message.loads.push(convert::load_record(&own.load()));
+            let run = member::run(&own.process, own.incarnation);
+            let loads = message.loads.get_or_insert_default();
+            pack::push(loads, run, &own.load(), own.version);
         }
         message
     }
@@ -557,11 +606,11 @@
             .entries()
             .filter(|entry| entry.state == member::State::Reported)
             .filter(|entry| entry.member.process != self.members.own().process)
-            .map(|entry| (entry.age(now), member::key(&entry.member.process)))
+            .map(|entry| (entry.age(now), entry.run()))
             .filter(|(age, _)| *age >= OLD)
             .collect();
         old.sort_by(|a, b| b.cmp(a));
-        message.stale = old.into_iter().map(|(_, key)| key).take(ASKED).collect();
+        message.stale = old.into_iter().map(|(_, run)| run).take(ASKED).collect();
     }
 
     /// Tells the receiver what the fleet knows of it, when that is a newer
@@ -583,8 +632,11 @@
         let accused = entry.member.incarnation == stamp.incarnation
             && entry.leaving
             && stamp.standing != member::Standing::Leaving;
-        if newer || accused {
-            room.load(message, &entry.relayed(now).load());
+        if newer {
+            // The receiver does not know the run, so that it needs the record.
+            room.member(message, &entry.relayed(now));
+        } else if accused {
+            room.load(message, &entry.relayed(now));
         }
     }
 
@@ -596,18 +648,18 @@
         room: &mut Room,
         request: &msg::Exchange,
     ) {
-        for key in &request.wants {
-            let Some(entry) = self.members.by_key(*key).filter(|e| fresh(now, e)) else {
+        for run in &request.wants {
+            let Some(entry) = self.members.by_run(*run).filter(|e| fresh(now, e)) else {
                 continue;
             };
             room.member(message, &entry.relayed(now));
         }
-        for key in &request.stale {
-            let Some(entry) = self.members.by_key(*key) else {
+        for run in &request.stale {
+            let Some(entry) = self.members.by_run(*run) else {
                 continue;
             };
             if entry.state == member::State::Reported && entry.age(now) < OLD {
-                room.load(message, &entry.relayed(now).load());
+                room.load(message, &entry.relayed(now));
             }
         }
     }
@@ -624,11 +676,28 @@
             return;
         }
         let parts = u64::from(request.parts);
-        let own = self.key;
+        let to = request.sender.as_ref().map_or("", |stamp| &stamp.process);
+        let own = &self.members.own().process;
+        let mut all: Vec<&member::Entry> = self
+            .members
+            .entries()
+            .filter(|entry| fresh(now, entry) && entry.member.process != *own)
+            .filter(|entry| entry.member.process.as_str() != to)
+            .collect();
+        self.turn += 1;
+        all.sort_by_key(|entry| hash::mix(self.turn, member::key(&entry.member.process)));
+        // A process that can't afford the part still names others to ask.
+        if room.left < REFERRED_SIZE {
+            for entry in all.iter().take(REFERRED) {
+                let record = convert::member_record(&entry.relayed(now));
+                message.members.push(record);
+            }
+            return;
+        }
         let mut whole = true;
-        for entry in self.members.entries() {
+        for entry in all {
             let key = member::key(&entry.member.process);
-            if key % parts == u64::from(request.part) && key != own && fresh(now, entry) {
+            if key % parts == u64::from(request.part) {
                 whole &= room.member(message, &entry.relayed(now));
             }
         }
@@ -662,8 +731,11 @@
         different.truncate(REPAIRED);
         for entry in self.members.entries() {
             let key = member::key(&entry.member.process);
-            if different.contains(&(key % DIGESTS)) && fresh(now, entry) {
-                room.load(message, &entry.relayed(now).load());
+            if different.contains(&(key % DIGESTS))
+                && fresh(now, entry)
+                && !room.load(message, &entry.relayed(now))
+            {
+                return;
             }
         }
     }
@@ -705,7 +777,7 @@
             let relayed = entry.relayed(now);
             let added = match entry.whole {
                 true => room.member(message, &relayed),
-                false => room.load(message, &relayed.load()),
+                false => room.load(message, &relayed),
             };
             if !added {
                 return;
@@ -755,7 +827,7 @@
         group.sort_by_key(|(age, _)| *age);
         let floor = room.left / 2;
         for (_, entry) in group {
-            if room.left <= floor || !room.load(message, &entry.relayed(now).load()) {
+            if room.left <= floor || !room.load(message, &entry.relayed(now)) {
                 return;
             }
         }
@@ -781,7 +853,7 @@
             let Some(entry) = self.members.entry_mut(&process) else {
                 continue;
             };
-            if !room.load(message, &entry.relayed(now).load()) {
+            if !room.load(message, &entry.relayed(now)) {
                 return;
             }
             entry.pulses -= 1;
@@ -810,23 +882,47 @@
             }
             _ => {}
         }
-        self.wants.remove(&member::key(&process));
+        self.wants.remove(&member::run(&process, incarnation));
     }
 
-    fn apply_load(&mut self, now: time::Mono, load: member::Load, applied: &mut Applied) {
+    fn apply_loads(&mut self, now: time::Mono, message: &msg::Exchange, applied: &mut Applied) {
+        let Some(loads) = &message.loads else {
+            return;
+        };
+        let version = message.sender.as_ref().map_or(0, |stamp| stamp.version);
+        let Some(reports) = pack::read(loads, id::Version(version)) else {
+            applied.invalid += loads.runs.len();
+            return;
+        };
+        for report in reports {
+            match report {
+                Ok(packed) => self.apply_load(now, packed, applied),
+                Err(_) => applied.invalid += 1,
+            }
+        }
+    }
+
+    fn apply_load(&mut self, now: time::Mono, packed: pack::Packed, applied: &mut Applied) {
+        let run = packed.run;
+        let Some(entry) = self.members.by_run(run) else {
+            if !self.members.is_past(run) && packed.load.age < FRESH {
+                self.wants.entry(run).or_insert(now);
+            }
+            return;
+        };
+        let process = entry.member.process.clone();
+        let load = member::Load {
+            process: member::key(&process),
+            incarnation: entry.member.incarnation,
+            ..packed.load
+        };
         match self.members.load(now, load) {
             member::Outcome::Own => self.apply_own(load.incarnation, load.standing, applied),
-            member::Outcome::Unknown => {
-                self.wants.entry(load.process).or_insert(now);
-            }
             outcome @ (member::Outcome::Added | member::Outcome::Changed) => {
                 if outcome == member::Outcome::Changed {
                     self.fan = FAN;
                 }
-                let entry = self.members.by_key(load.process);
-                applied
-                    .changed
-                    .extend(entry.map(|e| e.member.process.clone()));
+                applied.changed.push(process);
             }
             _ => {}
         }
@@ -967,7 +1063,7 @@
     }
 
     fn take(&mut self, bytes: usize) -> bool {
-        let bytes = i64::try_from(bytes + RECORD).unwrap_or(i64::MAX);
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
         if bytes > self.left {
             return false;
         }
@@ -977,25 +1073,36 @@
 
     fn member(&mut self, message: &mut msg::Exchange, member: &member::Member) -> bool {
         let record = convert::member_record(member);
-        let added = self.take(record.encoded_len());
+        let added = self.take(record.encoded_len() + RECORD);
         if added {
             message.members.push(record);
         }
         added
     }
 
-    fn load(&mut self, message: &mut msg::Exchange, load: &member::Load) -> bool {
-        let record = convert::load_record(load);
-        let repeated = message.loads.iter().any(|l| l.process == record.process);
-        let added = repeated || self.take(record.encoded_len());
-        if added && !repeated {
-            message.loads.push(record);
+    fn load(&mut self, message: &mut msg::Exchange, member: &member::Member) -> bool {
+        let run = member::run(&member.process, member.incarnation);
+        let version = message.sender.as_ref().map_or(0, |stamp| stamp.version);
+        let version = id::Version(version);
+        let loads = message.loads.get_or_insert_default();
+        if loads.runs.contains(&run) {
+            return true;
+        }
+        let columns = if loads.runs.is_empty() {
+            pack::COLUMNS
+        } else {
+            0
+        };
+        let load = member.load();
+        let added = self.take(pack::size(&load, version) + columns);
+        if added {
+            pack::push(loads, run, &load, version);
         }
         added
     }
 
     fn suspect(&mut self, message: &mut msg::Exchange, entry: msg::Suspect) -> bool {
-        let added = self.take(entry.encoded_len());
+        let added = self.take(entry.encoded_len() + RECORD);
         if added {
             message.suspects.push(entry);
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod exchange;
 pub mod member;
 pub mod neighbour;
+pub mod pack;
 pub mod rules;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -258,9 +258,10 @@
 /// Messages that carry a pulse on from one process.
 const PULSES: u32 = 4;
 
-/// Reports of one pulse; only the first of them is worth passing on outside
-/// the service group. A process makes one report a second.
-const PULSE: u64 = 16;
+/// Sequences of one pulse. Only the first report of a pulse that a process
+/// learns is worth passing on outside the service group; when to begin the next
+/// pulse is the choice of the source.
+const PULSE: u64 = 256;
 
 /// Most starts that are remembered for flapping.
 const STARTS: usize = 8;
@@ -270,6 +271,11 @@
     hash::bytes(process.as_str().as_bytes())
 }
 
+/// Returns the key of one run of a process.
+pub fn run(process: &id::ProcessId, incarnation: id::Incarnation) -> u64 {
+    hash::mix(key(process), incarnation.0)
+}
+
 fn pulse(sequence: id::Sequence) -> u64 {
     sequence.0 / PULSE
 }
@@ -314,6 +320,11 @@
         matches!(self.state, State::Listed | State::Reported)
     }
 
+    /// Returns the key of the present run.
+    pub(crate) fn run(&self) -> u64 {
+        run(&self.member.process, self.member.incarnation)
+    }
+
     /// Returns the age of the last report.
     pub(crate) fn age(&self, now: time::Mono) -> span::Span {
         add(now.since(self.heard), self.member.age)
@@ -454,6 +465,9 @@
     rules: rules::Rules,
     entries: BTreeMap<id::ProcessId, Entry>,
     keys: BTreeMap<u64, id::ProcessId>,
+    runs: BTreeMap<u64, id::ProcessId>,
+    /// Runs that were replaced, which nobody needs to ask for.
+    past: BTreeMap<u64, time::Mono>,
     /// Revision of the last instance list and when it arrived.
     listing: Option<(u64, time::Mono)>,
 }
@@ -467,6 +481,8 @@
             rules,
             entries: BTreeMap::new(),
             keys: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            past: BTreeMap::new(),
             listing: None,
         };
         let mut entry = Entry::new(now, own, State::Reported);
@@ -485,7 +501,8 @@
         &self.rules
     }
 
-    /// Changes this process's own report and gives it the next sequence.
+    /// Changes this process's own report and gives it the next sequence, or
+    /// the first one of the next pulse.
     ///
     /// Leaving is final: a later standing is ignored until the process has a
     /// new incarnation. The version never decreases.
@@ -496,6 +513,7 @@
         version: id::Version,
         load: u32,
         cap: u32,
+        pulse: bool,
     ) {
         let leaving = self.entry_own().leaving;
         let own = self.own.clone();
@@ -506,8 +524,12 @@
             entry.leave(now);
         }
         let standing = if leaving { Standing::Leaving } else { standing };
+        let sequence = match pulse {
+            true => id::Sequence((entry.member.sequence.0 / PULSE + 1) * PULSE),
+            false => entry.member.sequence.next(),
+        };
         let load = Load {
-            sequence: entry.member.sequence.next(),
+            sequence,
             standing,
             version,
             load,
@@ -529,7 +551,9 @@
             let mut member = entry.member.clone();
             member.incarnation = incarnation;
             member.sequence = id::Sequence(1);
+            let before = entry.member.incarnation;
             entry.restart(now, member);
+            self.replace_run(now, &own, before);
         }
     }
 
@@ -558,7 +582,9 @@
                 cmp::Ordering::Greater if member.age >= self.rules.silence => Outcome::Stale,
                 cmp::Ordering::Greater => {
                     let known = entry.member.incarnation.0 > 0 && entry.present();
+                    let before = entry.member.incarnation;
                     entry.restart(now, member);
+                    self.replace_run(now, &process, before);
                     if known {
                         Outcome::Restarted
                     } else {
@@ -762,10 +788,14 @@
         let excess = gone.len().saturating_sub(self.rules.retained);
         for (nth, (at, process)) in gone.into_iter().enumerate() {
             if nth < excess || now.since(at) >= self.rules.retain {
-                self.entries.remove(&process);
+                if let Some(entry) = self.entries.remove(&process) {
+                    self.runs.remove(&run(&process, entry.member.incarnation));
+                }
                 self.keys.remove(&key(&process));
             }
         }
+        let retain = self.rules.retain;
+        self.past.retain(|_, at| now.since(*at) < retain);
     }
 
     /// Returns one member, if it has a place in the snapshots.
@@ -872,10 +902,6 @@
         self.entries.get_mut(process)
     }
 
-    pub(crate) fn by_key(&self, key: u64) -> Option<&Entry> {
-        self.keys.get(&key).and_then(|id| self.entries.get(id))
-    }
-
     fn present(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values().filter(|entry| entry.present())
     }
@@ -884,8 +910,35 @@
         &self.entries[&self.own]
     }
 
+    /// Returns the member whose present run has this key.
+    pub(crate) fn by_run(&self, run: u64) -> Option<&Entry> {
+        self.runs.get(&run).and_then(|id| self.entries.get(id))
+    }
+
+    /// Returns whether a run was replaced by a later one.
+    pub(crate) fn is_past(&self, run: u64) -> bool {
+        self.past.contains_key(&run)
+    }
+
+    /// Makes the present run of a member the one that its key finds.
+    fn replace_run(&mut self, now: time::Mono, process: &id::ProcessId, before: id::Incarnation) {
+        let Some(entry) = self.entries.get(process) else {
+            return;
+        };
+        let present = run(process, entry.member.incarnation);
+        self.runs.remove(&run(process, before));
+        self.runs.insert(present, process.clone());
+        if before.0 > 0 && self.past.len() < self.rules.retained {
+            self.past.insert(run(process, before), now);
+        }
+    }
+
     fn insert(&mut self, process: id::ProcessId, entry: Entry) {
         self.keys.insert(key(&process), process.clone());
+        if entry.member.incarnation.0 > 0 {
+            let run = run(&process, entry.member.incarnation);
+            self.runs.insert(run, process.clone());
+        }
         self.entries.insert(process, entry);
     }
 
--- /dev/null
+++ b/crates/fleet/src/pack.rs
@@ -0,0 +1,97 @@
+//! Load reports in columns, as [`msg::Loads`] carries them.
+
+use base::id;
+use wire::msg;
+
+use crate::{convert, member};
+
+/// Bits of a state that hold the standing.
+const STANDING_BITS: u32 = 3;
+
+/// Tags and lengths of the six columns, in bytes.
+pub const COLUMNS: usize = 24;
+
+/// A load report whose process is named by its run, see [`member::run`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Packed {
+    /// Key of process and incarnation.
+    pub run: u64,
+    /// The report; its process and incarnation are not set.
+    pub load: member::Load,
+}
+
+/// Adds a report. `version` is the version in the sender's stamp.
+pub fn push(loads: &mut msg::Loads, run: u64, load: &member::Load, version: id::Version) {
+    let record = convert::load_record(load);
+    let standing = u32::try_from(record.standing).unwrap_or(0);
+    let most = u32::MAX >> STANDING_BITS;
+    loads.runs.push(run);
+    loads.sequences.push(record.sequence);
+    loads
+        .states
+        .push(record.load.min(most) << STANDING_BITS | standing);
+    loads.caps.push(record.cap);
+    loads.ages.push(record.age);
+    loads
+        .behind
+        .push(version.0.wrapping_sub(record.version).cast_signed());
+}
+
+/// Returns the bytes that a report takes.
+pub fn size(load: &member::Load, version: id::Version) -> usize {
+    let record = convert::load_record(load);
+    let behind = version.0.abs_diff(record.version) * 2;
+    let numbers = [
+        record.sequence,
+        u64::from(record.load) << STANDING_BITS,
+        u64::from(record.cap),
+        u64::from(record.age),
+        behind,
+    ];
+    size_of::<u64>() + numbers.iter().map(|number| varint(*number)).sum::<usize>()
+}
+
+/// Reads the reports, or none when the columns differ in length.
+pub fn read(
+    loads: &msg::Loads,
+    version: id::Version,
+) -> Option<Vec<Result<Packed, convert::RecordError>>> {
+    let rows = loads.runs.len();
+    let lengths = [
+        loads.sequences.len(),
+        loads.states.len(),
+        loads.caps.len(),
+        loads.ages.len(),
+        loads.behind.len(),
+    ];
+    if lengths.iter().any(|length| *length != rows) {
+        return None;
+    }
+    Some((0..rows).map(|row| read_row(loads, row, version)).collect())
+}
+
+fn read_row(
+    loads: &msg::Loads,
+    row: usize,
+    version: id::Version,
+) -> Result<Packed, convert::RecordError> {
+    let state = loads.states[row];
+    let standing = state & ((1 << STANDING_BITS) - 1);
+    let load = convert::load(&msg::Load {
+        process: 0,
+        incarnation: 0,
+        sequence: loads.sequences[row],
+        load: state >> STANDING_BITS,
+        cap: loads.caps[row],
+        version: version.0.wrapping_sub(loads.behind[row].cast_unsigned()),
+        age: loads.ages[row],
+        standing: standing.cast_signed(),
+    })?;
+    let run = loads.runs[row];
+    Ok(Packed { run, load })
+}
+
+fn varint(number: u64) -> usize {
+    let bits = u64::BITS - number.leading_zeros();
+    usize::try_from(bits.max(1).div_ceil(7)).unwrap_or(1)
+}
--- a/crates/fleet/tests/sources.rs
+++ b/crates/fleet/tests/sources.rs
@@ -177,7 +177,7 @@
     let mut one = agent(1, "crew");
     one.version = id::Version(7);
     members.report(at(1), one);
-    members.update(at(1), Standing::Up, id::Version(8), 0, 0);
+    members.update(at(1), Standing::Up, id::Version(8), 0, 0, false);
     members.report(at(1), agent(2, "crew"));
     assert_eq!(members.lowest(), id::Version(1));
     let lagging = members.lagging(id::Version(7));
--- a/crates/fleet/tests/trade.rs
+++ b/crates/fleet/tests/trade.rs
@@ -89,7 +89,8 @@
     let request = two.compose(at(1), &mut full, &partner).expect("full");
     let (answer, _) = one.answer(at(1), &mut budget, &request);
     assert!(answer.sender.is_some());
-    assert_eq!(answer.loads.len() + answer.members.len(), 1);
+    let loads = answer.loads.map_or(0, |loads| loads.runs.len());
+    assert_eq!(loads + answer.members.len(), 1);
 }
 
 #[test]
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -386,6 +386,30 @@
     pub standing: i32,
 }
 
+/// Load reports in columns of equal length; about 15 bytes for a report that
+/// takes 33 bytes as a [`Load`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Loads {
+    /// Hash of process id and incarnation.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub runs: Vec<u64>,
+    /// Orders the reports of a run.
+    #[prost(uint64, repeated, tag = "2")]
+    pub sequences: Vec<u64>,
+    /// Outstanding requests times 8, plus the standing.
+    #[prost(uint32, repeated, tag = "3")]
+    pub states: Vec<u32>,
+    /// Outstanding requests that the bound allows.
+    #[prost(uint32, repeated, tag = "4")]
+    pub caps: Vec<u32>,
+    /// Time since the reports left their sources, in tenths of a second.
+    #[prost(uint32, repeated, tag = "5")]
+    pub ages: Vec<u32>,
+    /// Configuration versions, as the difference to the sender's version.
+    #[prost(sint64, repeated, tag = "6")]
+    pub behind: Vec<i64>,
+}
+
 /// A request content that is refused, or suspected, after crashes.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Suspect {
@@ -419,15 +443,15 @@
     #[prost(message, repeated, tag = "2")]
     pub members: Vec<Member>,
     /// Loads of members that the receiver is expected to know.
-    #[prost(message, repeated, tag = "3")]
-    pub loads: Vec<Load>,
+    #[prost(message, optional, tag = "13")]
+    pub loads: Option<Loads>,
     /// Quarantine entries.
     #[prost(message, repeated, tag = "4")]
     pub suspects: Vec<Suspect>,
-    /// Processes of which the sender wants the member record, as in [`Load`].
+    /// Runs of which the sender wants the member record, as in [`Loads`].
     #[prost(fixed64, repeated, tag = "5")]
     pub wants: Vec<u64>,
-    /// Processes of which the sender's report is old, as in [`Load`].
+    /// Runs of which the sender's report is old, as in [`Loads`].
     #[prost(fixed64, repeated, tag = "6")]
     pub stale: Vec<u64>,
     /// Part of all members that a new process asks for, below `parts`.
