Pass on member records only to processes that ask for them

Change: changes of state travel as load records and a receiver that does not know the run asks the sender; changes take at most half of a message; a partner that knows less than the asker gives no part.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -2,9 +2,14 @@
 //!
 //! Once a second a process sends one message to one neighbour and gets one
 //! back. A message holds the most valuable records that its share of the byte
-//! budget allows: changes of state first, then quarantine entries, answers to
-//! what the receiver asked for, the loads of the receiver's service group, and
-//! last the pulses, by which every member remains known everywhere.
+//! budget allows: what the receiver asked for, changes of state, quarantine
+//! entries, the loads of the receiver's service group, and last the pulses, by
+//! which every member remains known everywhere. A new version or a change of
+//! standing starts short exchanges before the interval is over.
+//!
+//! Three means find what was lost: a load of an unknown run makes the receiver
+//! ask for the member record; a report that becomes old is asked for by name;
+//! and digests of the members show parts that differ.
 //!
 //! See [the design page](../../../docs/design.md), section 2.7.
 
@@ -96,9 +101,9 @@
 /// Time between two exchanges of a process that learns the members.
 const JOIN: span::Span = span::Span::from_millis(200);
 
-/// A process that lacks more than about one in this many of the members that
-/// a partner knows asks for all parts again; fewer are found by `wants`.
-const MISSING: u32 = 8;
+/// A process asks for all parts again when it lacks more than one in this many
+/// of the members that a partner knows; fewer are found by digests.
+const MISSING: u32 = 2;
 
 /// A member, or a seed whose process is not known, to exchange with.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -348,7 +353,11 @@
         self.add_repairs(now, &mut answer, &mut room, request);
         match request.urgent {
             true => self.add_news(now, &mut answer, &mut room, to.as_ref()),
-            false => self.fill(now, &mut answer, to.as_ref(), limit),
+            false => {
+                let share = self.share(now, budget) / 2;
+                let used = limit - room.left;
+                self.fill(now, &mut answer, to.as_ref(), limit.max(used + share));
+            }
         }
         charge(now, budget, &answer);
         (answer, applied)
@@ -372,7 +381,7 @@
             self.keep_quiet(answer);
         }
         let known = u32::try_from(self.members.reporting()).unwrap_or(u32::MAX);
-        if self.parts.is_empty() && answer.known > known + known.div_ceil(MISSING) {
+        if self.parts.is_empty() && answer.known > known.saturating_mul(MISSING) {
             self.parts = all_parts();
         }
         applied
@@ -672,7 +681,8 @@
         room: &mut Room,
         request: &msg::Exchange,
     ) {
-        if request.parts == 0 {
+        let reporting = u32::try_from(self.members.reporting()).unwrap_or(u32::MAX);
+        if request.parts == 0 || reporting < request.known {
             return;
         }
         let parts = u64::from(request.parts);
@@ -755,6 +765,9 @@
         self.add_pulses(now, message, &mut room, to);
     }
 
+    /// Adds the changes of state that this process learned last. They travel as
+    /// load records: a receiver that does not know the run asks the sender for
+    /// the member record, which therefore travels only where it is needed.
     fn add_news(
         &mut self,
         now: time::Mono,
@@ -770,16 +783,14 @@
             .map(|entry| (entry.changed, entry.member.process.clone()))
             .collect();
         news.sort_by(|a, b| b.cmp(a));
+        // Half of the room is left for loads, or many changes at once would
+        // stop the pulses and members would be removed.
+        let floor = room.left / 2;
         for (_, process) in news {
             let Some(entry) = self.members.entry_mut(&process) else {
                 continue;
             };
-            let relayed = entry.relayed(now);
-            let added = match entry.whole {
-                true => room.member(message, &relayed),
-                false => room.load(message, &relayed),
-            };
-            if !added {
+            if room.left <= floor || !room.load(message, &entry.relayed(now)) {
                 return;
             }
             entry.news -= 1;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -206,7 +206,8 @@
     pub(crate) changed: time::Mono,
     /// Messages that shall still carry the last change.
     pub(crate) news: u32,
-    /// Whether the change needs the whole member record.
+    /// Whether the last change was a start; the process itself then sends its
+    /// whole record.
     pub(crate) whole: bool,
     /// When this process learned of the present pulse.
     pub(crate) pulsed: time::Mono,
@@ -248,13 +249,11 @@
 }
 
 /// Messages that carry a change of state on from one process; about e^-8 of
-/// the processes miss it and learn of it with the next pulse.
+/// the processes miss it and learn of it with the next pulse. A record has about
+/// seven times the size of a load report, so that others pass on only the load,
+/// and a process that does not know the run asks for the record.
 const NEWS: u32 = 8;
 
-/// Messages that carry a new member record on from one process. It is about
-/// four times the size of a load record, and a process that misses it asks.
-const RECORDS: u32 = 5;
-
 /// Messages that carry a pulse on from one process.
 const PULSES: u32 = 4;
 
@@ -377,8 +376,8 @@
     /// Notes a change that other processes should learn.
     fn tell(&mut self, now: time::Mono, whole: bool) {
         self.changed = now;
-        self.news = if whole { RECORDS } else { NEWS };
-        self.whole |= whole;
+        self.news = NEWS;
+        self.whole = whole;
     }
 
     fn beat(&mut self, now: time::Mono) {
--- a/crates/fleet/tests/trade.rs
+++ b/crates/fleet/tests/trade.rs
@@ -114,3 +114,82 @@
     budget.charge(now, budget::BURST);
     assert_eq!(one.due(now, &mut budget), at(6));
 }
+
+#[test]
+fn unknown_run() {
+    // Guards against a load of a member that is not known and that is dropped
+    // instead of asked about.
+    let mut one = exchange(agent(1, "crew"), address(2));
+    let mut two = exchange(agent(2, "crew"), address(1));
+    let mut three = exchange(router(3), address(2));
+    meet(at(1), &mut one, &mut two);
+    for part in 1..=8 {
+        // The first exchanges of a new process ask for parts.
+        meet(at(1 + part), &mut three, &mut two);
+    }
+    let mut four = agent(4, "crew");
+    four.incarnation = id::Incarnation(9);
+    two.members.report(at(10), four.clone());
+    meet(at(11), &mut three, &mut two);
+    let next = three.partner(at(11)).expect("the sender is asked back");
+    assert_eq!(next.process, Some(agent(2, "crew").process));
+    meet(at(11), &mut three, &mut two);
+    assert!(three.members.get(at(11), &four.process).is_some());
+}
+
+#[test]
+fn debt_refers() {
+    // Guards against a seed in debt that keeps all new processes for itself.
+    let mut seed = exchange(agent(1, "crew"), address(2));
+    seed.members.report(at(1), agent(5, "crew"));
+    let mut joiner = exchange(agent(2, "crew"), address(1));
+    let mut budget = budget::Budget::new(at(1), budget::RATE, budget::BURST);
+    budget.charge(at(1), budget::BURST + 1);
+    let mut own = budget::Budget::joining(at(1));
+    let partner = joiner.partner(at(1)).expect("a seed");
+    let request = joiner.compose(at(1), &mut own, &partner).expect("full");
+    let (answer, _) = seed.answer(at(1), &mut budget, &request);
+    joiner.apply(at(1), &mut own, &answer);
+    assert!(
+        joiner
+            .members
+            .get(at(1), &agent(5, "crew").process)
+            .is_some()
+    );
+}
+
+#[test]
+fn lost_leaving() {
+    // Guards against a leaving state that is lost in every message that had it
+    // as news: the digests show the difference and it is repaired.
+    let mut one = exchange(agent(1, "crew"), address(2));
+    let mut two = exchange(agent(2, "crew"), address(1));
+    let three = agent(3, "crew");
+    for part in 1..=8 {
+        meet(at(part), &mut two, &mut one);
+        meet(at(part), &mut one, &mut two);
+    }
+    one.members.report(at(8), three.clone());
+    meet(at(9), &mut one, &mut two);
+    meet(at(10), &mut two, &mut one);
+    let mut left = three.clone();
+    left.sequence = id::Sequence(2);
+    left.standing = member::Standing::Leaving;
+    one.members.report(at(10), left);
+    let mut budget = budget::Budget::joining(at(10));
+    for lost in 0..20 {
+        let to = ex::Partner {
+            process: None,
+            address: address(9),
+        };
+        one.compose(at(11 + lost), &mut budget, &to);
+    }
+    for turn in 0..3 {
+        meet(at(31 + turn), &mut two, &mut one);
+    }
+    let row = two
+        .members
+        .get(at(34), &three.process)
+        .expect("it is known");
+    assert_eq!(row.standing, member::Standing::Leaving);
+}
