--- a/crates/cli/src/connect.rs
+++ b/crates/cli/src/connect.rs
@@ -40,6 +40,9 @@
     /// No router answered.
     #[error("no router answers: {0}")]
     Unreachable(String),
+    /// A router received it, and its outcome was not learned.
+    #[error("no router tells the outcome: {0}")]
+    Lost(String),
 }
 
 /// TLS towards routers.
@@ -124,7 +127,8 @@
         ) -> Result<Result<T, Refusal>, RpcError>,
     ) -> Result<T, CallError> {
         let mut last = "no router is named".to_owned();
-        let mut undecided = None;
+        // Whether an earlier attempt may have taken effect.
+        let mut is_open = false;
         for attempt in 0..ATTEMPTS {
             time::sleep(PAUSE * attempt).await;
             let client = match self.client().await {
@@ -139,17 +143,24 @@
             context.deadline = Instant::now() + CALL_TIME;
             match call(&client, context, self.key.clone()).await {
                 Ok(Ok(value)) => return Ok(value),
-                Ok(Err(refusal @ Refusal::Undecided(_))) => undecided = Some(refusal),
-                Ok(Err(refusal)) => return Err(CallError::Refused(refusal)),
+                Ok(Err(refusal)) => {
+                    is_open |= matches!(refusal, Refusal::Undecided(_));
+                    if !is_open || settles(&refusal) {
+                        return Err(CallError::Refused(refusal));
+                    }
+                    last = refusal.to_string();
+                    self.next();
+                }
                 Err(cause) => {
+                    is_open = true;
                     last = format!("{}: {cause}", self.router());
                     self.next();
                 }
             }
         }
-        match undecided {
-            Some(refusal) => Err(CallError::Refused(refusal)),
-            None => Err(CallError::Unreachable(last)),
+        match is_open {
+            true => Err(CallError::Lost(last)),
+            false => Err(CallError::Unreachable(last)),
         }
     }
 
@@ -184,6 +195,13 @@
     }
 }
 
+/// Tells whether a refusal also settles earlier attempts of the same command
+/// whose outcome was not learned: the router has looked for the command's id
+/// in the table.
+fn settles(refusal: &Refusal) -> bool {
+    matches!(refusal, Refusal::Rejected(_) | Refusal::Conflict(_))
+}
+
 async fn connect(router: &str, tls: Option<&Tls>) -> anyhow::Result<OperatorClient> {
     let stream = TcpStream::connect(router).await?;
     stream.set_nodelay(true)?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 };
 
 use anyhow::Context;
+use bpaf::ParseFailure;
 use cli::{
     code::Code,
     connect::{Client, Tls},
@@ -16,12 +17,23 @@
 };
 use lang::{api::Key, command::Command, parse, render};
 
+/// Columns of the text that explains options.
+const COLUMNS: usize = 80;
+
 fn main() {
-    let options = options::options().run();
-    let code = run(options).unwrap_or_else(|error| {
-        eprintln!("error: {error:#}");
-        Code::Failed
-    });
+    let code = match options::options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => run(options).unwrap_or_else(|error| {
+            eprintln!("error: {error:#}");
+            Code::Failed
+        }),
+        Err(failure) => {
+            failure.print_message(COLUMNS);
+            match failure {
+                ParseFailure::Stderr(_) => Code::Usage,
+                _ => Code::Done,
+            }
+        }
+    };
     process::exit(code as i32);
 }
 
@@ -38,11 +50,18 @@
         .worker_threads(1)
         .enable_all()
         .build()?;
+    let key = match key(&options) {
+        Ok(key) => key,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            return Ok(Code::Usage);
+        }
+    };
     let tls = match &options.ca {
         Some(authority) => Some(Tls::new(authority, options.server_name.clone())?),
         None => None,
     };
-    let client = Client::new(routers(&options), key(&options)?, tls);
+    let client = Client::new(routers(&options), key, tls);
     let mut session = Session::new(client, options.clone());
     let text = match (&options.line, &options.file) {
         (Some(line), _) => line.clone(),
--- a/crates/cli/src/prompt.rs
+++ b/crates/cli/src/prompt.rs
@@ -48,7 +48,7 @@
 
 /// Tells whether a line may be kept in the history; one with a plain key may
 /// not.
-fn may_keep(line: &str) -> bool {
+pub fn may_keep(line: &str) -> bool {
     match word::words(line) {
         Ok(words) => words.iter().all(|word| word.text != "secret"),
         Err(_) => !line.contains("secret"),
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -48,6 +48,13 @@
 enum Failure {
     #[error("error: {0}")]
     Call(#[from] CallError),
+    #[error(
+        "error: it is not known whether the order was accepted: {cause}\nrepeat it with --command {command}"
+    )]
+    Undecided {
+        command: id::CommandId,
+        cause: CallError,
+    },
     #[error("error: write answer: {0}")]
     Write(#[from] io::Error),
     #[error("error: {0}")]
@@ -64,7 +71,8 @@
     fn code(&self) -> Code {
         match self {
             Self::Call(CallError::Refused(refusal)) => refusal.into(),
-            Self::Call(CallError::Unreachable(_)) => Code::Unreachable,
+            Self::Call(CallError::Unreachable(_) | CallError::Lost(_)) => Code::Unreachable,
+            Self::Undecided { .. } => Code::Undecided,
             Self::Write(_) | Self::Record(_) | Self::Answer => Code::Failed,
             Self::Key(_) => Code::Usage,
             Self::Timeout(_) => Code::Timeout,
@@ -187,7 +195,11 @@
         let call = async |client: &lang::api::OperatorClient, context, key| {
             client.give(context, key, given.clone()).await
         };
-        let version = self.client.call(call).await?.version;
+        let version = match self.client.call(call).await {
+            Ok(accepted) => accepted.version,
+            Err(cause @ CallError::Lost(_)) => return Err(Failure::Undecided { command, cause }),
+            Err(cause) => return Err(cause.into()),
+        };
         let accepted = Accepted { command, version };
         self.show(screen, &accepted, |_| render::accepted(version))?;
         match self.options.wait {
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -122,6 +122,7 @@
     }
 
     /// Runs commands; returns their transcripts.
+    #[allow(dead_code, reason = "not every test file runs whole sessions")]
     pub async fn session(&mut self, lines: &[&str]) -> String {
         let mut text = String::new();
         for line in lines {
--- a/crates/conf/src/change.rs
+++ b/crates/conf/src/change.rs
@@ -56,6 +56,9 @@
     ClearOverride(Subject),
     /// Sets fields that concern the whole fleet.
     UpdateFleet(FleetUpdate),
+    /// Lifts the quarantine of a content. The quarantine itself is kept by the
+    /// processes; the change records who lifted it and why.
+    LiftQuarantine(id::Fingerprint),
     /// Several changes in order, which take effect together under one version.
     Batch(Vec<Change>),
 }
@@ -420,6 +423,7 @@
             Self::SetOverride(entry) => write!(f, "set override of {}", entry.subject()),
             Self::ClearOverride(subject) => write!(f, "clear override of {subject}"),
             Self::UpdateFleet(update) => write!(f, "update fleet{}", fields(update)),
+            Self::LiftQuarantine(content) => write!(f, "lift quarantine {content}"),
             Self::Batch(changes) => {
                 let lines: Vec<String> = changes.iter().map(Self::to_string).collect();
                 write!(f, "{}", lines.join("; "))
--- a/crates/daemon/src/commit.rs
+++ b/crates/daemon/src/commit.rs
@@ -186,7 +186,8 @@
         };
         match command::read_back(proposal, head, recorded.as_ref())? {
             command::ReadBack::Committed(version) => {
-                self.catch_up(head).await?;
+                // A failure to read the change does not make it unaccepted.
+                self.catch_up(head).await.ok();
                 Ok(Some(version))
             }
             command::ReadBack::Lost(head) => Err(self.lost(proposal, head).await?),
--- a/crates/daemon/src/operate.rs
+++ b/crates/daemon/src/operate.rs
@@ -4,13 +4,15 @@
 //! [`crate::commit`]. See [the language page](../../../docs/language.md).
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use admit::quarantine::{Entry, Verdict};
 use arc_swap::ArcSwap;
-use base::{fault::Fault, hash, id, span};
+use base::{fault::Fault, hash, id};
 use conf::{change::Change, command as accept, difference, row, state, value::KeyHash};
 use fleet::member;
 use futures_util::StreamExt;
@@ -37,6 +39,7 @@
     commit::{Commit, CommitError},
     node::{Inspect, Node, Signal},
     past::{Past, PastError},
+    router_core::Event,
     snapshot::Snapshot,
 };
 
@@ -60,7 +63,7 @@
 #[derive(Clone)]
 pub struct Operators {
     snapshot: Arc<ArcSwap<Snapshot>>,
-    signals: mpsc::UnboundedSender<Signal>,
+    events: mpsc::UnboundedSender<Event>,
     centre: id::DataCentre,
     past: Arc<Past>,
 }
@@ -222,15 +225,15 @@
 }
 
 impl Operators {
-    /// Makes the service; `signals` reaches the control thread.
+    /// Makes the service; `events` reaches the control thread.
     pub fn new(
         snapshot: Arc<ArcSwap<Snapshot>>,
-        signals: mpsc::UnboundedSender<Signal>,
+        events: mpsc::UnboundedSender<Event>,
         centre: id::DataCentre,
     ) -> Self {
         Self {
             snapshot,
-            signals,
+            events,
             centre,
             past: Arc::default(),
         }
@@ -241,12 +244,22 @@
     async fn inspect<T: Send + 'static>(
         &self,
         look: impl FnOnce(&Node) -> T + Send + 'static,
+    ) -> Result<T, Refusal> {
+        self.control(|reply| {
+            let inspect = Inspect::new(move |node| {
+                reply.send(look(node)).ok();
+            });
+            Event::Node(Signal::Inspect(inspect))
+        })
+        .await
+    }
+
+    async fn control<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> Event,
     ) -> Result<T, Refusal> {
         let (reply, answer) = oneshot::channel();
-        let inspect = Inspect::new(move |node| {
-            reply.send(look(node)).ok();
-        });
-        self.signals.send(Signal::Inspect(inspect)).ok();
+        self.events.send(event(reply)).ok();
         answer
             .await
             .map_err(|_| Refusal::Unavailable(CommitError::Stopping.to_string()))
@@ -294,6 +307,9 @@
             change: change.clone(),
         };
         let commit = self.commit().await?;
+        if let Change::LiftQuarantine(content) = &change {
+            self.quarantined(&commit, given.id, *content).await?;
+        }
         let version = match commit.run(command, given.base).await {
             Ok(version) => version,
             Err(CommitError::Overtaken { base, head }) => {
@@ -301,10 +317,35 @@
             }
             Err(error) => return Err(refusal(error)),
         };
+        if let Change::LiftQuarantine(content) = &change {
+            self.events.send(Event::Lift(*content)).ok();
+        }
         self.same(given.id, change).await?;
         Ok(answer::Accepted { version })
     }
 
+    /// Checks that this router knows crashes that count against a content,
+    /// unless an earlier attempt of the command has lifted it.
+    async fn quarantined(
+        &self,
+        commit: &Commit,
+        command: id::CommandId,
+        content: id::Fingerprint,
+    ) -> Result<(), Refusal> {
+        let suspects = self.quarantine().await?;
+        if suspects.iter().any(|entry| entry.fingerprint == content) {
+            return Ok(());
+        }
+        let key = row::command_key(command);
+        match commit.platform.row(&key).await.map_err(unread)? {
+            Some(_) => Ok(()),
+            None => {
+                let reason = format!("content {content} is not in quarantine");
+                Err(Refusal::Rejected(reason))
+            }
+        }
+    }
+
     /// Makes the report for an operator who has seen `base` while the head is
     /// another version.
     async fn overtaken(
@@ -418,19 +459,8 @@
     }
 
     async fn quarantine(&self) -> Result<Vec<answer::Suspect>, Refusal> {
-        let suspects = self
-            .inspect(|node| node.exchange.suspects(node.clock.now()))
-            .await?;
-        let shown = suspects.into_iter().filter(|entry| !entry.lifted);
-        Ok(shown
-            .map(|entry| answer::Suspect {
-                fingerprint: id::Fingerprint(entry.fingerprint),
-                service: entry.service,
-                targets: entry.targets,
-                refused: entry.refused,
-                remaining: span::Span::from_millis(entry.remaining.into()),
-            })
-            .collect())
+        let entries = self.control(Event::Quarantine).await?;
+        Ok(entries.iter().filter_map(suspect).collect())
     }
 
     async fn versions(&self) -> Result<answer::Versions, Refusal> {
@@ -587,6 +617,23 @@
     loads
 }
 
+/// Shows a quarantine entry, unless all its crashes are excused.
+fn suspect(entry: &Entry) -> Option<answer::Suspect> {
+    let verdict = match entry.verdict {
+        Verdict::Clear => return None,
+        Verdict::Suspect => "suspect",
+        Verdict::Apart => "apart",
+        Verdict::Refused { .. } => "refused",
+    };
+    let targets: BTreeSet<&str> = entry.crashes.iter().map(|c| c.target.as_str()).collect();
+    Some(answer::Suspect {
+        fingerprint: entry.fingerprint,
+        verdict: verdict.to_owned(),
+        targets: targets.into_iter().map(str::to_owned).collect(),
+        remaining: entry.remaining,
+    })
+}
+
 fn owned<'a, T: Clone + 'a>(values: impl Iterator<Item = &'a Arc<T>>) -> Vec<T> {
     values.map(|value| value.as_ref().clone()).collect()
 }
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -317,9 +317,8 @@
     let pages = listen::health(&settings, health::handler(health.clone())).await?;
     others.spawn(pages.run(closed.clone()));
 
-    let signals = listen::forward(events.clone(), Event::Node);
     let centre = settings.data_centre.clone();
-    let operators = operate::Operators::new(snapshot.clone(), signals, centre);
+    let operators = operate::Operators::new(snapshot.clone(), events.clone(), centre);
     if let Some(server) = listen::operators(&settings, operators).await? {
         others.spawn(server.run(closed.clone()));
     }
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -11,7 +11,7 @@
 use conf::{change::Change, row};
 use fleet::{convert, member};
 use place::{policy, view};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use wire::msg;
 
 use crate::{
@@ -40,6 +40,10 @@
     Failed(id::ProcessId, member::Failure),
     /// An agent reported contents that were in flight at a crash.
     Suspects(Vec<msg::Suspect>),
+    /// The quarantine entries are to be listed.
+    Quarantine(oneshot::Sender<Vec<quarantine::Entry>>),
+    /// An operator lifted the quarantine of a content.
+    Lift(id::Fingerprint),
     /// The process is to stop.
     Stop,
 }
@@ -180,6 +184,10 @@
                 }
                 self.suspect(now, &suspects);
             }
+            Event::Quarantine(reply) => {
+                reply.send(self.quarantine.entries(now)).ok();
+            }
+            Event::Lift(content) => self.lift(now, content),
             Event::Stop => {
                 self.leaving = true;
                 self.all_dirty = true;
@@ -204,6 +212,19 @@
         self.all_dirty = true;
     }
 
+    /// Excuses the crashes that count against a content, and tells other
+    /// processes.
+    fn lift(&mut self, now: time::Mono, content: id::Fingerprint) {
+        self.quarantine.lift(now, content);
+        let entries = self.quarantine.entries(now);
+        let lifted = entries.iter().filter(|entry| entry.fingerprint == content);
+        let suspects: Vec<msg::Suspect> = lifted.map(suspects::to_message).collect();
+        for suspect in &suspects {
+            self.parts.node.exchange.suspect(now, suspect.clone());
+        }
+        self.suspect(now, &suspects);
+    }
+
     /// Writes the first configuration when the table has none. Every router
     /// does so with the same command id, and the table accepts it once.
     fn bootstrap(&mut self) {
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -215,20 +215,6 @@
         self.merge_suspect(now, entry);
     }
 
-    /// Returns the quarantine entries that have not ended, by fingerprint.
-    pub fn suspects(&self, now: time::Mono) -> Vec<msg::Suspect> {
-        self.suspects
-            .values()
-            .filter(|suspicion| now < suspicion.until)
-            .map(|suspicion| {
-                let mut entry = suspicion.entry.clone();
-                let remaining = suspicion.until.since(now).as_millis();
-                entry.remaining = u32::try_from(remaining).unwrap_or(u32::MAX);
-                entry
-            })
-            .collect()
-    }
-
     /// Returns the partner of this interval, or none when no other process is
     /// known.
     pub fn partner(&mut self, now: time::Mono) -> Option<Partner> {
--- a/crates/lang/src/answer.rs
+++ b/crates/lang/src/answer.rs
@@ -103,12 +103,11 @@
 pub struct Suspect {
     /// The content.
     pub fingerprint: id::Fingerprint,
-    /// The service.
-    pub service: String,
+    /// What it is held to be: `refused`, `suspect` (may run), or `apart` (may
+    /// run where no other suspect of the same crashes is in flight).
+    pub verdict: String,
     /// The targets that crashed.
     pub targets: Vec<String>,
-    /// Whether the content is refused.
-    pub refused: bool,
     /// Time until the entry ends.
     pub remaining: Span,
 }
--- a/crates/lang/src/api.rs
+++ b/crates/lang/src/api.rs
@@ -89,7 +89,7 @@
     #[error("{0}")]
     Unavailable(String),
     /// It is not known whether the order was accepted.
-    #[error("it is not known whether the order was accepted; repeat it with --command {0}")]
+    #[error("the table does not tell whether command {0} was accepted")]
     Undecided(id::CommandId),
 }
 
--- a/crates/lang/src/build.rs
+++ b/crates/lang/src/build.rs
@@ -491,6 +491,10 @@
     }))
 }
 
+pub(crate) fn lift_quarantine(given: &Given<'_>) -> Built {
+    change(Change::LiftQuarantine(given.value(0)?))
+}
+
 pub(crate) fn export(_: &Given<'_>) -> Built {
     Ok(Command::Export)
 }
--- a/crates/lang/src/grammar.rs
+++ b/crates/lang/src/grammar.rs
@@ -320,6 +320,9 @@
         "Removes an override.", "clear override target drafting-4";
     "update" "fleet" &[], FLEET, build::update_fleet,
         "Sets values that concern the whole fleet.", "update fleet table_writes 200/s";
+    "lift" "quarantine" &[Slot::Content], &[], build::lift_quarantine,
+        "Lifts the quarantine of a content; later crashes count again.",
+        "lift quarantine 00f3a8c15b2277de why \"engine is patched\"";
     "export" "record" &[], &[], build::export,
         "Writes the whole history and the configuration as JSON.", "export record";
 }
--- a/crates/lang/src/render.rs
+++ b/crates/lang/src/render.rs
@@ -124,13 +124,12 @@
             table.text()
         }
         Answer::Quarantine(suspects) => {
-            let mut table = Table::new(&["CONTENT", "SERVICE", "REFUSED", "ENDS IN", "TARGETS"]);
+            let mut table = Table::new(&["CONTENT", "VERDICT", "ENDS IN", "TARGETS"]);
             for suspect in suspects {
                 table.row(vec![
                     suspect.fingerprint.to_string(),
-                    suspect.service.clone(),
-                    suspect.refused.to_string(),
-                    suspect.remaining.to_string(),
+                    suspect.verdict.clone(),
+                    format!("{}s", suspect.remaining.as_millis().div_ceil(1000)),
                     list(&suspect.targets),
                 ]);
             }
