--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -211,7 +211,7 @@
         self.parts.node.clock.now()
     }
 
-    fn due(&self) -> time::Mono {
+    fn due(&mut self) -> time::Mono {
         let fixed = [
             self.parts.node.due(),
             self.health_due,
@@ -429,7 +429,11 @@
     /// same crashes.
     fn related(&self, now: time::Mono, fingerprint: id::Fingerprint) -> Vec<msg::Suspect> {
         let related = self.quarantine.related(now, fingerprint);
-        related.iter().map(suspects::to_message).collect()
+        let service = self.agent.service.as_str();
+        related
+            .iter()
+            .map(|entry| suspects::to_message(entry, service))
+            .collect()
     }
 
     /// Tells other processes what is known of a content.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -23,9 +23,12 @@
 #[derive(Debug)]
 pub enum Signal {
     /// Another process started an exchange.
-    Received(msg::Exchange, oneshot::Sender<msg::Exchange>),
+    Received(Box<msg::Exchange>, oneshot::Sender<msg::Exchange>),
     /// An exchange that this process started has ended.
-    Answered(exchange::Partner, Result<msg::Exchange, member::Failure>),
+    Answered(
+        exchange::Partner,
+        Result<Box<msg::Exchange>, member::Failure>,
+    ),
     /// A message of another process had this stamp.
     Stamp(msg::Stamp),
     /// Another process asks for the changes after a version.
@@ -40,7 +43,7 @@
     Snapshot(Box<row::Snapshot>),
     /// A command is to be prepared.
     Prepare(
-        row::Command,
+        Box<row::Command>,
         history::Answers,
         oneshot::Sender<Result<command::Proposal, command::Refusal>>,
     ),
@@ -181,8 +184,9 @@
     }
 
     /// Returns when [`Node::tick`] has something to do.
-    pub fn due(&self) -> time::Mono {
-        self.due
+    pub fn due(&mut self) -> time::Mono {
+        let now = self.clock.now();
+        self.exchange.due(now, &mut self.budget).min(self.due)
     }
 
     /// Returns the configuration in use.
@@ -199,14 +203,17 @@
         }
     }
 
-    /// Starts the exchange of this interval and removes silent members.
+    /// Starts the exchange that is due, and once in an interval removes silent
+    /// members and reads from the platform; returns whether members changed.
     pub fn tick(&mut self) -> bool {
         let now = self.clock.now();
+        if self.exchange.due(now, &mut self.budget) <= now {
+            self.start_exchange(now);
+        }
         if self.due > now {
             return false;
         }
         self.due = now + exchange::INTERVAL;
-        self.start_exchange(now);
         self.poll(now);
         let removed = self.exchange.members.expire(now);
         for process in &removed {
@@ -269,7 +276,7 @@
             Signal::Snapshot(snapshot) => self.adopt(*snapshot),
             Signal::Prepare(command, answers, reply) => {
                 reply
-                    .send(command::prepare(&self.history, command, answers))
+                    .send(command::prepare(&self.history, *command, answers))
                     .ok();
                 Changed::default()
             }
@@ -529,12 +536,13 @@
     links: &Links,
     peer: SocketAddr,
     message: &msg::Exchange,
-) -> Result<msg::Exchange, member::Failure> {
+) -> Result<Box<msg::Exchange>, member::Failure> {
     let exchange = async {
         let response = links.call(peer, "/exchange", message).await;
         match response {
             Ok(response) => Links::read(peer, "/exchange", response)
                 .await
+                .map(Box::new)
                 .map_err(|_| member::Failure::Other),
             Err(Failure::NotSent(_)) => Err(member::Failure::Refused),
             Err(Failure::Broken(_)) => Err(member::Failure::Other),
--- a/crates/daemon/src/operate.rs
+++ b/crates/daemon/src/operate.rs
@@ -10,9 +10,8 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use admit::quarantine::{Entry, Verdict};
 use arc_swap::ArcSwap;
-use base::{fault::Fault, hash, id};
+use base::{fault::Fault, hash, id, span};
 use conf::{change::Change, command as accept, difference, row, state, value::KeyHash};
 use fleet::member;
 use futures_util::StreamExt;
@@ -41,6 +40,7 @@
     past::{Past, PastError},
     router_core::Event,
     snapshot::Snapshot,
+    suspects,
 };
 
 /// Connections of operators at once; operators are few.
@@ -459,8 +459,30 @@
     }
 
     async fn quarantine(&self) -> Result<Vec<answer::Suspect>, Refusal> {
-        let entries = self.control(Event::Quarantine).await?;
-        Ok(entries.iter().filter_map(suspect).collect())
+        let suspects = self
+            .inspect(|node| node.exchange.suspects(node.clock.now()))
+            .await?;
+        let judged = suspects::judge(&suspects);
+        let shown = suspects
+            .into_iter()
+            .filter(|entry| !entry.crashes.is_empty());
+        Ok(shown
+            .map(|entry| {
+                let fingerprint = id::Fingerprint(entry.fingerprint);
+                let targets: BTreeSet<String> = entry
+                    .crashes
+                    .into_iter()
+                    .map(|crash| crash.target)
+                    .collect();
+                answer::Suspect {
+                    fingerprint,
+                    service: entry.service,
+                    targets: targets.into_iter().collect(),
+                    refused: judged.contains(&fingerprint),
+                    remaining: span::Span::from_millis(entry.remaining.into()),
+                }
+            })
+            .collect())
     }
 
     async fn versions(&self) -> Result<answer::Versions, Refusal> {
@@ -617,23 +639,6 @@
     loads
 }
 
-/// Shows a quarantine entry, unless all its crashes are excused.
-fn suspect(entry: &Entry) -> Option<answer::Suspect> {
-    let verdict = match entry.verdict {
-        Verdict::Clear => return None,
-        Verdict::Suspect => "suspect",
-        Verdict::Apart => "apart",
-        Verdict::Refused { .. } => "refused",
-    };
-    let targets: BTreeSet<&str> = entry.crashes.iter().map(|c| c.target.as_str()).collect();
-    Some(answer::Suspect {
-        fingerprint: entry.fingerprint,
-        verdict: verdict.to_owned(),
-        targets: targets.into_iter().map(str::to_owned).collect(),
-        remaining: entry.remaining,
-    })
-}
-
 fn owned<'a, T: Clone + 'a>(values: impl Iterator<Item = &'a Arc<T>>) -> Vec<T> {
     values.map(|value| value.as_ref().clone()).collect()
 }
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -11,7 +11,7 @@
 use conf::{change::Change, row};
 use fleet::{convert, member};
 use place::{policy, view};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use wire::msg;
 
 use crate::{
@@ -40,8 +40,6 @@
     Failed(id::ProcessId, member::Failure),
     /// An agent reported contents that were in flight at a crash.
     Suspects(Vec<msg::Suspect>),
-    /// The quarantine entries are to be listed.
-    Quarantine(oneshot::Sender<Vec<quarantine::Entry>>),
     /// An operator lifted the quarantine of a content.
     Lift(id::Fingerprint),
     /// The process is to stop.
@@ -97,10 +95,6 @@
     suspects: Arc<BTreeMap<id::Fingerprint, Vec<msg::Suspect>>>,
 }
 
-/// Longest time for which a router remembers a suspect; agents apply the term
-/// of their service.
-const QUARANTINE: span::Span = span::Span::from_secs(24 * 3600);
-
 #[derive(Clone, Copy, Debug)]
 struct Stamped {
     at: time::Mono,
@@ -121,7 +115,7 @@
             published: time::Mono::default(),
             leaving: false,
             up: BTreeMap::new(),
-            quarantine: quarantine::Quarantine::new(QUARANTINE, id::Incarnation(0)),
+            quarantine: quarantine::Quarantine::new(suspects::LONGEST, id::Incarnation(0)),
             suspects: Arc::default(),
         }
     }
@@ -184,9 +178,6 @@
                 }
                 self.suspect(now, &suspects);
             }
-            Event::Quarantine(reply) => {
-                reply.send(self.quarantine.entries(now)).ok();
-            }
             Event::Lift(content) => self.lift(now, content),
             Event::Stop => {
                 self.leaving = true;
@@ -205,7 +196,10 @@
         }
         let known = self.quarantine.entries(now).into_iter().map(|entry| {
             let related = self.quarantine.related(now, entry.fingerprint);
-            let related = related.iter().map(suspects::to_message).collect();
+            let related = related
+                .iter()
+                .map(|entry| suspects::to_message(entry, ""))
+                .collect();
             (entry.fingerprint, related)
         });
         self.suspects = Arc::new(known.collect());
@@ -218,7 +212,9 @@
         self.quarantine.lift(now, content);
         let entries = self.quarantine.entries(now);
         let lifted = entries.iter().filter(|entry| entry.fingerprint == content);
-        let suspects: Vec<msg::Suspect> = lifted.map(suspects::to_message).collect();
+        let suspects: Vec<msg::Suspect> = lifted
+            .map(|entry| suspects::to_message(entry, ""))
+            .collect();
         for suspect in &suspects {
             self.parts.node.exchange.suspect(now, suspect.clone());
         }
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -419,6 +419,9 @@
     /// Content fingerprint.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
+    /// Service id; empty when the sender does not know it.
+    #[prost(string, tag = "2")]
+    pub service: String,
     /// The crashes that count against it.
     #[prost(message, repeated, tag = "7")]
     pub crashes: Vec<Crash>,
@@ -463,6 +466,14 @@
     /// Whether the message holds urgent news alone; the answer is kept short.
     #[prost(bool, tag = "10")]
     pub urgent: bool,
+    /// Combined hash of process, incarnation and leaving state of all members
+    /// that report to the sender.
+    #[prost(fixed64, tag = "11")]
+    pub digest: u64,
+    /// The same for each part of the members, shortened; sent while digests
+    /// differ.
+    #[prost(fixed32, repeated, tag = "12")]
+    pub digests: Vec<u32>,
 }
 
 /// Asks a peer for configuration changes.
