--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -7,7 +7,6 @@
 
 use base::id;
 use conf::{
-    change::Change,
     row::{ChangeRow, Point},
     state::Configuration,
     value::KeyHash,
@@ -178,8 +177,7 @@
         screen: &mut Screen<'_>,
     ) -> Result<(), Failure> {
         if self.options.dry_run {
-            let Order::Change(change) = order;
-            let preview = self.preview(change).await?;
+            let preview = self.preview(order).await?;
             return self.show(screen, &preview, render::preview);
         }
         let command = self
@@ -208,9 +206,9 @@
         }
     }
 
-    async fn preview(&mut self, change: Change) -> Result<Preview, Failure> {
+    async fn preview(&mut self, order: Order) -> Result<Preview, Failure> {
         let call = async |client: &lang::api::OperatorClient, context, key| {
-            client.preview(context, key, change.clone()).await
+            client.preview(context, key, order.clone()).await
         };
         Ok(self.client.call(call).await?)
     }
@@ -303,6 +301,9 @@
         if let Ok(Answer::Targets(all)) = self.ask(Query::Targets).await {
             names.targets = all.iter().map(|target| target.target.to_string()).collect();
         }
+        if let Ok(Answer::Plans(all)) = self.ask(Query::Plans).await {
+            names.plans = all.iter().map(|plan| plan.id.to_string()).collect();
+        }
         names
     }
 }
--- a/crates/conf/src/change.rs
+++ b/crates/conf/src/change.rs
@@ -59,10 +59,23 @@
     /// Lifts the quarantine of a content. The quarantine itself is kept by the
     /// processes; the change records who lifted it and why.
     LiftQuarantine(id::Fingerprint),
+    /// Creates or operates a planned change. The plan is a row of its own, which
+    /// the same transaction writes; the change records who gave the order and why.
+    Plan(PlanNote),
     /// Several changes in order, which take effect together under one version.
     Batch(Vec<Change>),
 }
 
+/// What an operator did with a planned change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanNote {
+    /// The plan.
+    pub plan: id::PlanId,
+    /// What the operator did with it.
+    pub what: String,
+}
+
 /// Names a key of a team.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -424,6 +437,7 @@
             Self::ClearOverride(subject) => write!(f, "clear override of {subject}"),
             Self::UpdateFleet(update) => write!(f, "update fleet{}", fields(update)),
             Self::LiftQuarantine(content) => write!(f, "lift quarantine {content}"),
+            Self::Plan(note) => write!(f, "plan {}: {}", note.plan, note.what),
             Self::Batch(changes) => {
                 let lines: Vec<String> = changes.iter().map(Self::to_string).collect();
                 write!(f, "{}", lines.join("; "))
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -696,7 +696,7 @@
             Change::SetOverride(entry) => self.set_override(entry),
             Change::ClearOverride(subject) => self.clear_override(subject),
             Change::UpdateFleet(update) => self.update_fleet(update),
-            Change::LiftQuarantine(_) => Ok(()),
+            Change::LiftQuarantine(_) | Change::Plan(_) => Ok(()),
             Change::Batch(changes) => self.batch(changes),
         }
     }
--- a/crates/daemon/src/commit.rs
+++ b/crates/daemon/src/commit.rs
@@ -47,6 +47,9 @@
     /// A row of the table is not valid.
     #[error(transparent)]
     Row(#[from] row::RowError),
+    /// A row that was to be written with the command has changed.
+    #[error("row {0} has changed meanwhile")]
+    Changed(String),
     /// A change row exists that the head does not account for.
     #[error("row {0} exists although the head does not account for it")]
     Damaged(String),
@@ -71,13 +74,15 @@
 
 impl CommitError {
     /// Tells whether the error also settles an earlier attempt whose reply was
-    /// lost. Conflicts and rejections do: the head has moved on, so that the
-    /// earlier transaction cannot take effect any more.
+    /// lost. Conflicts and rejections do: a row on which the earlier
+    /// transaction has a condition has moved on, so that it cannot take effect
+    /// any more.
     fn decides(&self) -> bool {
         matches!(
             self,
             Self::Conflict(_)
                 | Self::Overtaken { .. }
+                | Self::Changed(_)
                 | Self::Refused(command::Refusal::Rejected(_))
         )
     }
@@ -97,13 +102,29 @@
         &self,
         command: row::Command,
         base: Option<id::Version>,
+    ) -> Result<id::Version, CommitError> {
+        self.run_with(command, base, &[]).await
+    }
+
+    /// Commits a command together with rows of another kind: all of them are
+    /// written, or none.
+    ///
+    /// # Errors
+    ///
+    /// As [`Commit::run`]; [`CommitError::Changed`] when the condition on one of
+    /// the rows does not hold.
+    pub async fn run_with(
+        &self,
+        command: row::Command,
+        base: Option<id::Version>,
+        rows: &[row::Put],
     ) -> Result<id::Version, CommitError> {
         let mut undecided = false;
         for attempt in 0..ATTEMPTS {
             if attempt > 0 {
                 time::sleep(PAUSE).await;
             }
-            match self.attempt(command.clone(), base).await {
+            match self.attempt(command.clone(), base, rows).await {
                 Ok(Some(version)) => return Ok(version),
                 Ok(None) => undecided = true,
                 Err(CommitError::Refused(command::Refusal::Accepted(version))) => {
@@ -124,6 +145,7 @@
         &self,
         command: row::Command,
         base: Option<id::Version>,
+        rows: &[row::Put],
     ) -> Result<Option<id::Version>, CommitError> {
         let head = self.platform.head().await?;
         let answers = self.ask_peers().await?;
@@ -139,7 +161,8 @@
                 return self.overtaken(id, base, head.point.version).await;
             }
         }
-        let proposal = prepared?;
+        let mut proposal = prepared?;
+        proposal.transaction.puts.extend_from_slice(rows);
         let reply = self.platform.commit(&proposal.transaction).await;
         match command::interpret(&proposal, &reply)? {
             command::Outcome::Committed { row, head } => {
@@ -150,6 +173,9 @@
             command::Outcome::Repeated(version) => Ok(Some(version)),
             command::Outcome::Lost(head) => Err(self.lost(&proposal, head).await?),
             command::Outcome::Unknown => self.read_back(&proposal).await,
+            command::Outcome::Damaged { key } if rows.iter().any(|row| row.key == key) => {
+                Err(CommitError::Changed(key))
+            }
             command::Outcome::Damaged { key } => Err(CommitError::Damaged(key)),
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operate;
+pub mod operate_plan;
 pub mod outlet;
 pub mod past;
 pub mod peers;
--- a/crates/daemon/src/operate.rs
+++ b/crates/daemon/src/operate.rs
@@ -4,7 +4,7 @@
 //! [`crate::commit`]. See [the language page](../../../docs/language.md).
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -21,6 +21,7 @@
     command::{Chat, Order, Query},
 };
 use place::choose;
+use plan::plan::Condition;
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel, Config},
@@ -37,14 +38,17 @@
 use crate::{
     commit::{Commit, CommitError},
     node::{Inspect, Node, Signal},
+    operate_plan::{self, PlanError},
     past::{Past, PastError},
+    platform::Platform,
     router_core::Event,
     snapshot::Snapshot,
     suspects,
 };
 
-/// Connections of operators at once; operators are few.
-const CONNECTIONS: usize = 64;
+/// Connections of operators at once. Each may make the router reserve the
+/// memory of a largest request before its key is known: 8 MiB together.
+const CONNECTIONS: usize = 32;
 
 /// Requests of one connection that run at once; more of them wait.
 const REQUESTS: usize = 8;
@@ -56,6 +60,13 @@
 /// Time between two requests after which a connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(600);
 
+/// Bytes of change rows in one answer, which is far above the size of the
+/// largest row and leaves room for the rest of the answer.
+const MAX_ROWS: usize = api::MAX_ANSWER / 2;
+
+/// Attempts of an order about a plan whose row changes meanwhile.
+const PLAN_ATTEMPTS: usize = 4;
+
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -209,18 +220,18 @@
         outcome
     }
 
-    async fn preview(
-        self,
-        _: Context,
-        key: Key,
-        change: Change,
-    ) -> Result<answer::Preview, Refusal> {
-        let (conf, _) = self.admit(&key, lang::command::role(&change)).await?;
-        let next = conf.apply(&change).map_err(rejected)?;
-        Ok(answer::Preview {
-            base: conf.version(),
-            lines: lines(&difference::text(&conf, &next)),
-        })
+    async fn preview(self, _: Context, key: Key, order: Order) -> Result<answer::Preview, Refusal> {
+        let (conf, _) = self.admit(&key, order.role()).await?;
+        let base = conf.version();
+        if let Order::Change(change) = &order {
+            let next = conf.apply(change).map_err(rejected)?;
+            let lines = lines(&difference::text(&conf, &next));
+            return Ok(answer::Preview { base, lines });
+        }
+        let platform = self.commit().await?.platform;
+        let prepared = self.prepare(&platform, &order).await?;
+        let lines = prepared.map_or_else(Vec::new, |prepared| operate_plan::lines(&prepared.plan));
+        Ok(answer::Preview { base, lines })
     }
 }
 
@@ -298,32 +309,104 @@
                 "a reason has at most {most} bytes"
             )));
         }
-        let Order::Change(change) = given.order;
-        let command = row::Command {
-            id: given.id,
-            who: who.clone(),
-            why: given.why,
-            when: now(),
-            change: change.clone(),
-        };
         let commit = self.commit().await?;
-        if let Change::LiftQuarantine(content) = &change {
-            self.quarantined(&commit, given.id, *content).await?;
+        match &given.order {
+            Order::Change(change) => self.commit_change(&commit, who, &given, change).await,
+            _ => self.commit_plan(&commit, who, &given).await,
         }
-        let version = match commit.run(command, given.base).await {
-            Ok(version) => version,
-            Err(CommitError::Overtaken { base, head }) => {
-                return Err(self.overtaken(&commit, base, head).await?);
+    }
+
+    /// Commits an order about a plan. When a plan changes meanwhile, such as when
+    /// a process advances it, the order is prepared again.
+    async fn commit_plan(
+        &self,
+        commit: &Commit,
+        who: &id::OperatorId,
+        given: &Given,
+    ) -> Result<answer::Accepted, Refusal> {
+        if let Some(version) = accepted(commit, given.id).await? {
+            return Ok(answer::Accepted { version });
+        }
+        for _ in 0..PLAN_ATTEMPTS {
+            let Some(prepared) = self.prepare(&commit.platform, &given.order).await? else {
+                break;
+            };
+            let command = record(who, given, prepared.change.clone());
+            let outcome = commit.run_with(command, given.base, &prepared.rows).await;
+            if matches!(outcome, Err(CommitError::Changed(_))) {
+                continue;
             }
-            Err(error) => return Err(refusal(error)),
+            let version = self.version(commit, outcome).await?;
+            self.same(given.id, prepared.change).await?;
+            return Ok(answer::Accepted { version });
+        }
+        let reason = "the plan changes all the time; try again shortly";
+        Err(Refusal::Unavailable(reason.to_owned()))
+    }
+
+    async fn prepare(
+        &self,
+        platform: &Platform,
+        order: &Order,
+    ) -> Result<Option<operate_plan::Prepared>, Refusal> {
+        let service = match order {
+            Order::Plan(request) => Some(request.service.clone()),
+            _ => None,
         };
-        if let Change::LiftQuarantine(content) = &change {
+        let (conf, targets) = self
+            .inspect(move |node| {
+                let rows = node.exchange.members.targets(node.clock.now());
+                let own = rows.into_iter().filter(|row| row.member.service == service);
+                let targets: BTreeMap<_, _> = own
+                    .filter_map(|row| Some((row.member.target?, condition(row.standing))))
+                    .collect();
+                (node.conf().clone(), targets)
+            })
+            .await?;
+        operate_plan::prepare(platform, &conf, targets, order)
+            .await
+            .map_err(|error| match error {
+                PlanError::Table(fault) => unread(fault),
+                other => Refusal::Rejected(other.to_string()),
+            })
+    }
+
+    async fn commit_change(
+        &self,
+        commit: &Commit,
+        who: &id::OperatorId,
+        given: &Given,
+        change: &Change,
+    ) -> Result<answer::Accepted, Refusal> {
+        if let Change::LiftQuarantine(content) = change {
+            self.quarantined(commit, given.id, *content).await?;
+        }
+        let command = record(who, given, change.clone());
+        let outcome = commit.run(command, given.base).await;
+        let version = self.version(commit, outcome).await?;
+        if let Change::LiftQuarantine(content) = change {
             self.events.send(Event::Lift(*content)).ok();
         }
-        self.same(given.id, change).await?;
+        self.same(given.id, change.clone()).await?;
         Ok(answer::Accepted { version })
     }
 
+    /// Returns the version of a committed command, or makes the report for the
+    /// operator.
+    async fn version(
+        &self,
+        commit: &Commit,
+        outcome: Result<id::Version, CommitError>,
+    ) -> Result<id::Version, Refusal> {
+        match outcome {
+            Ok(version) => Ok(version),
+            Err(CommitError::Overtaken { base, head }) => {
+                Err(self.overtaken(commit, base, head).await?)
+            }
+            Err(error) => Err(refusal(error)),
+        }
+    }
+
     /// Checks that this router knows crashes that count against a content,
     /// unless an earlier attempt of the command has lifted it.
     async fn quarantined(
@@ -336,8 +419,7 @@
         if suspects.iter().any(|entry| entry.fingerprint == content) {
             return Ok(());
         }
-        let key = row::command_key(command);
-        match commit.platform.row(&key).await.map_err(unread)? {
+        match accepted(commit, command).await? {
             Some(_) => Ok(()),
             None => {
                 let reason = format!("content {content} is not in quarantine");
@@ -401,7 +483,11 @@
             Query::Operators => Ok(Answer::Operators(owned(conf.operators().values()))),
             Query::Overrides => Ok(Answer::Overrides(owned(conf.overrides().values()))),
             Query::Loads => self.targets().await.map(|all| Answer::Loads(loads(&all))),
-            Query::Plans => Ok(Answer::Plans(Vec::new())),
+            Query::Plans => {
+                let platform = self.commit().await?.platform;
+                let rows = operate_plan::plans(&platform).await.map_err(unread)?;
+                Ok(Answer::Plans(rows.into_iter().map(|row| row.1).collect()))
+            }
             Query::Quarantine => self.quarantine().await.map(Answer::Quarantine),
             Query::Configuration(version) => {
                 let shown = self.at(&conf, version.unwrap_or(conf.version())).await?;
@@ -532,7 +618,8 @@
                 platform.changes(from).await.map_err(unread)?
             }
         };
-        Ok(rows.iter().map(|row| row.as_ref().clone()).collect())
+        let latest = fitting(rows.iter().rev());
+        Ok(latest.into_iter().rev().collect())
     }
 
     async fn record(
@@ -543,7 +630,7 @@
         let platform = self.commit().await?.platform;
         let rows = platform.changes(after).await.map_err(unread)?;
         Ok(answer::Page {
-            changes: rows.iter().map(|row| row.as_ref().clone()).collect(),
+            changes: fitting(rows.iter()),
             newest: conf.version(),
         })
     }
@@ -639,6 +726,48 @@
     loads
 }
 
+/// Makes the command that is recorded for an order.
+fn record(who: &id::OperatorId, given: &Given, change: Change) -> row::Command {
+    row::Command {
+        id: given.id,
+        who: who.clone(),
+        why: given.why.clone(),
+        when: now(),
+        change,
+    }
+}
+
+/// Returns the version at which a command was accepted before.
+async fn accepted(commit: &Commit, command: id::CommandId) -> Result<Option<id::Version>, Refusal> {
+    let key = row::command_key(command);
+    let Some(found) = commit.platform.row(&key).await.map_err(unread)? else {
+        return Ok(None);
+    };
+    let recorded: row::CommandRow = found
+        .read(&key)
+        .map_err(|cause| Refusal::Unavailable(cause.to_string()))?;
+    Ok(Some(recorded.version))
+}
+
+fn condition(standing: member::Standing) -> Condition {
+    match standing {
+        member::Standing::Up => Condition::Up,
+        _ => Condition::Other,
+    }
+}
+
+/// Returns the first rows, as far as they fit into an answer.
+fn fitting<'a>(rows: impl Iterator<Item = &'a Arc<row::ChangeRow>>) -> Vec<row::ChangeRow> {
+    let mut size = 0;
+    rows.take_while(|row| {
+        let json = serde_json::to_vec(row.as_ref());
+        size += json.map_or(0, |json| json.len());
+        size <= MAX_ROWS
+    })
+    .map(|row| row.as_ref().clone())
+    .collect()
+}
+
 fn owned<'a, T: Clone + 'a>(values: impl Iterator<Item = &'a Arc<T>>) -> Vec<T> {
     values.map(|value| value.as_ref().clone()).collect()
 }
--- a/crates/lang/src/answer.rs
+++ b/crates/lang/src/answer.rs
@@ -5,6 +5,7 @@
     row::ChangeRow,
     state::{Configuration, Operator, Override, Role, Rule, Service, Team},
 };
+use plan::plan::Plan;
 use serde::{Deserialize, Serialize};
 
 /// What holds, as the router that was asked knows it.
@@ -85,19 +86,6 @@
     pub cap: u32,
 }
 
-/// A planned change.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Plan {
-    /// Its id.
-    pub id: id::PlanId,
-    /// What it does.
-    pub what: String,
-    /// Its state.
-    pub state: String,
-    /// Why it is in this state.
-    pub reason: String,
-}
-
 /// A content that was in flight when targets crashed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Suspect {
--- a/crates/lang/src/api.rs
+++ b/crates/lang/src/api.rs
@@ -5,7 +5,7 @@
 
 use base::id;
 use bytes::{Bytes, BytesMut};
-use conf::{change::Change, row::ChangeRow, state::Role};
+use conf::{row::ChangeRow, state::Role};
 use serde::{Deserialize, Serialize};
 use tarpc::{
     tokio_serde::{self, formats::Json},
@@ -18,10 +18,12 @@
     command::{Order, Query},
 };
 
-/// Largest request in bytes: a batch of several hundred changes.
+/// Largest request in bytes. A batch that creates 500 teams takes 81 KB
+/// (`cargo test -p ebonywall-lang --test limits`).
 pub const MAX_REQUEST: usize = 256 * 1024;
 
-/// Largest answer in bytes: a configuration of 34,000 teams takes about 9 MB.
+/// Largest answer in bytes. A configuration of 34,000 teams with a key each
+/// takes 5 MB (the same test).
 pub const MAX_ANSWER: usize = 32 * 1024 * 1024;
 
 /// Longest reason of an order in bytes; every process keeps reasons in memory.
@@ -35,8 +37,8 @@
     /// Orders what should hold. Repeating a call with the same command id is
     /// harmless.
     async fn give(key: Key, given: Given) -> Result<Accepted, Refusal>;
-    /// Shows the difference that a change would make.
-    async fn preview(key: Key, change: Change) -> Result<Preview, Refusal>;
+    /// Shows the difference that an order would make.
+    async fn preview(key: Key, order: Order) -> Result<Preview, Refusal>;
 }
 
 /// The key of an operator. It is not shown in logs.
--- a/crates/lang/src/build.rs
+++ b/crates/lang/src/build.rs
@@ -1,7 +1,13 @@
 //! Makes typed commands from words whose names are checked.
 
-use std::{collections::BTreeMap, fmt, ops::Range, str::FromStr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    ops::Range,
+    str::FromStr,
+};
 
+use base::id;
 use conf::{
     change::{Change, FleetUpdate, OperatorUpdate, RuleUpdate, ServiceUpdate, TeamUpdate},
     state::{
@@ -10,9 +16,10 @@
     },
     value::KeyHash,
 };
+use plan::plan::{Artifact, Kind as PlanKind, Operation, Replace, Request, Roll};
 
 use crate::{
-    command::{self, Chat, Command, KeyOrder, Order, Query, Source},
+    command::{self, Chat, Command, KeyOrder, Operate, Order, Query, Source},
     grammar::{Form, Slot},
     problem::Problem,
     word::Word,
@@ -35,6 +42,8 @@
     pub form: &'static Form,
     pub values: Vec<&'a Word>,
     pub pairs: BTreeMap<&'static str, &'a Word>,
+    /// The words that name the fields.
+    pub names: BTreeMap<&'static str, &'a Word>,
     /// The reason of an order.
     pub why: Option<&'a Word>,
     /// The place after the last word.
@@ -87,22 +96,31 @@
     fn list<T: FromStr<Err: fmt::Display> + Ord>(
         &self,
         name: &str,
-    ) -> Result<Option<std::collections::BTreeSet<T>>, Problem> {
+    ) -> Result<Option<BTreeSet<T>>, Problem> {
+        if self.pairs.get(name).is_some_and(|word| word.text == NONE) {
+            return Ok(Some(BTreeSet::new()));
+        }
+        let list = self.sequence(name)?;
+        Ok(list.map(|list| list.into_iter().collect()))
+    }
+
+    /// Reads values that are separated by commas, in their order.
+    fn sequence<T: FromStr<Err: fmt::Display>>(
+        &self,
+        name: &str,
+    ) -> Result<Option<Vec<T>>, Problem> {
         let Some(word) = self.pairs.get(name) else {
             return Ok(None);
         };
-        if word.text == NONE {
-            return Ok(Some(Default::default()));
-        }
         let mut at = word.span.start;
-        let mut list = std::collections::BTreeSet::new();
+        let mut list = Vec::new();
         for text in word.text.split(',') {
             let part = Word {
                 text: text.to_owned(),
                 span: at..at + text.len(),
             };
             at += text.len() + 1;
-            list.insert(read(&part).map_err(|problem| self.suggest(name, &part, problem))?);
+            list.push(read(&part).map_err(|problem| self.suggest(name, &part, problem))?);
         }
         Ok(Some(list))
     }
@@ -166,7 +184,7 @@
 
     /// Checks that only these fields are given.
     fn only(&self, subject: &str, names: &[&str]) -> Result<(), Problem> {
-        let other = self.pairs.iter().find(|(name, _)| !names.contains(name));
+        let other = self.names.iter().find(|(name, _)| !names.contains(name));
         let Some((name, word)) = other else {
             return Ok(());
         };
@@ -491,6 +509,96 @@
     }))
 }
 
+fn artifact(given: &Given<'_>, names: [&'static str; 3]) -> Result<Option<Artifact>, Problem> {
+    let [model, adapter, version] = names;
+    let artifact = match given.get(model)? {
+        Some(model) => Artifact {
+            model,
+            adapter: given.get(adapter)?,
+            version: given.get(version)?,
+        },
+        None if given.has(adapter) || given.has(version) => return Err(given.lacks(&[model])),
+        None => return Ok(None),
+    };
+    Ok(Some(artifact))
+}
+
+/// Reads the replacements, which stand in the order of the targets.
+fn replacements(given: &Given<'_>, targets: &[id::TargetId]) -> Result<Replace, Problem> {
+    let by: Vec<id::TargetId> = given.sequence("by")?.ok_or_else(|| given.lacks(&["by"]))?;
+    if by.len() != targets.len() {
+        let message = format!(
+            "{} targets need as many in by, not {}",
+            targets.len(),
+            by.len()
+        );
+        return Err(Problem::new(given.pairs["by"].span.clone(), message));
+    }
+    let by = targets.iter().cloned().zip(by).collect();
+    Ok(Replace { by })
+}
+
+const LOAD: [&str; 3] = ["model", "adapter", "version"];
+const UNLOAD: [&str; 3] = ["unload_model", "unload_adapter", "unload_version"];
+
+/// Fields of every plan.
+const PLAN: [&str; 5] = ["kind", "service", "targets", "keep", "wave"];
+
+pub(crate) fn create_plan(given: &Given<'_>) -> Built {
+    let targets: Vec<id::TargetId> = given
+        .sequence("targets")?
+        .ok_or_else(|| given.lacks(&["targets"]))?;
+    let name = given.choice("kind", &["drain", "replace", "roll", "role"])?;
+    let name = name.ok_or_else(|| given.lacks(&["kind"]))?;
+    let own: &[&str] = match name {
+        "replace" => &["by"],
+        "roll" => &[LOAD[0], LOAD[1], LOAD[2], UNLOAD[0], UNLOAD[1], UNLOAD[2]],
+        "role" => &["role"],
+        _ => &[],
+    };
+    given.only(&format!("kind {name}"), &[&PLAN, own].concat())?;
+    let kind = match name {
+        "replace" => PlanKind::Replace(replacements(given, &targets)?),
+        "roll" => PlanKind::Roll(Roll {
+            load: artifact(given, LOAD)?.ok_or_else(|| given.lacks(&["model"]))?,
+            unload: artifact(given, UNLOAD)?,
+        }),
+        "role" => PlanKind::Role(given.get("role")?.ok_or_else(|| given.lacks(&["role"]))?),
+        _ => PlanKind::Drain,
+    };
+    Ok(Command::Give(Order::Plan(Request {
+        id: given.value(0)?,
+        service: given.needed("service")?,
+        kind,
+        targets,
+        wave: given.count("wave")?.unwrap_or(1),
+        keep: given.count("keep")?.ok_or_else(|| given.lacks(&["keep"]))?,
+    })))
+}
+
+fn operate(given: &Given<'_>, operation: Operation) -> Built {
+    Ok(Command::Give(Order::Operate(Operate {
+        plan: given.value(0)?,
+        operation,
+    })))
+}
+
+pub(crate) fn pause(given: &Given<'_>) -> Built {
+    operate(given, Operation::Pause)
+}
+
+pub(crate) fn resume(given: &Given<'_>) -> Built {
+    operate(given, Operation::Resume)
+}
+
+pub(crate) fn abort(given: &Given<'_>) -> Built {
+    operate(given, Operation::Abort)
+}
+
+pub(crate) fn confirm(given: &Given<'_>) -> Built {
+    operate(given, Operation::Confirm(given.needed("target")?))
+}
+
 pub(crate) fn lift_quarantine(given: &Given<'_>) -> Built {
     change(Change::LiftQuarantine(given.value(0)?))
 }
--- a/crates/lang/src/command.rs
+++ b/crates/lang/src/command.rs
@@ -6,6 +6,7 @@
     state::{Holder, Override, Role, Subject},
     value::KeyHash,
 };
+use plan::plan::{Operation, Request};
 use serde::{Deserialize, Serialize};
 
 /// A command of an operator.
@@ -114,6 +115,19 @@
 pub enum Order {
     /// A change to the configuration.
     Change(Change),
+    /// Creates a planned change.
+    Plan(Request),
+    /// Operates a planned change.
+    Operate(Operate),
+}
+
+/// Operates a planned change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Operate {
+    /// The plan.
+    pub plan: id::PlanId,
+    /// What to do with it.
+    pub operation: Operation,
 }
 
 impl Query {
@@ -132,6 +146,7 @@
     pub fn role(&self) -> Role {
         match self {
             Self::Change(change) => role(change),
+            Self::Plan(_) | Self::Operate(_) => Role::Operate,
         }
     }
 }
--- a/crates/lang/src/complete.rs
+++ b/crates/lang/src/complete.rs
@@ -15,6 +15,8 @@
     pub operators: Vec<String>,
     /// Targets.
     pub targets: Vec<String>,
+    /// Plans.
+    pub plans: Vec<String>,
 }
 
 /// What may complete a line.
@@ -74,6 +76,7 @@
         Slot::Rule => names.rules.clone(),
         Slot::Operator => names.operators.clone(),
         Slot::Target => names.targets.clone(),
+        Slot::Plan => names.plans.clone(),
         Slot::Word(words) => texts(words.iter().copied()),
         Slot::Words(words) => listed(words, begun),
         Slot::Content | Slot::Version | Slot::Text(_) => Vec::new(),
--- a/crates/lang/src/grammar.rs
+++ b/crates/lang/src/grammar.rs
@@ -21,6 +21,8 @@
     Operator,
     /// Id of a target.
     Target,
+    /// Id of a plan.
+    Plan,
     /// Fingerprint of a content.
     Content,
     /// A version of the configuration.
@@ -42,6 +44,7 @@
             Self::Rule => "RULE".to_owned(),
             Self::Operator => "OPERATOR".to_owned(),
             Self::Target => "TARGET".to_owned(),
+            Self::Plan => "PLAN".to_owned(),
             Self::Content => "CONTENT".to_owned(),
             Self::Version => "VERSION".to_owned(),
             Self::Word(words) => words.join("|"),
@@ -227,6 +230,24 @@
     field("content", Slot::Content),
 ];
 
+const TARGETS: Slot = Slot::Text("TARGET[,...]");
+
+const PLAN: &[Field] = &[
+    needed("kind", Slot::Word(&["drain", "replace", "roll", "role"])),
+    needed("service", Slot::Service),
+    needed("targets", TARGETS),
+    needed("keep", COUNT),
+    field("wave", COUNT),
+    field("by", TARGETS),
+    field("model", MODEL),
+    field("adapter", MODEL),
+    field("version", MODEL),
+    field("unload_model", MODEL),
+    field("unload_adapter", MODEL),
+    field("unload_version", MODEL),
+    field("role", MODEL),
+];
+
 const FLEET: &[Field] = &[
     field("weight_loads", COUNT),
     field("weight_rate", RATE),
@@ -323,6 +344,18 @@
     "lift" "quarantine" &[Slot::Content], &[], build::lift_quarantine,
         "Lifts the quarantine of a content; later crashes count again.",
         "lift quarantine 00f3a8c15b2277de why \"engine is patched\"";
+    "create" "plan" &[Slot::Plan], PLAN, build::create_plan,
+        "Plans a change of targets, wave by wave, while keep targets of the service stay up.",
+        "create plan nightly kind roll service drafting targets drafting-0,drafting-1 keep 1 model tin-draft version 8";
+    "pause" "plan" &[Slot::Plan], &[], build::pause,
+        "Lets a plan begin no more steps; a step under way is finished.", "pause plan nightly";
+    "resume" "plan" &[Slot::Plan], &[], build::resume,
+        "Lets a plan go on and tries failed steps again.", "resume plan nightly";
+    "abort" "plan" &[Slot::Plan], &[], build::abort,
+        "Puts the targets of a plan back into service and ends it.", "abort plan nightly";
+    "confirm" "plan" &[Slot::Plan], &[needed("target", Slot::Target)], build::confirm,
+        "Confirms that no order of a plan is under way at a target.",
+        "confirm plan nightly target drafting-1";
     "export" "record" &[], &[], build::export,
         "Writes the whole history and the configuration as JSON.", "export record";
 }
--- a/crates/lang/src/parse.rs
+++ b/crates/lang/src/parse.rs
@@ -99,6 +99,7 @@
         values.push(word);
     }
     let mut pairs = BTreeMap::new();
+    let mut names = BTreeMap::new();
     let mut why = None;
     while let Some(name) = rest.next() {
         if name.text == grammar::WHY && form.is_order() {
@@ -112,6 +113,7 @@
             let message = format!("field {} needs a value", field.name);
             return Err(Problem::new(end(text), message).allowed([field.slot.name()]));
         };
+        names.insert(field.name, name);
         if pairs.insert(field.name, value).is_some() {
             return Err(twice(name));
         }
@@ -131,6 +133,7 @@
         form,
         values,
         pairs,
+        names,
         why,
         end: end(text),
     })
--- a/crates/lang/src/render.rs
+++ b/crates/lang/src/render.rs
@@ -4,6 +4,7 @@
 
 use base::id;
 use conf::{row::ChangeRow, state, value::KeyHash};
+use plan::plan::{Kind, Plan, Stage};
 use serde::Serialize;
 
 use crate::{
@@ -112,14 +113,18 @@
             table.text()
         }
         Answer::Plans(plans) => {
-            let mut table = Table::new(&["PLAN", "STATE", "WHAT", "REASON"]);
+            let mut table = Table::new(&[
+                "PLAN",
+                "STATE",
+                "SERVICE",
+                "WHAT",
+                "KEEP",
+                "DONE",
+                "UNDER WAY",
+                "REASON",
+            ]);
             for plan in plans {
-                table.row(vec![
-                    plan.id.to_string(),
-                    plan.state.clone(),
-                    plan.what.clone(),
-                    plan.reason.clone(),
-                ]);
+                table.row(planned(plan));
             }
             table.text()
         }
@@ -408,6 +413,52 @@
     text
 }
 
+fn planned(plan: &Plan) -> Vec<String> {
+    let done = plan
+        .targets
+        .values()
+        .filter(|target| target.steps.is_empty());
+    let busy = plan
+        .targets
+        .iter()
+        .filter(|(_, target)| target.stage != Stage::Waiting)
+        .filter_map(|(id, target)| Some((id, target.step()?, &target.stage)))
+        .map(|(id, step, stage)| match stage {
+            Stage::Failed(cause) => format!("{id} failed to {step}: {cause}"),
+            Stage::Unsettled(_) => format!("{id} may still {step}; confirm"),
+            _ => format!("{id} {step}"),
+        });
+    vec![
+        plan.id.to_string(),
+        plan.state.to_string(),
+        plan.service.to_string(),
+        kind(&plan.kind),
+        plan.keep.to_string(),
+        format!("{} of {}", done.count(), plan.targets.len()),
+        list(busy),
+        plan.reason.clone(),
+    ]
+}
+
+/// Writes what a plan does on one line.
+pub fn kind(kind: &Kind) -> String {
+    match kind {
+        Kind::Drain => "drain".to_owned(),
+        Kind::Replace(replace) => {
+            let pairs = replace
+                .by
+                .iter()
+                .map(|(old, new)| format!("{old} by {new}"));
+            format!("replace {}", list(pairs))
+        }
+        Kind::Roll(roll) => match &roll.unload {
+            Some(unload) => format!("roll {}, unload {unload}", roll.load),
+            None => format!("roll {}", roll.load),
+        },
+        Kind::Role(role) => format!("role {role}"),
+    }
+}
+
 /// Shows what was accepted.
 pub fn accepted(version: id::Version) -> String {
     format!("accepted as version {version}\n")
--- a/crates/lang/tests/parse.rs
+++ b/crates/lang/tests/parse.rs
@@ -202,6 +202,50 @@
     );
 }
 
+#[test]
+fn plans() {
+    check(
+        "create plan p kind drain service drafting targets drafting-1,drafting-0 keep 1 wave 2",
+        &expect![[
+            r#"{"plan":{"id":"p","service":"drafting","kind":"drain","targets":["drafting-1","drafting-0"],"wave":2,"keep":1}}"#
+        ]],
+    );
+    check(
+        "create plan p kind replace service drafting targets drafting-1,drafting-0 by drafting-8,drafting-9 keep 1",
+        &expect![[
+            r#"{"plan":{"id":"p","service":"drafting","kind":{"replace":{"by":{"drafting-0":"drafting-9","drafting-1":"drafting-8"}}},"targets":["drafting-1","drafting-0"],"wave":1,"keep":1}}"#
+        ]],
+    );
+    check(
+        "create plan p kind roll service drafting targets drafting-1 keep 1 model m adapter a version 8 unload_model m unload_version 7",
+        &expect![[
+            r#"{"plan":{"id":"p","service":"drafting","kind":{"roll":{"load":{"model":"m","adapter":"a","version":"8"},"unload":{"model":"m","adapter":null,"version":"7"}}},"targets":["drafting-1"],"wave":1,"keep":1}}"#
+        ]],
+    );
+    check(
+        "create plan p kind role service drafting targets drafting-1 keep 1 role prefill",
+        &expect![[
+            r#"{"plan":{"id":"p","service":"drafting","kind":{"role":"prefill"},"targets":["drafting-1"],"wave":1,"keep":1}}"#
+        ]],
+    );
+    check(
+        "pause plan p",
+        &expect![[r#"{"operate":{"plan":"p","operation":"pause"}}"#]],
+    );
+    check(
+        "confirm plan p target drafting-1",
+        &expect![[r#"{"operate":{"plan":"p","operation":{"confirm":"drafting-1"}}}"#]],
+    );
+}
+
+#[test]
+fn quarantine() {
+    check(
+        "lift quarantine 00000000000000ff",
+        &expect![[r#"{"change":{"lift_quarantine":"00000000000000ff"}}"#]],
+    );
+}
+
 #[test]
 fn help() {
     check("help", &expect!["Help(None)"]);
