--- a/crates/cli/tests/session.rs
+++ b/crates/cli/tests/session.rs
@@ -4,7 +4,10 @@
 
 mod common;
 
-use bench::deploy::OPERATOR_KEY;
+use bench::{
+    client,
+    deploy::{self, OPERATOR_KEY},
+};
 use common::Operator;
 use expect_test::expect;
 
@@ -301,3 +304,30 @@
     assert!(loser.2.contains(&differs), "{}", loser.2);
     running.stop().await;
 }
+
+/// A chat runs at the target that the explanation names.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn explanation() {
+    let running = common::start().await;
+    let mut operator = Operator::new(&running, 0, OPERATOR_KEY);
+    let line = "explain chat brief-7 team dies service drafting";
+    let explained = operator.say(line).await;
+    expect![[r#"
+        > explain chat brief-7 team dies service drafting
+        chat 7d0923a213c24c50 goes to drafting-0: home
+        team dies has weight 100 priority 5 rate - open -
+    "#]]
+    .assert_eq(&explained);
+    let body = client::chat("drafting", &[("user", "a brief about dies")], 4);
+    let call = client::Call::post("/v1/chat/completions", &deploy::key("dies"), body)
+        .with("x-chat-id", "brief-7");
+    let caller = client::Caller::default();
+    let received = caller.send(running.callers()[0], call).await;
+    assert!(received.complete, "{:?}", received.status);
+    for slot in &running.engines {
+        let count = slot.engine.read(|record| record.executions.len());
+        let named = explained.contains(&format!("goes to {}:", slot.target));
+        assert_eq!(count, usize::from(named), "{}", slot.target);
+    }
+    running.stop().await;
+}
--- a/crates/daemon/src/operate.rs
+++ b/crates/daemon/src/operate.rs
@@ -64,6 +64,9 @@
 /// largest row and leaves room for the rest of the answer.
 const MAX_ROWS: usize = api::MAX_ANSWER / 2;
 
+/// Time for the last answers of a connection to be sent.
+const LAST_TIME: Duration = Duration::from_millis(200);
+
 /// Attempts of an order about a plan whose row changes meanwhile.
 const PLAN_ATTEMPTS: usize = 4;
 
@@ -195,8 +198,8 @@
         () = running.wait() => {}
         () = drain => running.wait().await,
     }
-    // The channel is polled once more, so that the last answer is sent.
-    time::timeout(Duration::ZERO, requests.next()).await.ok();
+    // Polling the channel sends the last answers.
+    time::timeout(LAST_TIME, requests.next()).await.ok();
 }
 
 impl api::Operator for Operators {
