--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -7,7 +7,6 @@
 
 use base::id;
 use conf::{
-    change::Change,
     row::{ChangeRow, Point},
     state::Configuration,
     value::KeyHash,
@@ -48,6 +47,13 @@
 enum Failure {
     #[error("error: {0}")]
     Call(#[from] CallError),
+    #[error(
+        "error: it is not known whether the order was accepted: {cause}\nrepeat it with --command {command}"
+    )]
+    Undecided {
+        command: id::CommandId,
+        cause: CallError,
+    },
     #[error("error: write answer: {0}")]
     Write(#[from] io::Error),
     #[error("error: {0}")]
@@ -64,7 +70,8 @@
     fn code(&self) -> Code {
         match self {
             Self::Call(CallError::Refused(refusal)) => refusal.into(),
-            Self::Call(CallError::Unreachable(_)) => Code::Unreachable,
+            Self::Call(CallError::Unreachable(_) | CallError::Lost(_)) => Code::Unreachable,
+            Self::Undecided { .. } => Code::Undecided,
             Self::Write(_) | Self::Record(_) | Self::Answer => Code::Failed,
             Self::Key(_) => Code::Usage,
             Self::Timeout(_) => Code::Timeout,
@@ -170,8 +177,7 @@
         screen: &mut Screen<'_>,
     ) -> Result<(), Failure> {
         if self.options.dry_run {
-            let Order::Change(change) = order;
-            let preview = self.preview(change).await?;
+            let preview = self.preview(order).await?;
             return self.show(screen, &preview, render::preview);
         }
         let command = self
@@ -187,7 +193,11 @@
         let call = async |client: &lang::api::OperatorClient, context, key| {
             client.give(context, key, given.clone()).await
         };
-        let version = self.client.call(call).await?.version;
+        let version = match self.client.call(call).await {
+            Ok(accepted) => accepted.version,
+            Err(cause @ CallError::Lost(_)) => return Err(Failure::Undecided { command, cause }),
+            Err(cause) => return Err(cause.into()),
+        };
         let accepted = Accepted { command, version };
         self.show(screen, &accepted, |_| render::accepted(version))?;
         match self.options.wait {
@@ -196,9 +206,9 @@
         }
     }
 
-    async fn preview(&mut self, change: Change) -> Result<Preview, Failure> {
+    async fn preview(&mut self, order: Order) -> Result<Preview, Failure> {
         let call = async |client: &lang::api::OperatorClient, context, key| {
-            client.preview(context, key, change.clone()).await
+            client.preview(context, key, order.clone()).await
         };
         Ok(self.client.call(call).await?)
     }
@@ -291,6 +301,9 @@
         if let Ok(Answer::Targets(all)) = self.ask(Query::Targets).await {
             names.targets = all.iter().map(|target| target.target.to_string()).collect();
         }
+        if let Ok(Answer::Plans(all)) = self.ask(Query::Plans).await {
+            names.plans = all.iter().map(|plan| plan.id.to_string()).collect();
+        }
         names
     }
 }
--- a/crates/daemon/src/operate.rs
+++ b/crates/daemon/src/operate.rs
@@ -4,7 +4,7 @@
 //! [`crate::commit`]. See [the language page](../../../docs/language.md).
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -21,6 +21,7 @@
     command::{Chat, Order, Query},
 };
 use place::choose;
+use plan::plan::Condition;
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel, Config},
@@ -37,13 +38,17 @@
 use crate::{
     commit::{Commit, CommitError},
     node::{Inspect, Node, Signal},
+    operate_plan::{self, PlanError},
     past::{Past, PastError},
+    platform::Platform,
+    router_core::Event,
     snapshot::Snapshot,
     suspects,
 };
 
-/// Connections of operators at once; operators are few.
-const CONNECTIONS: usize = 64;
+/// Connections of operators at once. Each may make the router reserve the
+/// memory of a largest request before its key is known: 8 MiB together.
+const CONNECTIONS: usize = 32;
 
 /// Requests of one connection that run at once; more of them wait.
 const REQUESTS: usize = 8;
@@ -55,6 +60,16 @@
 /// Time between two requests after which a connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(600);
 
+/// Bytes of change rows in one answer, which is far above the size of the
+/// largest row and leaves room for the rest of the answer.
+const MAX_ROWS: usize = api::MAX_ANSWER / 2;
+
+/// Time for the last answers of a connection to be sent.
+const LAST_TIME: Duration = Duration::from_millis(200);
+
+/// Attempts of an order about a plan whose row changes meanwhile.
+const PLAN_ATTEMPTS: usize = 4;
+
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -62,7 +77,7 @@
 #[derive(Clone)]
 pub struct Operators {
     snapshot: Arc<ArcSwap<Snapshot>>,
-    signals: mpsc::UnboundedSender<Signal>,
+    events: mpsc::UnboundedSender<Event>,
     centre: id::DataCentre,
     past: Arc<Past>,
 }
@@ -183,8 +198,8 @@
         () = running.wait() => {}
         () = drain => running.wait().await,
     }
-    // The channel is polled once more, so that the last answer is sent.
-    time::timeout(Duration::ZERO, requests.next()).await.ok();
+    // Polling the channel sends the last answers.
+    time::timeout(LAST_TIME, requests.next()).await.ok();
 }
 
 impl api::Operator for Operators {
@@ -208,31 +223,31 @@
         outcome
     }
 
-    async fn preview(
-        self,
-        _: Context,
-        key: Key,
-        change: Change,
-    ) -> Result<answer::Preview, Refusal> {
-        let (conf, _) = self.admit(&key, lang::command::role(&change)).await?;
-        let next = conf.apply(&change).map_err(rejected)?;
-        Ok(answer::Preview {
-            base: conf.version(),
-            lines: lines(&difference::text(&conf, &next)),
-        })
+    async fn preview(self, _: Context, key: Key, order: Order) -> Result<answer::Preview, Refusal> {
+        let (conf, _) = self.admit(&key, order.role()).await?;
+        let base = conf.version();
+        if let Order::Change(change) = &order {
+            let next = conf.apply(change).map_err(rejected)?;
+            let lines = lines(&difference::text(&conf, &next));
+            return Ok(answer::Preview { base, lines });
+        }
+        let platform = self.commit().await?.platform;
+        let prepared = self.prepare(&platform, &order).await?;
+        let lines = prepared.map_or_else(Vec::new, |prepared| operate_plan::lines(&prepared.plan));
+        Ok(answer::Preview { base, lines })
     }
 }
 
 impl Operators {
-    /// Makes the service; `signals` reaches the control thread.
+    /// Makes the service; `events` reaches the control thread.
     pub fn new(
         snapshot: Arc<ArcSwap<Snapshot>>,
-        signals: mpsc::UnboundedSender<Signal>,
+        events: mpsc::UnboundedSender<Event>,
         centre: id::DataCentre,
     ) -> Self {
         Self {
             snapshot,
-            signals,
+            events,
             centre,
             past: Arc::default(),
         }
@@ -243,12 +258,22 @@
     async fn inspect<T: Send + 'static>(
         &self,
         look: impl FnOnce(&Node) -> T + Send + 'static,
+    ) -> Result<T, Refusal> {
+        self.control(|reply| {
+            let inspect = Inspect::new(move |node| {
+                reply.send(look(node)).ok();
+            });
+            Event::Node(Signal::Inspect(inspect))
+        })
+        .await
+    }
+
+    async fn control<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> Event,
     ) -> Result<T, Refusal> {
         let (reply, answer) = oneshot::channel();
-        let inspect = Inspect::new(move |node| {
-            reply.send(look(node)).ok();
-        });
-        self.signals.send(Signal::Inspect(inspect)).ok();
+        self.events.send(event(reply)).ok();
         answer
             .await
             .map_err(|_| Refusal::Unavailable(CommitError::Stopping.to_string()))
@@ -287,26 +312,125 @@
                 "a reason has at most {most} bytes"
             )));
         }
-        let Order::Change(change) = given.order;
-        let command = row::Command {
-            id: given.id,
-            who: who.clone(),
-            why: given.why,
-            when: now(),
-            change: change.clone(),
-        };
         let commit = self.commit().await?;
-        let version = match commit.run(command, given.base).await {
-            Ok(version) => version,
-            Err(CommitError::Overtaken { base, head }) => {
-                return Err(self.overtaken(&commit, base, head).await?);
+        match &given.order {
+            Order::Change(change) => self.commit_change(&commit, who, &given, change).await,
+            _ => self.commit_plan(&commit, who, &given).await,
+        }
+    }
+
+    /// Commits an order about a plan. When a plan changes meanwhile, such as when
+    /// a process advances it, the order is prepared again.
+    async fn commit_plan(
+        &self,
+        commit: &Commit,
+        who: &id::OperatorId,
+        given: &Given,
+    ) -> Result<answer::Accepted, Refusal> {
+        if let Some(version) = accepted(commit, given.id).await? {
+            return Ok(answer::Accepted { version });
+        }
+        for _ in 0..PLAN_ATTEMPTS {
+            let Some(prepared) = self.prepare(&commit.platform, &given.order).await? else {
+                break;
+            };
+            let command = record(who, given, prepared.change.clone());
+            let outcome = commit.run_with(command, given.base, &prepared.rows).await;
+            if matches!(outcome, Err(CommitError::Changed(_))) {
+                continue;
             }
-            Err(error) => return Err(refusal(error)),
+            let version = self.version(commit, outcome).await?;
+            self.same(given.id, prepared.change).await?;
+            return Ok(answer::Accepted { version });
+        }
+        let reason = "the plan changes all the time; try again shortly";
+        Err(Refusal::Unavailable(reason.to_owned()))
+    }
+
+    async fn prepare(
+        &self,
+        platform: &Platform,
+        order: &Order,
+    ) -> Result<Option<operate_plan::Prepared>, Refusal> {
+        let service = match order {
+            Order::Plan(request) => Some(request.service.clone()),
+            _ => None,
         };
-        self.same(given.id, change).await?;
+        let (conf, targets) = self
+            .inspect(move |node| {
+                let rows = node.exchange.members.targets(node.clock.now());
+                let own = rows.into_iter().filter(|row| row.member.service == service);
+                let targets: BTreeMap<_, _> = own
+                    .filter_map(|row| Some((row.member.target?, condition(row.standing))))
+                    .collect();
+                (node.conf().clone(), targets)
+            })
+            .await?;
+        operate_plan::prepare(platform, &conf, targets, order)
+            .await
+            .map_err(|error| match error {
+                PlanError::Table(fault) => unread(fault),
+                other => Refusal::Rejected(other.to_string()),
+            })
+    }
+
+    async fn commit_change(
+        &self,
+        commit: &Commit,
+        who: &id::OperatorId,
+        given: &Given,
+        change: &Change,
+    ) -> Result<answer::Accepted, Refusal> {
+        if let Change::LiftQuarantine(content) = change {
+            self.quarantined(commit, given.id, *content).await?;
+        }
+        let command = record(who, given, change.clone());
+        let outcome = commit.run(command, given.base).await;
+        let version = self.version(commit, outcome).await?;
+        if let Change::LiftQuarantine(content) = change {
+            self.events.send(Event::Lift(*content)).ok();
+        }
+        self.same(given.id, change.clone()).await?;
         Ok(answer::Accepted { version })
     }
 
+    /// Returns the version of a committed command, or makes the report for the
+    /// operator.
+    async fn version(
+        &self,
+        commit: &Commit,
+        outcome: Result<id::Version, CommitError>,
+    ) -> Result<id::Version, Refusal> {
+        match outcome {
+            Ok(version) => Ok(version),
+            Err(CommitError::Overtaken { base, head }) => {
+                Err(self.overtaken(commit, base, head).await?)
+            }
+            Err(error) => Err(refusal(error)),
+        }
+    }
+
+    /// Checks that this router knows crashes that count against a content,
+    /// unless an earlier attempt of the command has lifted it.
+    async fn quarantined(
+        &self,
+        commit: &Commit,
+        command: id::CommandId,
+        content: id::Fingerprint,
+    ) -> Result<(), Refusal> {
+        let suspects = self.quarantine().await?;
+        if suspects.iter().any(|entry| entry.fingerprint == content) {
+            return Ok(());
+        }
+        match accepted(commit, command).await? {
+            Some(_) => Ok(()),
+            None => {
+                let reason = format!("content {content} is not in quarantine");
+                Err(Refusal::Rejected(reason))
+            }
+        }
+    }
+
     /// Makes the report for an operator who has seen `base` while the head is
     /// another version.
     async fn overtaken(
@@ -362,7 +486,11 @@
             Query::Operators => Ok(Answer::Operators(owned(conf.operators().values()))),
             Query::Overrides => Ok(Answer::Overrides(owned(conf.overrides().values()))),
             Query::Loads => self.targets().await.map(|all| Answer::Loads(loads(&all))),
-            Query::Plans => Ok(Answer::Plans(Vec::new())),
+            Query::Plans => {
+                let platform = self.commit().await?.platform;
+                let rows = operate_plan::plans(&platform).await.map_err(unread)?;
+                Ok(Answer::Plans(rows.into_iter().map(|row| row.1).collect()))
+            }
             Query::Quarantine => self.quarantine().await.map(Answer::Quarantine),
             Query::Configuration(version) => {
                 let shown = self.at(&conf, version.unwrap_or(conf.version())).await?;
@@ -493,7 +621,8 @@
                 platform.changes(from).await.map_err(unread)?
             }
         };
-        Ok(rows.iter().map(|row| row.as_ref().clone()).collect())
+        let latest = fitting(rows.iter().rev());
+        Ok(latest.into_iter().rev().collect())
     }
 
     async fn record(
@@ -504,7 +633,7 @@
         let platform = self.commit().await?.platform;
         let rows = platform.changes(after).await.map_err(unread)?;
         Ok(answer::Page {
-            changes: rows.iter().map(|row| row.as_ref().clone()).collect(),
+            changes: fitting(rows.iter()),
             newest: conf.version(),
         })
     }
@@ -600,6 +729,48 @@
     loads
 }
 
+/// Makes the command that is recorded for an order.
+fn record(who: &id::OperatorId, given: &Given, change: Change) -> row::Command {
+    row::Command {
+        id: given.id,
+        who: who.clone(),
+        why: given.why.clone(),
+        when: now(),
+        change,
+    }
+}
+
+/// Returns the version at which a command was accepted before.
+async fn accepted(commit: &Commit, command: id::CommandId) -> Result<Option<id::Version>, Refusal> {
+    let key = row::command_key(command);
+    let Some(found) = commit.platform.row(&key).await.map_err(unread)? else {
+        return Ok(None);
+    };
+    let recorded: row::CommandRow = found
+        .read(&key)
+        .map_err(|cause| Refusal::Unavailable(cause.to_string()))?;
+    Ok(Some(recorded.version))
+}
+
+fn condition(standing: member::Standing) -> Condition {
+    match standing {
+        member::Standing::Up => Condition::Up,
+        _ => Condition::Other,
+    }
+}
+
+/// Returns the first rows, as far as they fit into an answer.
+fn fitting<'a>(rows: impl Iterator<Item = &'a Arc<row::ChangeRow>>) -> Vec<row::ChangeRow> {
+    let mut size = 0;
+    rows.take_while(|row| {
+        let json = serde_json::to_vec(row.as_ref());
+        size += json.map_or(0, |json| json.len());
+        size <= MAX_ROWS
+    })
+    .map(|row| row.as_ref().clone())
+    .collect()
+}
+
 fn owned<'a, T: Clone + 'a>(values: impl Iterator<Item = &'a Arc<T>>) -> Vec<T> {
     values.map(|value| value.as_ref().clone()).collect()
 }
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -40,6 +40,8 @@
     Failed(id::ProcessId, member::Failure),
     /// An agent reported contents that were in flight at a crash.
     Suspects(Vec<msg::Suspect>),
+    /// An operator lifted the quarantine of a content.
+    Lift(id::Fingerprint),
     /// The process is to stop.
     Stop,
 }
@@ -181,6 +183,7 @@
                 }
                 self.suspect(now, &suspects);
             }
+            Event::Lift(content) => self.lift(now, content),
             Event::Stop => {
                 self.leaving = true;
                 self.all_dirty = true;
@@ -208,6 +211,21 @@
         self.all_dirty = true;
     }
 
+    /// Excuses the crashes that count against a content, and tells other
+    /// processes.
+    fn lift(&mut self, now: time::Mono, content: id::Fingerprint) {
+        self.quarantine.lift(now, content);
+        let entries = self.quarantine.entries(now);
+        let lifted = entries.iter().filter(|entry| entry.fingerprint == content);
+        let suspects: Vec<msg::Suspect> = lifted
+            .map(|entry| suspects::to_message(entry, ""))
+            .collect();
+        for suspect in &suspects {
+            self.parts.node.exchange.suspect(now, suspect.clone());
+        }
+        self.suspect(now, &suspects);
+    }
+
     /// Writes the first configuration when the table has none. Every router
     /// does so with the same command id, and the table accepts it once.
     fn bootstrap(&mut self) {
