--- a/crates/bench/examples/measure.rs
+++ b/crates/bench/examples/measure.rs
@@ -2,10 +2,11 @@
 
 use std::env;
 
-use bench::{child, faults, path, recovery, spread};
+use bench::{child, faults, path, placement, recovery, spread};
 
 const SCENARIOS: &str = "path, spread, recovery, late, lostreply, outage, pause, routerdeath, \
-                         agentdeath, drain, resend";
+                         agentdeath, drain, resend, steady, churn, flap, surge, split, \
+                         poison, hotchat";
 
 fn main() -> anyhow::Result<()> {
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -20,6 +21,9 @@
         "spread" => spread::main(rest),
         "recovery" => traffic(recovery::run(parse(recovery::options(), rest))),
         name if faults::exists(name) => traffic(faults::run(name, parse(faults::options(), rest))),
+        name if placement::exists(name) => {
+            traffic(placement::run(name, parse(placement::options(), rest)))
+        }
         other => anyhow::bail!("scenario {other:?} does not exist; scenarios: {SCENARIOS}"),
     }
 }
--- a/crates/daemon/src/health.rs
+++ b/crates/daemon/src/health.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicU8, Ordering},
+    atomic::{AtomicU8, AtomicU64, Ordering},
 };
 
 use futures_util::FutureExt;
@@ -24,21 +24,30 @@
 
 /// The state as it is shown.
 #[derive(Debug, Default)]
-pub struct Health(AtomicU8);
+pub struct Health {
+    state: AtomicU8,
+    /// Bytes of control traffic, sent and received.
+    control: AtomicU64,
+}
 
 impl Health {
     /// Sets the state; leaving is final.
     pub fn set(&self, state: State) {
-        self.0.fetch_max(state as u8, Ordering::Relaxed);
+        self.state.fetch_max(state as u8, Ordering::Relaxed);
     }
 
     /// Returns whether new work is taken.
     pub fn ready(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == State::Ready as u8
+        self.state.load(Ordering::Relaxed) == State::Ready as u8
+    }
+
+    /// Sets the bytes of control traffic since the start.
+    pub fn control(&self, bytes: u64) {
+        self.control.store(bytes, Ordering::Relaxed);
     }
 
     fn page(&self) -> (StatusCode, &'static str) {
-        match self.0.load(Ordering::Relaxed) {
+        match self.state.load(Ordering::Relaxed) {
             0 => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
             1 => (StatusCode::OK, "ready\n"),
             _ => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
@@ -46,13 +55,19 @@
     }
 }
 
-/// Makes the handler of the health listener: `/livez` and `/readyz`.
+/// Makes the handler of the health listener: `/livez`, `/readyz` and
+/// `/control`, the bytes of control traffic since the start.
 pub fn handler(health: Arc<Health>) -> serve::Handler {
     Arc::new(move |request| {
+        let fixed = |(status, text): (StatusCode, &str)| (status, text.to_owned());
         let (status, text) = match request.uri().path() {
-            "/livez" => (StatusCode::OK, "alive\n"),
-            "/readyz" => health.page(),
-            _ => (StatusCode::NOT_FOUND, "not found\n"),
+            "/livez" => fixed((StatusCode::OK, "alive\n")),
+            "/readyz" => fixed(health.page()),
+            "/control" => {
+                let bytes = health.control.load(Ordering::Relaxed);
+                (StatusCode::OK, format!("{bytes}\n"))
+            }
+            _ => fixed((StatusCode::NOT_FOUND, "not found\n")),
         };
         let mut response = Response::new(body::full(text));
         *response.status_mut() = status;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -162,6 +162,11 @@
         convert::stamp_record(self.exchange.members.own())
     }
 
+    /// Returns the bytes of control traffic since the start.
+    pub fn control_bytes(&self) -> u64 {
+        self.budget.spent()
+    }
+
     /// Returns when [`Node::tick`] has something to do.
     pub fn due(&self) -> time::Mono {
         self.due
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -259,6 +259,8 @@
             return;
         }
         self.published = now;
+        let spent = self.parts.node.control_bytes();
+        self.parts.health.control(spent);
         let ready = self.parts.node.ready();
         let standing = match (self.leaving, ready) {
             (true, _) => member::Standing::Leaving,
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -240,6 +240,12 @@
         read(&self.shared.state().record)
     }
 
+    /// Returns a handle that reads the record while the engine is in use
+    /// elsewhere.
+    pub fn reader(&self) -> Reader {
+        Reader(self.shared.clone())
+    }
+
     /// Returns the models, adapters and role.
     pub fn loaded(&self) -> orders::Loaded {
         self.shared.state().desk.loaded.clone()
@@ -255,3 +261,14 @@
         self.shared.power.up();
     }
 }
+
+/// Reads the record of an engine.
+#[derive(Clone, Debug)]
+pub struct Reader(Arc<Shared>);
+
+impl Reader {
+    /// Reads the record without copying it.
+    pub fn read<T>(&self, read: impl FnOnce(&record::Record) -> T) -> T {
+        read(&self.0.state().record)
+    }
+}
