--- a/crates/admit/src/bound.rs
+++ b/crates/admit/src/bound.rs
@@ -17,6 +17,10 @@
     /// `horizon` it decreases linearly, so the bound holds as long as no peer
     /// loses its load faster than that.
     pub horizon: span::Span,
+    /// Square roots of the total load by which the total may fall before a
+    /// request that begins now, or one before it, ends. In a steady load of
+    /// independent requests the total varies by about one square root.
+    pub margin: f64,
 }
 
 impl Default for Rule {
@@ -27,6 +31,7 @@
             slots: 16,
             grace: span::Span::from_secs(1),
             horizon: span::Span::from_secs(10),
+            margin: 0.0,
         }
     }
 }
@@ -56,7 +61,9 @@
 ///
 /// `total` must not be more, and `members` not less, than the true numbers.
 pub fn cap(rule: &Rule, total: u64, members: u32) -> u32 {
-    let mean = (total + 1) as f64 / f64::from(members.max(1));
+    let total = (total + 1) as f64;
+    let certain = (total - rule.margin * total.sqrt()).max(1.0);
+    let mean = certain / f64::from(members.max(1));
     let share = (rule.factor * mean).ceil();
     // The conversion saturates, and the slots limit the result in any case.
     (share as u32).max(rule.floor).min(rule.slots)
--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -151,9 +151,7 @@
                 false => self.trace.chat(number, team),
             };
             if std::mem::take(&mut first) {
-                // The callers do not start together.
-                let part = hash::mix(number, 1) % 1000;
-                sleep(trace::TURN_TIME.mul_f64(part as f64 / 1000.0)).await;
+                sleep(trace::first_pause(hash::mix(number, self.seed))).await;
             }
             self.chat(&chat, until).await;
         }
--- a/crates/bench/src/placement.rs
+++ b/crates/bench/src/placement.rs
@@ -50,7 +50,7 @@
     #[bpaf(argument("SECONDS"), fallback(20))]
     seconds: u64,
     /// Callers for each engine; each has one chat at a time
-    #[bpaf(argument("NUMBER"), fallback(16))]
+    #[bpaf(argument("NUMBER"), fallback(48))]
     callers: u64,
     /// Log filter of the daemons; their log lines go to standard error
     #[bpaf(argument("FILTER"), fallback("off".to_owned()))]
@@ -59,7 +59,7 @@
 
 /// Tokens that the cache of an engine holds: about twice what its part of the
 /// chats needs.
-const CACHE_TOKENS: usize = 48 * 1024;
+const CACHE_TOKENS: usize = 144 * 1024;
 
 /// Costs of the stand-in engines: moving a block of 64 tokens takes 0.2 ms at
 /// each side, computing a token 0.1 ms.
@@ -69,6 +69,10 @@
     computed: span::Span::from_millis(100),
 };
 
+/// Load that every engine may carry: a quarter of its slots, where no request
+/// slows another.
+const FLOOR: u32 = 8;
+
 /// Time that a joined engine counts as warming up; five minutes of a
 /// deployment at the scale of the trace.
 const WARM_UP: span::Span = span::Span::from_secs(4);
@@ -112,10 +116,11 @@
     let callers = options.callers * site.running.engines.len() as u64;
     let base = tokio::spawn(load.clone().run(callers, None, load.end));
     let surge = inject(name, &mut site, &load, callers, seconds).await?;
+    sleep(load.end.saturating_duration_since(Instant::now())).await;
+    let to = clock::now();
     base.await?;
     let spent = site.control().await? - control;
     let lasted = start.elapsed().as_secs_f64();
-    let to = clock::now();
     let turns = load.take();
     let options_used = &site.running.options;
     let courses = site.courses(from);
@@ -183,6 +188,7 @@
                 ..policy::Tuning::default()
             },
             warm_up: WARM_UP,
+            floor: FLOOR,
             ..deploy::Options::default()
         };
         let running = deploy::Running::start(deployment, setup).await?;
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -77,6 +77,12 @@
         for moment in &skew.moments {
             println!("{moment}");
         }
+        let course: Vec<String> = skew
+            .course
+            .iter()
+            .map(|mean| format!("{mean:.1}"))
+            .collect();
+        println!("course mean={}", course.join(","));
         println!(
             "load mean={:.2} plain_skew={:.3} excess={} begun_over={} begun_excess={} time_over={:.5}",
             skew.mean, skew.plain, skew.excess, skew.begun_over, skew.begun_excess, skew.time_over
--- a/crates/bench/src/skew.rs
+++ b/crates/bench/src/skew.rs
@@ -61,6 +61,8 @@
     pub begun_excess: u32,
     /// Share of time in which an engine was above the bound.
     pub time_over: f64,
+    /// Mean load in each second, for the report.
+    pub course: Vec<f64>,
     /// The first moments above the bound, for the report.
     pub moments: Vec<String>,
 }
@@ -112,6 +114,10 @@
             let span = at.since(since).as_secs_f64();
             elapsed += span;
             skew.mean += mean * span;
+            let second = at.since(from).as_millis() as usize / 1000;
+            if skew.course.len() <= second {
+                skew.course.push(mean);
+            }
             skew.time_over += if over { span } else { 0.0 };
         }
         last = Some((at, mean, most > allowed));
--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -33,6 +33,25 @@
 /// the response.
 pub const TURN_TIME: Duration = Duration::from_millis(5700);
 
+/// Shares, in hundredths, of callers that are in a long and in a short pause at
+/// any moment, and the longest that is usually left of each and of a response.
+/// Callers that all began with a short pause would return as a wave.
+const STATIONARY: [(u64, u64); 3] = [(25, 13_000), (45, 3400), (30, 1700)];
+
+/// Returns the time after which a caller sends its first turn, so that the load
+/// is steady from the start.
+pub fn first_pause(bits: u64) -> Duration {
+    let part = hash::mix(bits, 1) % 1000;
+    let mut point = bits % 100;
+    for (share, left) in STATIONARY {
+        if point < share {
+            return Duration::from_millis(left * part / 1000);
+        }
+        point -= share;
+    }
+    Duration::ZERO
+}
+
 /// Words of prompts; four bytes each with the space, as one token.
 const WORDS: [&str; 16] = [
     "tin ", "lid ", "box ", "die ", "set ", "red ", "map ", "bus ", "way ", "cut ", "ink ", "van ",
--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -42,6 +42,10 @@
 /// Time for which a leaving agent tries to declare claims abandoned.
 const ABANDON_WAIT: span::Span = span::Span::from_secs(10);
 
+/// Margin of the bound: the mean falls when other engines finish requests, and
+/// an engine at its cap must not be above the bound then.
+const MARGIN: f64 = 1.0;
+
 /// Less loaded agents that a refusal names.
 const NAMED_PEERS: usize = 2;
 
@@ -264,6 +268,7 @@
                 factor: service.factor.get(),
                 floor: service.floor,
                 slots,
+                margin: MARGIN,
                 ..bound::Rule::default()
             },
             queue: gate::Queue {
@@ -937,12 +942,15 @@
         let Some(open) = self.open.get(&id) else {
             return;
         };
-        open.outlet.finish(Finish::Whole);
+        let outlet = open.outlet.clone();
+        let keyed = open.run.class() == msg::Class::Keyed;
+        if keyed {
+            outlet.finish(Finish::Whole);
+        }
         let fingerprint = open.fingerprint;
         let took = open.dispatched.map(|at| now.since(at));
         tracing::info!(event = "complete", request = %id, target = %self.agent.target, bytes = total,
             took_ms = took.map(span::Span::as_millis));
-        let keyed = open.run.class() == msg::Class::Keyed;
         if self.quarantine.check(now, fingerprint) != quarantine::Verdict::Clear {
             self.quarantine.completed(fingerprint);
             self.spread(now, fingerprint);
@@ -962,6 +970,11 @@
         };
         let actions = self.ledger.complete(now, id, total, response);
         self.act(now, actions);
+        if !keyed {
+            // The stamp of the last frame no longer counts this request.
+            self.publish();
+            outlet.finish(Finish::Whole);
+        }
     }
 
     fn check_health(&self) {
@@ -1054,7 +1067,8 @@
         let cap = self.gate.cap(now);
         self.parts.node.tell(standing, self.gate.load(), cap);
         let mut stamp = self.parts.node.stamp();
-        stamp.load = self.gate.load() + self.gate.queued();
+        stamp.waiting = self.gate.queued();
+        stamp.load = self.gate.load() + stamp.waiting;
         stamp.cap = cap;
         stamp.epoch = self.ledger.epoch().0;
         if **self.parts.stamp.load() != stamp {
--- a/crates/fleet/src/convert.rs
+++ b/crates/fleet/src/convert.rs
@@ -148,6 +148,8 @@
         version: id::Version(record.version),
         load: record.load,
         cap: record.cap,
+        sequence: id::Sequence(record.sequence),
+        waiting: record.waiting,
     })
 }
 
@@ -155,6 +157,8 @@
 pub fn stamp_record(member: &member::Member) -> msg::Stamp {
     msg::Stamp {
         epoch: 0,
+        sequence: member.sequence.0,
+        waiting: 0,
         process: member.process.to_string(),
         incarnation: member.incarnation.0,
         version: member.version.0,
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -184,6 +184,8 @@
         if urgent {
             self.report(now);
             self.fan = FAN;
+        } else {
+            self.members.restate(now, load, cap);
         }
     }
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -101,8 +101,7 @@
     pub age: span::Span,
 }
 
-/// What a reply tells about its sender. It has no sequence, so that it is used
-/// here and never passed on.
+/// What a reply tells about its sender.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stamp {
     /// The sender.
@@ -117,6 +116,11 @@
     pub load: u32,
     /// Outstanding requests that the bound allows.
     pub cap: u32,
+    /// Orders this statement among the sender's reports; 0 when it has no
+    /// place among them, and then it is used here and never passed on.
+    pub sequence: id::Sequence,
+    /// Requests in `load` that wait at the agent.
+    pub waiting: u32,
 }
 
 /// One instance in the platform's list.
@@ -258,6 +262,10 @@
 /// the service group. A process makes one report a second.
 const PULSE: u64 = 16;
 
+/// Sequences between two reports, for the loads that stamps tell meanwhile. An
+/// agent's load changes up to a few hundred times a second.
+const STEPS: u64 = 1024;
+
 /// Most starts that are remembered for flapping.
 const STARTS: usize = 8;
 
@@ -267,7 +275,7 @@
 }
 
 fn pulse(sequence: id::Sequence) -> u64 {
-    sequence.0 / PULSE
+    sequence.0 / (PULSE * STEPS)
 }
 
 impl Member {
@@ -503,7 +511,7 @@
         }
         let standing = if leaving { Standing::Leaving } else { standing };
         let load = Load {
-            sequence: entry.member.sequence.next(),
+            sequence: id::Sequence((entry.member.sequence.0 / STEPS + 1) * STEPS),
             standing,
             version,
             load,
@@ -514,6 +522,23 @@
         entry.advance(now, load);
     }
 
+    /// Changes the load in this process's own report between two reports, for
+    /// its stamps; the exchange does not pass it on sooner.
+    pub fn restate(&mut self, now: time::Mono, load: u32, cap: u32) {
+        let own = self.own.clone();
+        let Some(entry) = self.entries.get_mut(&own) else {
+            return;
+        };
+        let next = entry.member.sequence.next();
+        if entry.member.load == load || next.0.is_multiple_of(STEPS) {
+            return;
+        }
+        entry.member.sequence = next;
+        entry.member.load = load;
+        entry.member.cap = cap;
+        entry.heard = now;
+    }
+
     /// Moves this process to a newer incarnation, for example after
     /// [`Outcome::Own`] showed that the fleet remembers a higher one.
     pub fn renumber(&mut self, now: time::Mono, incarnation: id::Incarnation) {
@@ -593,9 +618,10 @@
 
     /// Takes over what a reply says about its sender.
     ///
-    /// Replies of several streams may overtake each other, so a stamp sets
-    /// only what can't do harm when it is late: leaving and the version, which
-    /// never go back, and the load, which the next stamp or report replaces.
+    /// Replies of several streams may overtake each other, so a stamp without a
+    /// sequence sets only what can't do harm when it is late: leaving and the
+    /// version, which never go back, and the load, which the next stamp or
+    /// report replaces. One with a sequence is also a report.
     pub fn stamp(&mut self, now: time::Mono, stamp: &Stamp) -> Outcome {
         if stamp.process == self.own {
             return Outcome::Own;
@@ -620,6 +646,21 @@
         if stamp.standing == Standing::Leaving && entry.leave(now) {
             return Outcome::Changed;
         }
+        if stamp.sequence.0 > 0 && entry.state == State::Reported {
+            let load = Load {
+                sequence: stamp.sequence,
+                standing: stamp.standing,
+                version: stamp.version,
+                load: stamp.load.saturating_sub(stamp.waiting),
+                cap: stamp.cap,
+                age: span::Span::ZERO,
+                ..entry.member.load()
+            };
+            return match entry.merge(now, load, &self.rules) {
+                Outcome::Changed => Outcome::Changed,
+                _ => Outcome::Refreshed,
+            };
+        }
         Outcome::Refreshed
     }
 
--- a/crates/fleet/tests/sources.rs
+++ b/crates/fleet/tests/sources.rs
@@ -129,6 +129,8 @@
         version: id::Version(3),
         load: 5,
         cap: 9,
+        sequence: id::Sequence(0),
+        waiting: 0,
     };
     members.stamp(at(50), &stamp);
     assert!(members.expire(at(70)).is_empty());
@@ -137,6 +139,34 @@
     assert_eq!(row.age, span::Span::from_secs(20));
 }
 
+#[test]
+fn stamp_relayed() {
+    // Guards the bound against loads that are as old as the exchange: a load
+    // that a reply told is passed on, without the queue and in order.
+    let mut members = members();
+    let one = agent(1, "crew");
+    members.report(at(1), one.clone());
+    let service = one.service.clone().expect("an agent has a service");
+    let mut stamp = member::Stamp {
+        process: one.process.clone(),
+        incarnation: one.incarnation,
+        standing: Standing::Up,
+        version: id::Version(3),
+        load: 7,
+        cap: 9,
+        sequence: id::Sequence(one.sequence.0 + 2),
+        waiting: 2,
+    };
+    members.stamp(at(5), &stamp);
+    stamp.sequence = id::Sequence(one.sequence.0 + 1);
+    stamp.load = 1;
+    members.stamp(at(6), &stamp);
+    let router = "router-1".parse().expect("a valid id");
+    let told = members.freshest(at(7), &service, &router, 8);
+    assert_eq!(told.len(), 1);
+    assert_eq!((told[0].load, told[0].age), (5, span::Span::from_secs(2)));
+}
+
 #[test]
 fn flapping_warms() {
     // Guards against chats that move to a member that is about to restart.
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -74,6 +74,12 @@
     /// Present epoch of an agent's ledger; 0 from a router.
     #[prost(uint64, tag = "7")]
     pub epoch: u64,
+    /// Orders the reports of a run, as in [`Load`].
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
+    /// Requests in `load` that wait in the agent's queue.
+    #[prost(uint32, tag = "9")]
+    pub waiting: u32,
 }
 
 /// Asks an agent to run a request at its target.
