--- a/crates/admit/tests/bound.rs
+++ b/crates/admit/tests/bound.rs
@@ -21,6 +21,7 @@
     slots: 12,
     grace: Span::from_millis(500),
     horizon: Span::from_secs(4),
+    margin: 0.0,
 };
 
 /// Agents that exist at some time in a history.
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -74,6 +74,12 @@
     /// Present epoch of an agent's ledger; 0 from a router.
     #[prost(uint64, tag = "7")]
     pub epoch: u64,
+    /// Orders the reports of a run, as in [`Load`].
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
+    /// Requests in `load` that wait in the agent's queue.
+    #[prost(uint32, tag = "9")]
+    pub waiting: u32,
 }
 
 /// Asks an agent to run a request at its target.
@@ -325,6 +331,14 @@
     pub id: bytes::Bytes,
 }
 
+/// Asks an agent for the KV cache that its engine holds of a chat.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct CacheOf {
+    /// The chat, as in [`Run`].
+    #[prost(fixed64, tag = "1")]
+    pub chat: u64,
+}
+
 /// All that a process knows of a member.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Member {
