Carry planned changes out in routers and agents

Each process reads the plan rows; routers advance plans by compare-and-set, agents keep their target out of service, drain it and carry out one order at a time.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
 };
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use once::event;
 use prost::Message;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use wire::{convert, frame, msg};
 
@@ -28,7 +28,7 @@
     listen,
     metrics::Metrics,
     node::{self, Node, Signal},
-    peers,
+    peers, plan_orders, plan_runner,
     platform::Platform,
     reply, serve,
     target::Target,
@@ -38,6 +38,7 @@
     events: mpsc::UnboundedSender<Event>,
     stamp: Arc<ArcSwap<msg::Stamp>>,
     links: AtomicU64,
+    plans: Arc<Notify>,
 }
 
 impl Agent {
@@ -48,6 +49,7 @@
             "/cancel" => self.cancel(request).await,
             "/exchange" => self.exchange(request).await,
             "/changes" => self.changes(request).await,
+            "/plans" => Ok(self.plans()),
             _ => Ok(peers::status(StatusCode::NOT_FOUND)),
         };
         answered.unwrap_or_else(|fault| peers::invalid(&fault))
@@ -90,6 +92,12 @@
         Ok(peers::status(StatusCode::OK))
     }
 
+    /// A router has opened a step of a plan.
+    fn plans(&self) -> Response<body::Body> {
+        self.plans.notify_one();
+        peers::status(StatusCode::OK)
+    }
+
     async fn exchange(&self, request: Request<Incoming>) -> Result<Response<body::Body>, Fault> {
         let events = &self.events;
         exchange(request, |signal| events.send(Event::Node(signal)).is_ok()).await
@@ -150,7 +158,9 @@
     let (events, received) = mpsc::unbounded_channel();
     let stamp = Arc::new(ArcSwap::from_pointee(msg::Stamp::default()));
     let health = Arc::new(health::Health::default());
+    let platform = Platform::new(&settings.platform);
     let agent = Arc::new(Agent {
+        plans: platform.plans.clone(),
         events: events.clone(),
         stamp: stamp.clone(),
         links: AtomicU64::new(1),
@@ -169,6 +179,7 @@
     let core_settings = settings.clone();
     let core_events = events.clone();
     let ready = health.clone();
+    let core_stop = stop.clone();
     control.spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -177,8 +188,34 @@
         runtime.block_on(async move {
             let incarnation = node::incarnation();
             let signals = listen::forward(core_events.clone(), Event::Node);
-            let platform = Platform::new(&core_settings.platform);
-            let node = Node::new(core_settings, incarnation, links, platform.clone(), signals);
+            let process = core_settings.process.clone();
+            let node = Node::new(
+                core_settings,
+                incarnation,
+                links.clone(),
+                platform.clone(),
+                signals.clone(),
+            );
+            let ordering = Arc::new(AtomicBool::new(false));
+            let hands = plan_orders::Hands {
+                target: own.target.clone(),
+                incarnation,
+                orders: own.orders.map(Target::new),
+                events: core_events.clone(),
+                clock: node.clock,
+                metrics: metrics.clone(),
+                ordering: ordering.clone(),
+                stop: core_stop,
+            };
+            plan_runner::start(plan_runner::Parts {
+                process,
+                clock: node.clock,
+                platform: platform.clone(),
+                signals,
+                links,
+                metrics: metrics.clone(),
+                desk: Some(plan_orders::Desk::new(hands)),
+            });
             let asks = claims::start(
                 platform.clone(),
                 node.clock,
@@ -192,6 +229,7 @@
                 traffic,
                 asks,
                 objects: platform.objects,
+                ordering,
                 health: ready,
                 events: core_events,
                 stamp,
--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -3,7 +3,14 @@
 //! The decisions are those of [`admit::gate`], [`admit::quarantine`] and
 //! [`once::ledger`]; this module carries them out.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use admit::{bound, gate, group, quarantine, ticket};
 use arc_swap::ArcSwap;
@@ -81,6 +88,9 @@
     Stored(id::RequestId, u64, claim::Response),
     /// A stored response was loaded for replay.
     Loaded(id::RequestId, Option<bytes::Bytes>),
+    /// A plan keeps the target out of service, or no longer does; none changes
+    /// nothing. The reply tells whether the target is out and has no work.
+    Hold(Option<bool>, oneshot::Sender<bool>),
     /// The process is to stop.
     Stop,
 }
@@ -115,6 +125,9 @@
     pub asks: Asks,
     /// Stored responses.
     pub objects: object::Objects,
+    /// Whether an order to the target is under way; the process does not end
+    /// before its outcome is recorded.
+    pub ordering: Arc<AtomicBool>,
     /// Shown to the platform.
     pub health: Arc<health::Health>,
     /// Metrics.
@@ -141,6 +154,9 @@
     /// When the process began to leave.
     left: Option<time::Mono>,
     joined: time::Mono,
+    /// Whether a plan keeps the target out of service; set until the rows of
+    /// plans were read.
+    held: bool,
 }
 
 impl Core {
@@ -152,10 +168,12 @@
             agent: process.clone(),
             incarnation: parts.incarnation,
         };
+        let mut ledger = ledger::Ledger::new(me, ledger::Limits::default(), now);
+        ledger.leave(now);
         Self {
             gate: gate::Gate::new(process, gate::Settings::default(), parts.incarnation.0),
             quarantine: quarantine::Quarantine::new(span::Span::from_secs(600), parts.incarnation),
-            ledger: ledger::Ledger::new(me, ledger::Limits::default(), now),
+            ledger,
             links: BTreeMap::new(),
             open: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -166,6 +184,7 @@
             health_due: now,
             left: None,
             joined: now,
+            held: true,
             parts,
             agent,
         }
@@ -203,6 +222,9 @@
         let Some(since) = self.left else {
             return false;
         };
+        if self.parts.ordering.load(Ordering::Relaxed) {
+            return false;
+        }
         let finished = self.ledger.live() == 0 && self.ledger.unrecorded() == 0;
         self.ledger.drained() || (finished && self.now().since(since) > ABANDON_WAIT)
     }
@@ -341,6 +363,11 @@
                 self.act(now, actions);
             }
             Event::Loaded(id, body) => self.loaded(id, body),
+            Event::Hold(held, reply) => {
+                self.hold(now, held.unwrap_or(self.held));
+                let busy = self.ledger.live() > 0 || self.ledger.unrecorded() > 0;
+                reply.send(self.held && !busy).ok();
+            }
             Event::Stop => self.leave(now),
         }
     }
@@ -369,6 +396,37 @@
         self.gated(now, events);
     }
 
+    /// Takes no new work, or takes it again, as plans say. Requests in flight go
+    /// on.
+    fn hold(&mut self, now: time::Mono, held: bool) {
+        if std::mem::replace(&mut self.held, held) == held {
+            return;
+        }
+        tracing::info!(event = "target_held", target = %self.agent.target, held, open = self.ledger.live());
+        if self.left.is_some() {
+            return;
+        }
+        if held {
+            let actions = self.ledger.leave(now);
+            self.act(now, actions);
+        } else {
+            self.joined = now;
+            self.ledger.stay();
+        }
+        self.set_gate(now);
+    }
+
+    /// Tells the gate whether the target takes new work.
+    fn set_gate(&mut self, now: time::Mono) {
+        let standing = match (self.held, self.healthy) {
+            (true, _) => group::Standing::Leaving,
+            (false, true) => group::Standing::Up,
+            (false, false) => group::Standing::Down,
+        };
+        let events = self.gate.standing(now, standing);
+        self.gated(now, events);
+    }
+
     fn offer(
         &mut self,
         now: time::Mono,
@@ -1000,12 +1058,7 @@
             self.joined = now;
         }
         if self.left.is_none() {
-            let standing = match healthy {
-                true => group::Standing::Up,
-                false => group::Standing::Down,
-            };
-            let events = self.gate.standing(now, standing);
-            self.gated(now, events);
+            self.set_gate(now);
         }
     }
 
@@ -1042,7 +1095,9 @@
             .map_or(span::Span::ZERO, |service| service.warm_up);
         if self.left.is_some() {
             member::Standing::Leaving
-        } else if !self.healthy {
+        } else if !self.healthy || self.held {
+            // A member that reported leaving never comes back in the same
+            // incarnation; one that is held by a plan does.
             member::Standing::Down
         } else if now.since(self.joined) < warm_up {
             member::Standing::Warming
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -9,6 +9,7 @@
 use conf::{row, settings};
 use once::claim;
 use store::{list, object, share, table};
+use tokio::sync::Notify;
 
 /// Clients of the platform's services.
 #[derive(Clone, Debug)]
@@ -19,6 +20,8 @@
     pub objects: object::Objects,
     /// The instance list.
     pub instances: list::Instances,
+    /// Wakes the task that carries plans on, after a change by this process.
+    pub plans: Arc<Notify>,
 }
 
 /// Change rows that are read from the table at once.
@@ -31,6 +34,7 @@
             table: table::Table::new(table::Options::new(addresses.table)),
             objects: object::Objects::new(object::Options::new(addresses.objects)),
             instances: list::Instances::new(list::Options::new(addresses.instances)),
+            plans: Arc::default(),
         }
     }
 
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -32,7 +32,7 @@
     listen,
     metrics::Metrics,
     node::{self, Node},
-    operate, peers,
+    operate, peers, plan_runner,
     platform::Platform,
     problem::{Code, OUTCOME, Outcome, Problem},
     router_core::{Core, Event, Parts},
@@ -294,7 +294,7 @@
     let router = Arc::new(Router {
         snapshot: snapshot.clone(),
         links: links.clone(),
-        metrics,
+        metrics: metrics.clone(),
         retries: Retries::default(),
         signer: secret.map(|secret| hint::Signer::new(secret.as_bytes())),
         limits: limits(&settings),
@@ -338,7 +338,23 @@
             let signals = listen::forward(core_events, Event::Node);
             let platform = Platform::new(&core_settings.platform);
             let incarnation = node::incarnation();
-            let node = Node::new(core_settings, incarnation, links, platform, signals);
+            let process = core_settings.process.clone();
+            let node = Node::new(
+                core_settings,
+                incarnation,
+                links.clone(),
+                platform.clone(),
+                signals.clone(),
+            );
+            plan_runner::start(plan_runner::Parts {
+                process,
+                clock: node.clock,
+                platform,
+                signals,
+                links,
+                metrics,
+                desk: None,
+            });
             let parts = Parts {
                 bootstrap,
                 node,
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -31,9 +31,12 @@
 /// Time to connect to the target, which stands on the same instance.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
-/// Time for short calls: load, health, cancel, orders.
+/// Time for short calls: load, health, cancel.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Time for an order; an engine replies once the weights are loaded.
+const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(1800);
+
 /// Read buffer of one connection, in bytes. Each open stream has a connection,
 /// and a token takes a few hundred bytes.
 const READ_BUFFER: usize = 4096;
@@ -168,28 +171,55 @@
     /// Tells the engine that nobody wants a stream any more.
     pub async fn cancel(&self, id: id::RequestId) -> Result<(), Fault> {
         let path = format!("/v1/streams/{id}");
-        self.short(Method::DELETE, &path, None, Bytes::new())
+        self.short(Method::DELETE, &path, Bytes::new())
             .await
             .map(drop)
     }
 
     /// Checks whether the target answers.
     pub async fn health(&self) -> Result<(), Fault> {
-        self.short(Method::GET, "/health", None, Bytes::new())
+        self.short(Method::GET, "/health", Bytes::new())
             .await
             .map(drop)
     }
 
     /// Reads the engine's own load report, as JSON.
     pub async fn load(&self) -> Result<Bytes, Fault> {
-        self.short(Method::GET, "/load", None, Bytes::new()).await
+        self.short(Method::GET, "/load", Bytes::new()).await
     }
 
-    /// Gives the target an order with its fencing token.
-    pub async fn order(&self, fence: id::Fence, order: Bytes) -> Result<(), Fault> {
-        self.short(Method::POST, "/orders", Some(fence), order)
-            .await
-            .map(drop)
+    /// Gives the target an order with its fencing token, on a connection of its
+    /// own, see [`Target::send`]. Returns the status of the reply.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::NotSent`] is a proof that the order did not arrive.
+    pub async fn order(&self, fence: id::Fence, order: Bytes) -> Result<StatusCode, Failure> {
+        let request = Request::post(self.uri("/orders"))
+            .header(FENCE, fence.0)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(order))
+            .at("build request", self.address)
+            .map_err(Failure::NotSent)?;
+        let call = time::timeout(ORDER_TIMEOUT, self.fresh.request(request));
+        match call.await {
+            Ok(Ok(response)) => Ok(response.status()),
+            Ok(Err(cause)) if cause.is_connect() => Err(Failure::NotSent(Fault::new(
+                "give order",
+                self.address,
+                cause,
+            ))),
+            Ok(Err(cause)) => Err(Failure::Broken(Fault::new(
+                "give order",
+                self.address,
+                cause,
+            ))),
+            Err(cause) => Err(Failure::Broken(Fault::new(
+                "give order",
+                self.address,
+                cause,
+            ))),
+        }
     }
 
     /// Reads the KV cache of a chat from the engine.
@@ -202,23 +232,15 @@
 
     /// Writes the KV cache of a chat to the engine.
     pub async fn import(&self, chat: id::ChatHash, cache: Bytes) -> Result<(), Fault> {
-        self.short(Method::PUT, &format!("/kv/{chat}"), None, cache)
+        self.short(Method::PUT, &format!("/kv/{chat}"), cache)
             .await
             .map(drop)
     }
 
-    async fn short(
-        &self,
-        method: Method,
-        path: &str,
-        fence: Option<id::Fence>,
-        body: Bytes,
-    ) -> Result<Bytes, Fault> {
-        let mut builder = Request::builder().method(method).uri(self.uri(path));
-        if let Some(fence) = fence {
-            builder = builder.header(FENCE, fence.0);
-        }
-        let request = builder
+    async fn short(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, Fault> {
+        let request = Request::builder()
+            .method(method)
+            .uri(self.uri(path))
             .header(
                 header::CONTENT_TYPE,
                 HeaderValue::from_static("application/json"),
