--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -106,8 +106,14 @@
     /// Number of the job that writes; reports of earlier ones are ignored.
     job: u64,
     dispatched: Option<time::Mono>,
+    /// Responses of other requests that came in place of its own.
+    crossings: u32,
 }
 
+/// Responses of other requests after which an engine's stream is not asked for
+/// again.
+const MOST_CROSSINGS: u32 = 3;
+
 /// Carries out the operations on claim rows.
 pub type Asks = Arc<dyn Fn(claim::Ask) + Send + Sync>;
 
@@ -475,6 +481,7 @@
                 fingerprint,
                 job: 0,
                 dispatched: None,
+                crossings: 0,
             };
             self.open.insert(id, open);
         }
@@ -944,7 +951,10 @@
         if let Some(open) = self.open.get(&id) {
             message.suspects = self.related(self.now(), open.fingerprint);
         }
-        if let Some(open) = self.open.get(&id) {
+        // A second arrival of the id, or an offset that is gone, does not end
+        // the response for others.
+        let failed = self.ledger.state(id).is_some_and(|state| state.failed());
+        if let Some(open) = self.open.get(&id).filter(|_| failed) {
             open.outlet.finish(Finish::Broken(message.clone()));
         }
         if let Some(reply) = self.links.remove(&link) {
@@ -1001,7 +1011,12 @@
 
     /// Drops another request's response; an engine has the right one still.
     fn crossed(&mut self, now: time::Mono, id: id::RequestId) -> Vec<action::Action> {
-        if self.agent.kind == state::Kind::Engine {
+        let crossings = self.open.get_mut(&id).map(|open| {
+            open.crossings += 1;
+            open.crossings
+        });
+        let again = crossings.is_some_and(|count| count <= MOST_CROSSINGS);
+        if self.agent.kind == state::Kind::Engine && again {
             let offset = self.open.get(&id).map_or(0, |open| open.outlet.held().1);
             self.ledger.head(id, true);
             return vec![action::Action::Resume { id, offset }];
--- a/crates/daemon/src/commit.rs
+++ b/crates/daemon/src/commit.rs
@@ -170,7 +170,11 @@
                 self.offer(vec![row], Some(head)).await?;
                 Ok(Some(version))
             }
-            command::Outcome::Repeated(version) => Ok(Some(version)),
+            command::Outcome::Repeated(version) => {
+                let head = self.platform.head().await?;
+                self.catch_up(head).await?;
+                Ok(Some(version))
+            }
             command::Outcome::Lost(head) => Err(self.lost(&proposal, head).await?),
             command::Outcome::Unknown => self.read_back(&proposal).await,
             command::Outcome::Damaged { key } if rows.iter().any(|row| row.key == key) => {
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -16,7 +16,7 @@
     router_core::Event, snapshot,
 };
 
-/// Time for one settlement call to bring its first frame.
+/// Time for an agent to take a settlement.
 const SETTLE_CALL: time::Duration = time::Duration::from_secs(2);
 
 /// What the caller receives next.
@@ -130,7 +130,6 @@
     }
 
     fn expire(&mut self) -> settle::Step {
-        self.cancel();
         self.request.expired()
     }
 
@@ -149,7 +148,7 @@
 
     async fn choose(&mut self, skip: u64) -> settle::Step {
         let again = self.request.attempts() > 0;
-        if again && !self.router.retries.retry() {
+        if again && !self.router.retries.retry(&self.accepted.team) {
             return self.request.none(Refusal::Bound, Some(self.router.pause()));
         }
         let snapshot = self.router.snapshot.load_full();
@@ -273,10 +272,8 @@
         match time::timeout(SETTLE_CALL, call).await {
             Ok(Ok(response)) => {
                 self.replies = Some(Replies::new(address, response));
-                match time::timeout(SETTLE_CALL, self.read()).await {
-                    Ok(step) => step,
-                    Err(_) => self.request.link_lost(),
-                }
+                self.request.attached();
+                self.read().await
             }
             Ok(Err(Failure::NotSent(fault))) => {
                 self.failed(&to.agent, &fault, fleet::member::Failure::Refused);
@@ -441,7 +438,7 @@
 
     /// Tells the agent that nobody waits for the request any more.
     fn cancel(&self) {
-        let Some(to) = self.request.open() else {
+        let Some(to) = self.request.live() else {
             return;
         };
         let snapshot = self.router.snapshot.load();
@@ -466,8 +463,8 @@
     fn drop(&mut self) {
         if !self.request.ended() {
             self.router.metrics.count("caller.left");
-            self.cancel();
         }
+        self.cancel();
     }
 }
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -29,17 +29,24 @@
         let stop = CancellationToken::new();
         tokio::spawn(cancel_on_signal(stop.clone()));
         match role {
-            Role::Router => {
-                router::start(settings, policy::Tuning::default(), stop)
-                    .await?
-                    .await
-            }
+            Role::Router => router::start(settings, tuning(), stop).await?.await,
             Role::Agent => agent::start(settings, stop).await?.await,
         }
         Ok(())
     })
 }
 
+/// Prompt tokens from which a KV cache is imported rather than computed again.
+/// A failed import costs one short call.
+const IMPORT_TOKENS: u32 = 1024;
+
+fn tuning() -> policy::Tuning {
+    policy::Tuning {
+        import: Some(IMPORT_TOKENS),
+        ..policy::Tuning::default()
+    }
+}
+
 async fn cancel_on_signal(stop: CancellationToken) {
     let terminate = signal(SignalKind::terminate());
     let interrupt = signal(SignalKind::interrupt());
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -67,22 +67,22 @@
     seeds: AtomicU64,
 }
 
-/// The retry budget of the whole router.
+/// The retry budgets of the teams: one that surges does not use up the others'.
 #[derive(Debug, Default)]
-pub struct Retries(Mutex<budget::RetryBudget>);
+pub struct Retries(Mutex<budget::RetryBudgets>);
 
 impl Retries {
-    /// Notes a new request.
-    pub fn request(&self) {
-        self.lock().request();
+    /// Notes a new request of a team.
+    pub fn request(&self, team: &id::TeamId) {
+        self.lock().request(team);
     }
 
-    /// Takes one retry; returns whether there was one.
-    pub fn retry(&self) -> bool {
-        self.lock().retry()
+    /// Takes one retry of a team; returns whether there was one.
+    pub fn retry(&self, team: &id::TeamId) -> bool {
+        self.lock().retry(team)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, budget::RetryBudget> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, budget::RetryBudgets> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -140,7 +140,7 @@
         let body = front::read_body(incoming, &self.limits).await?;
         let accepted = front::accept(id, &conf, team, &parts, body, &self.limits)?;
         drop(snapshot);
-        self.retries.request();
+        self.retries.request(&accepted.team);
         let hint = accepted
             .hint
             .as_deref()
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -10,7 +10,7 @@
 use base::{hash, id, span, time};
 use conf::{change::Change, row};
 use fleet::{convert, member};
-use place::{policy, view};
+use place::{policy, standing, view};
 use tokio::sync::mpsc;
 use wire::msg;
 
@@ -89,8 +89,8 @@
     all_dirty: bool,
     published: time::Mono,
     leaving: bool,
-    /// When each agent came up, as this router saw it.
-    up: BTreeMap<id::ProcessId, (id::Incarnation, time::Mono)>,
+    /// Warm-up and flaps of each service's targets.
+    trackers: BTreeMap<id::ServiceId, standing::Tracker>,
     quarantine: quarantine::Quarantine,
     suspects: Arc<BTreeMap<id::Fingerprint, Vec<msg::Suspect>>>,
 }
@@ -114,7 +114,7 @@
             all_dirty: true,
             published: time::Mono::default(),
             leaving: false,
-            up: BTreeMap::new(),
+            trackers: BTreeMap::new(),
             quarantine: quarantine::Quarantine::new(suspects::LONGEST, id::Incarnation(0)),
             suspects: Arc::default(),
         }
@@ -377,31 +377,38 @@
             process: process.clone(),
             weight,
             centre: row.member.centre.clone(),
-            standing: self.standing(now, row),
+            standing: self.standing(now, target, row),
             load,
             cap,
         }
     }
 
-    fn standing(&mut self, now: time::Mono, row: &member::Row) -> view::Standing {
-        let incarnation = row.member.incarnation;
-        let since = self
-            .up
-            .entry(row.member.process.clone())
-            .and_modify(|up| {
-                if up.0 != incarnation {
-                    *up = (incarnation, now);
-                }
+    /// Returns the standing for the view; a target that comes back repeatedly
+    /// must first stay up.
+    fn standing(
+        &mut self,
+        now: time::Mono,
+        target: &id::TargetId,
+        row: &member::Row,
+    ) -> view::Standing {
+        let report = match row.standing {
+            member::Standing::Listed => standing::Report::Listed,
+            member::Standing::Warming => standing::Report::Warming,
+            member::Standing::Up => standing::Report::Up,
+            member::Standing::Leaving => standing::Report::Leaving,
+            member::Standing::Down => standing::Report::Down,
+        };
+        let Some(service) = row.member.service.clone() else {
+            return view::Standing::Listed;
+        };
+        let conf = self.parts.node.conf();
+        let warm_up = conf.services().get(&service).map(|service| service.warm_up);
+        let tracker = self.trackers.entry(service).or_insert_with(|| {
+            standing::Tracker::new(standing::Tuning {
+                warmup: warm_up.unwrap_or_default(),
+                ..standing::Tuning::default()
             })
-            .or_insert((incarnation, now));
-        match row.standing {
-            member::Standing::Listed => view::Standing::Listed,
-            member::Standing::Warming => view::Standing::Warming {
-                age: now.since(since.1),
-            },
-            member::Standing::Up => view::Standing::Up,
-            member::Standing::Leaving => view::Standing::Leaving,
-            member::Standing::Down => view::Standing::Down,
-        }
+        });
+        tracker.observe(now, target, row.member.incarnation, report)
     }
 }
