--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -119,6 +119,8 @@
     pub queue: u32,
     /// Time that a joined engine counts as warming up.
     pub warm_up: span::Span,
+    /// Certificates of all processes.
+    pub tls: settings::Tls,
 }
 
 impl Default for Options {
@@ -134,6 +136,7 @@
             floor: 4,
             queue: 32,
             warm_up: span::Span::from_secs(2),
+            tls: settings::Tls::default(),
         }
     }
 }
@@ -329,7 +332,7 @@
                 objects: self.objects.address(),
                 instances: self.list.address(),
             },
-            tls: settings::Tls::default(),
+            tls: self.options.tls.clone(),
             limits: settings::Limits {
                 body: size::Size(1 << 20),
                 ..settings::Limits::default()
