Allow a starting process 400 KB within 30 s

Change: the allowance is 400 KB, ends when the digests agree and after 30 s at the latest; parts are asked for again when a partner knows an eighth more.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -10,9 +10,14 @@
 /// new process one part of the members.
 pub const BURST: u64 = 18_000;
 
-/// Bytes that a starting process may use beyond the rate to learn all members;
-/// 1,110 member records take about 115 KB.
-pub const JOIN: u64 = 160_000;
+/// Bytes that a starting process may use beyond the rate to learn all members.
+/// 1,110 member records take about 120 KB, which a process that joins receives
+/// once; when a whole fleet starts at once each process also sends as much, and
+/// part of it is repeated.
+pub const JOIN: u64 = 400_000;
+
+/// Time after which the rest of the join allowance is given up.
+pub const JOIN_TIME: span::Span = span::Span::from_secs(30);
 
 /// Bytes that HTTP/2 and TCP add to one message: frame headers, compressed
 /// header fields, packet headers and acknowledgements.
@@ -29,6 +34,7 @@
     burst: u64,
     micros: i128,
     at: time::Mono,
+    joined: time::Mono,
     spent: u64,
 }
 
@@ -42,16 +48,18 @@
             burst,
             micros: i128::from(burst) * MICROS,
             at: now,
+            joined: now,
             spent: 0,
         }
     }
 
     /// Makes the bucket of a starting process: the usual rate with an
-    /// allowance of [`JOIN`] bytes, which ends with [`Budget::settle`] and does
-    /// not come back once used.
+    /// allowance of [`JOIN`] bytes, which ends with [`Budget::settle`] or after
+    /// [`JOIN_TIME`] and does not come back once used.
     pub fn joining(now: time::Mono) -> Self {
         let mut budget = Self::new(now, RATE, BURST);
         budget.micros += i128::from(JOIN) * MICROS;
+        budget.joined = now + JOIN_TIME;
         budget
     }
 
@@ -98,6 +106,9 @@
         let micros = i128::from(now.since(self.at).as_micros()) * i128::from(self.rate);
         self.at = self.at.max(now);
         let full = i128::from(self.burst) * MICROS;
+        if self.at >= self.joined {
+            self.settle();
+        }
         if self.micros < full {
             self.micros = (self.micros + micros).min(full);
         }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -101,9 +101,9 @@
 /// Time between two exchanges of a process that learns the members.
 const JOIN: span::Span = span::Span::from_millis(200);
 
-/// A process asks for all parts again when it lacks more than one in this many
-/// of the members that a partner knows; fewer are found by digests.
-const MISSING: u32 = 2;
+/// A process asks for all parts again when a partner knows more members by more
+/// than one in this many; fewer are found by digests.
+const MISSING: u32 = 8;
 
 /// A member, or a seed whose process is not known, to exchange with.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -381,7 +381,7 @@
             self.keep_quiet(answer);
         }
         let known = u32::try_from(self.members.reporting()).unwrap_or(u32::MAX);
-        if self.parts.is_empty() && answer.known > known.saturating_mul(MISSING) {
+        if self.parts.is_empty() && answer.known > known + known / MISSING {
             self.parts = all_parts();
         }
         applied
--- a/crates/fleet/tests/spending.rs
+++ b/crates/fleet/tests/spending.rs
@@ -38,3 +38,12 @@
     assert_eq!(budget.available(time::Mono(0)), 0);
     assert_eq!(budget.available(at(11)), 1000);
 }
+
+#[test]
+fn join_ends() {
+    // Guards against an allowance that a process keeps for a later burst.
+    let mut budget = budget::Budget::joining(at(0));
+    let burst = i64::try_from(budget::BURST).expect("small");
+    assert!(budget.available(at(29)) > burst);
+    assert_eq!(budget.available(at(30)), burst);
+}
