--- a/crates/cli/tests/plans.rs
+++ b/crates/cli/tests/plans.rs
@@ -3,10 +3,13 @@
 
 mod common;
 
+use std::time::Duration;
+
 use bench::deploy::OPERATOR_KEY;
 use cli::code::Code;
 use common::Operator;
 use expect_test::expect;
+use tokio::time;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn orders() {
@@ -134,3 +137,35 @@
     assert_eq!(changes.matches("create, drain").count(), 1, "{changes}");
     running.stop().await;
 }
+
+/// A plan that an operator creates is carried out, and an abort after its end
+/// puts the target back into service.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn carried_out() {
+    let running = common::start().await;
+    let mut operator = Operator::new(&running, 0, OPERATOR_KEY);
+    let created = operator
+        .say("create plan quiet kind drain service drafting targets drafting-0 keep 1")
+        .await;
+    assert!(created.contains("accepted as version 2"), "{created}");
+    until(&mut operator, "show plans", "quiet  done").await;
+    until(&mut operator, "show loads", "drafting  1     2").await;
+    let aborted = operator.say("abort plan quiet").await;
+    assert!(aborted.contains("accepted as version 3"), "{aborted}");
+    until(&mut operator, "show plans", "quiet  aborted").await;
+    until(&mut operator, "show loads", "drafting  2     2").await;
+    running.stop().await;
+}
+
+/// Waits until an answer contains a text.
+async fn until(operator: &mut Operator, line: &str, text: &str) {
+    let end = time::Instant::now() + Duration::from_secs(60);
+    loop {
+        let (_, shown, err) = operator.run(line).await;
+        if shown.contains(text) {
+            return;
+        }
+        assert!(time::Instant::now() < end, "{shown}{err}");
+        time::sleep(Duration::from_millis(300)).await;
+    }
+}
