--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -9,7 +9,10 @@
 
 use anyhow::Context;
 use base::{id, rate, size, span};
-use conf::{change::Change, settings, state, value};
+use conf::{
+    change::{Change, FleetUpdate},
+    settings, state, value,
+};
 use daemon::{agent, router};
 use fakes::{engine, list, object, service, table};
 use place::policy;
@@ -119,6 +122,8 @@
     pub queue: u32,
     /// Time that a joined engine counts as warming up.
     pub warm_up: span::Span,
+    /// Values of the whole fleet that differ from the defaults.
+    pub fleet: FleetUpdate,
 }
 
 impl Default for Options {
@@ -134,6 +139,7 @@
             floor: 4,
             queue: 32,
             warm_up: span::Span::from_secs(2),
+            fleet: FleetUpdate::default(),
         }
     }
 }
@@ -254,6 +260,9 @@
         Change::CreateRule(rule("plain", path, plain)),
         Change::CreateRule(queries),
     ];
+    if options.fleet != FleetUpdate::default() {
+        changes.push(Change::UpdateFleet(options.fleet.clone()));
+    }
     for (name, weight) in deployment.teams {
         let mut team = state::Team::new(id(name));
         team.weight = weight
--- a/crates/fakes/src/record.rs
+++ b/crates/fakes/src/record.rs
@@ -60,6 +60,9 @@
     pub imports: u64,
     /// Orders that were carried out, with their fencing tokens.
     pub orders: Vec<Order>,
+    /// When each order to load that was carried out began and ended.
+    #[serde(skip)]
+    pub loads: Vec<(time::Mono, time::Mono)>,
 }
 
 /// An order that an engine carried out.
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     body::{self, Body},
-    cache, control,
+    cache, clock, control,
     engine::{self, Shared},
     orders, prompt,
     server::{Dropped, Handler},
@@ -284,10 +284,17 @@
             };
             return body::error(status, refusal.to_string());
         }
+        let (begun, crashes) = (clock::now(), self.state().record.crashes);
         if let Err(error) = self.fetch(&order).await {
             return body::retry(StatusCode::BAD_GATEWAY, self.options.load_time, &error);
         }
         let mut state = self.state();
+        if state.record.crashes != crashes {
+            return body::error(StatusCode::SERVICE_UNAVAILABLE, "the engine has restarted");
+        }
+        if order.order == orders::Kind::Load {
+            state.record.loads.push((begun, clock::now()));
+        }
         state.desk.apply(&order);
         state.record.orders.push(crate::record::Order {
             fence,
