Let processes that start together pulse at different times

Cause: in a trial with 1,110 processes that started together, all pulses came at 33 s, did not fit in the budget, and members were removed at 60 s.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -74,6 +74,10 @@
 /// times on average, and 1,110 members pulse every 33 s.
 const PULSE_EACH: span::Span = span::Span::from_millis(30);
 
+/// Fractions of the first time between two pulses; each process takes another,
+/// so that processes that start together do not all pulse together.
+const PHASES: u64 = 1000;
+
 /// Shortest time between two pulses.
 const PULSE_LEAST: span::Span = span::Span::from_secs(4);
 
@@ -155,6 +159,7 @@
     own: Own,
     reported: time::Mono,
     pulsed: time::Mono,
+    phase: u64,
     key: u64,
     seeds: Vec<net::SocketAddr>,
     turn: u64,
@@ -196,6 +201,7 @@
             },
             reported: now,
             pulsed: now,
+            phase: hash::mix(seed, 1) % PHASES,
             key: member::key(&own.process),
             members: member::Members::new(now, own, rules),
             regular: now,
@@ -451,6 +457,7 @@
         let pulse = now.since(self.pulsed) >= self.pulse();
         if pulse {
             self.pulsed = now;
+            self.phase = PHASES;
         }
         let own = self.own;
         self.members
@@ -461,8 +468,8 @@
     /// the fleet so that the pulses of all members fit in the budget.
     fn pulse(&self) -> span::Span {
         let members = self.members.reporting() as u64;
-        let micros = PULSE_EACH.as_micros() * members;
-        span::Span::from_micros(micros.max(PULSE_LEAST.as_micros()))
+        let micros = (PULSE_EACH.as_micros() * members).max(PULSE_LEAST.as_micros());
+        span::Span::from_micros(micros / PHASES * self.phase)
     }
 
     /// Returns the bytes for one message of the usual exchange.
