--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -11,6 +11,7 @@
     agent_core::{Asks, Event},
     metrics::Metrics,
     platform::{self, Platform},
+    session,
 };
 
 /// Starts the task that serves the operations of one agent, on the current
@@ -71,10 +72,18 @@
     }
 
     fn answer(&self, ask: claim::Ask, answer: claim::Answer) {
+        session::message("table", "agent", || match &answer {
+            claim::Answer::Written(version) => format!("written as version {version}"),
+            claim::Answer::Conflict(_) => "conflict".to_owned(),
+            claim::Answer::Read(row) => format!("row {}", state(row.as_ref())),
+            claim::Answer::Unanswered => "no answer".to_owned(),
+            claim::Answer::Unavailable => "unavailable".to_owned(),
+        });
         self.events.send(Event::Claim(Box::new(ask), answer)).ok();
     }
 
     fn read(&self, ask: claim::Ask) {
+        session::message("agent", "table", || "read claim".to_owned());
         let claims = self.clone();
         tokio::spawn(async move {
             let row = claims.platform.table.read(&ask.key.row()).await;
@@ -99,6 +108,9 @@
     }
 
     async fn transact(&self, taken: &[claim::Ask]) -> batch::Outcome {
+        for ask in taken {
+            session::message("agent", "table", || write(&ask.op));
+        }
         let ops = taken.iter().filter_map(|ask| match &ask.op {
             claim::Op::Read => None,
             claim::Op::Write { claim, condition } => {
@@ -139,3 +151,29 @@
         }
     }
 }
+
+fn state(row: Option<&claim::Row>) -> &'static str {
+    match row.map(|row| &row.claim.state) {
+        None => "absent",
+        Some(claim::State::Running) => "running",
+        Some(claim::State::Abandoned) => "abandoned",
+        Some(claim::State::Lost) => "lost",
+        Some(claim::State::Done(_)) => "done",
+    }
+}
+
+fn write(op: &claim::Op) -> String {
+    let claim::Op::Write { claim, condition } = op else {
+        return "read claim".to_owned();
+    };
+    let row = claim::Row {
+        version: 0,
+        claim: claim.clone(),
+    };
+    match condition {
+        claim::Condition::Absent => format!("insert claim {}", state(Some(&row))),
+        claim::Condition::Version(version) => {
+            format!("write claim {} over version {version}", state(Some(&row)))
+        }
+    }
+}
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     failure::Failure, front::Accepted, refusal, replies::Replies, router::Router,
-    router_core::Event, snapshot,
+    router_core::Event, session, snapshot,
 };
 
 /// Time for an agent to take a settlement.
@@ -222,6 +222,13 @@
             loads: loads.map(|group| group.loads.clone()).unwrap_or_default(),
             ..self.accepted.run.clone()
         };
+        session::message("router", "agent", || {
+            format!(
+                "Run class={:?} attempt={} skip={skip}",
+                run.class(),
+                run.attempt
+            )
+        });
         let agent = to.agent.clone();
         self.request.sent(to);
         self.router.tell(Event::Sent(agent.clone()));
@@ -267,6 +274,7 @@
             head: self.head_taken(),
             remaining: self.remaining(),
         };
+        session::message("router", "agent", || format!("Settle offset={offset}"));
         self.router.metrics.count("settle");
         let call = self.router.links.call(address, "/settle", &settle);
         match time::timeout(SETTLE_CALL, call).await {
@@ -446,6 +454,7 @@
             return;
         };
         let address = agent.address;
+        session::message("router", "agent", || "Cancel".to_owned());
         let links = self.router.links.clone();
         let cancel = msg::Cancel {
             id: convert::request_bytes(self.id()),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod router;
 pub mod router_core;
 pub mod serve;
+pub mod session;
 pub mod snapshot;
 pub mod suspects;
 pub mod target;
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -14,6 +14,7 @@
     agent_core::{Attached, Event},
     body,
     outlet::{Outlet, Piece, Reader},
+    session,
 };
 
 /// The state of one stream. Dropping it before the end of the reply tells the
@@ -52,9 +53,21 @@
 
 async fn next(mut reply: Reply) -> Option<(Result<Bytes, Fault>, Reply)> {
     let message = reply.next().await?;
+    session::message("agent", "router", || describe(&message));
     Some((Ok(frame::encode(&message)), reply))
 }
 
+fn describe(reply: &msg::Reply) -> String {
+    match &reply.part {
+        None => "Stamp".to_owned(),
+        Some(msg::Part::Refused(refused)) => format!("Refused {:?}", refused.reason()),
+        Some(msg::Part::Head(head)) => format!("Head {} replayed={}", head.status, head.replayed),
+        Some(msg::Part::Data(data)) => format!("Data at {}", data.offset),
+        Some(msg::Part::End(_)) => "End".to_owned(),
+        Some(msg::Part::Broken(broken)) => format!("Broken dispatched={}", broken.dispatched),
+    }
+}
+
 impl Reply {
     async fn next(&mut self) -> Option<msg::Reply> {
         loop {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -36,7 +36,7 @@
     platform::Platform,
     problem::{Code, OUTCOME, Outcome, Problem},
     router_core::{Core, Event, Parts},
-    serve,
+    serve, session,
     snapshot::Snapshot,
     target,
 };
@@ -108,7 +108,19 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<body::Body> {
         let id = front::new_id();
         self.metrics.count("request");
-        match self.serve(id, request).await {
+        session::message("caller", "router", || {
+            format!("{} {}", request.method(), request.uri().path())
+        });
+        let answered = self.serve(id, request).await;
+        session::message("router", "caller", || match &answered {
+            Ok(response) => format!("{} done", response.status().as_u16()),
+            Err(problem) => format!(
+                "{} {}",
+                problem.code.as_str(),
+                problem.code.outcome().as_str()
+            ),
+        });
+        match answered {
             Ok(response) => response,
             Err(problem) => {
                 tracing::info!(event = "problem", request = %id, code = problem.code.as_str(), detail = problem.detail);
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -17,7 +17,7 @@
 use tokio::time;
 use wire::msg;
 
-use crate::failure::Failure;
+use crate::{failure::Failure, session};
 
 /// Header with the request id, towards targets and callers.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -119,7 +119,14 @@
             msg::Class::Repeatable => &self.pooled,
             msg::Class::Once | msg::Class::Keyed => &self.fresh,
         };
-        http.request(request).await.map_err(|cause| {
+        session::message("agent", "target", || format!("{} {}", run.method, run.path));
+        let answered = http.request(request).await;
+        session::message("target", "agent", || match &answered {
+            Ok(response) => response.status().as_u16().to_string(),
+            Err(cause) if cause.is_connect() => "no connection".to_owned(),
+            Err(_) => "connection lost".to_owned(),
+        });
+        answered.map_err(|cause| {
             let not_sent = cause.is_connect();
             let fault = Fault::new("send request", self.address, cause);
             match not_sent {
@@ -156,6 +163,7 @@
         id: id::RequestId,
         offset: u64,
     ) -> Result<Response<Incoming>, Fault> {
+        session::message("agent", "target", || format!("resume at {offset}"));
         let path = format!("/v1/streams/{id}?offset={offset}");
         let request = Request::get(self.uri(&path))
             .header(REQUEST_ID, id.to_string())
