--- a/crates/daemon/tests/plans.rs
+++ b/crates/daemon/tests/plans.rs
@@ -16,7 +16,7 @@
     deploy::{self, Deployment, MARSHALS, Options, Running, key},
     site::Site,
 };
-use conf::{change::FleetUpdate, settings};
+use conf::{change::FleetUpdate, settings, state};
 use daemon::{
     plans::{self, Listed, PlanError, Post, Sight},
     platform::Platform,
@@ -196,6 +196,64 @@
     running.stop().await;
 }
 
+/// A new run of an agent that serves before it has read the rows gives work to a
+/// target that a plan keeps out.
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_restart() {
+    let _alone = DEPLOYMENT.lock().await;
+    let mut running = start(2, engine::Options::fast()).await;
+    let desk = Desk::new(&running, 2, true);
+    desk.create("drain", Kind::Drain, &[0], 1, 1).await;
+    desk.state("drain", State::Done).await;
+    // The new run reads the rows late, and routers send it work before that.
+    let delay = span::Span::from_millis(1500);
+    running.table.faults(|faults| faults.delay = delay);
+    let runs = |running: &Running| running.engines[0].engine.read(|r| r.executions.len());
+    let before = runs(&running);
+    let address = running.engines[0].engine.address();
+    let kind = state::Kind::Engine;
+    let agent = running.start_agent("crew-0", 0, "crew", kind, address);
+    let agent = agent.await.unwrap();
+    let old = std::mem::replace(&mut running.engines[0].agent, agent);
+    old.stop.cancel();
+    old.task.await.unwrap();
+
+    let end = Instant::now() + Duration::from_secs(5);
+    for number in 0.. {
+        if Instant::now() > end {
+            break;
+        }
+        let call = chat(&format!("chat {number}"), 2);
+        assert_whole(&Caller::default().send(running.callers()[0], call).await);
+    }
+    assert_eq!(runs(&running), before, "a drained engine got new work");
+    running.stop().await;
+}
+
+/// An agent that starts while the table is down must not wait for the table.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_without_table() {
+    let _alone = DEPLOYMENT.lock().await;
+    let mut running = start(1, engine::Options::fast()).await;
+    running
+        .table
+        .faults(|faults| faults.outage = fault::Outage::Refuse);
+    let slot = running.start_engine(1).await.unwrap();
+    running.engines.push(slot);
+    let end = Instant::now() + PLAN_TIME;
+    for number in 0.. {
+        let runs = running.engines[1].engine.read(|r| r.executions.len());
+        if runs > 0 {
+            break;
+        }
+        assert!(Instant::now() < end, "the new agent does not serve");
+        let call = chat(&format!("chat {number}"), 2);
+        assert_whole(&Caller::default().send(running.callers()[0], call).await);
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    running.stop().await;
+}
+
 /// Waits until an engine works and returns its number.
 async fn busy_engine(running: &Running) -> usize {
     let end = Instant::now() + PLAN_TIME;
