--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -27,6 +27,10 @@
 /// teams), with this 0.4%; the surging team lost a tenth of its throughput.
 const SPARE_SHARE: u32 = 16;
 
+/// Halves of its share from which a team counts as surging. With independent
+/// requests a team is often just above its share.
+const SURGING: u32 = 3;
+
 /// Orders the queue of one team.
 type Key = (Reverse<u32>, time::Mono, u64);
 
@@ -214,10 +218,10 @@
         self.running() + reserve < cap
     }
 
-    /// Returns whether a team is above its share, among the largest teams, and
+    /// Returns whether a team is far above its share, among the largest teams, and
     /// either had to wait lately or holds most of the places.
     fn is_surging(&self, now: time::Mono, team: &Team, cap: u32, weights: u64) -> bool {
-        if team.running < share(team, cap, weights) {
+        if 2 * team.running < SURGING * share(team, cap, weights) {
             return false;
         }
         let is_large = self.teams.values().all(|other| {
--- a/crates/admit/tests/bound.rs
+++ b/crates/admit/tests/bound.rs
@@ -21,6 +21,7 @@
     slots: 12,
     grace: Span::from_millis(500),
     horizon: Span::from_secs(4),
+    margin: 0.0,
 };
 
 /// Agents that exist at some time in a history.
@@ -408,3 +409,28 @@
     }
     assert_eq!(peak, RULE.slots as usize);
 }
+
+#[test]
+fn margin_lowers() {
+    // Guards against a target that is above the bound as soon as the others
+    // finish a few requests.
+    let rule = Rule {
+        floor: 4,
+        slots: 32,
+        margin: 2.0,
+        ..Rule::default()
+    };
+    assert_eq!(cap(&rule, 143, 12), 13);
+    assert_eq!(
+        cap(
+            &Rule {
+                margin: 0.0,
+                ..rule
+            },
+            143,
+            12
+        ),
+        15
+    );
+    assert_eq!(cap(&rule, 0, 12), 4);
+}
--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -44,7 +44,7 @@
 
 /// Margin of the bound: the mean falls when other engines finish requests, and
 /// an engine at its cap must not be above the bound then.
-const MARGIN: f64 = 1.0;
+const MARGIN: f64 = 1.75;
 
 /// Less loaded agents that a refusal names.
 const NAMED_PEERS: usize = 2;
@@ -726,13 +726,19 @@
         ) {
             refused.peers = self.less_loaded(now);
         }
+        match (self.links.remove(&link), self.open.get(&id)) {
+            (Some(reply), _) => {
+                reply.send(Attached::Refused(refused)).ok();
+            }
+            // Dispatched, but the target did not take it: the reply stream
+            // reads the outlet already.
+            (None, Some(open)) => open.outlet.finish(Finish::Refused(refused)),
+            (None, None) => {}
+        }
         if !self.ledger.state(id).is_some_and(|state| state.runs()) {
             self.open.remove(&id);
             self.waiting.remove(&id);
         }
-        if let Some(reply) = self.links.remove(&link) {
-            reply.send(Attached::Refused(refused)).ok();
-        }
     }
 
     /// Returns the agents of the service with the most room.
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -148,7 +148,9 @@
     }
 
     async fn choose(&mut self, skip: u64) -> settle::Step {
-        let again = self.request.attempts() > 0;
+        // A response that has begun is continued without the budget: those are
+        // no more than were in flight at the target that broke off.
+        let again = self.request.attempts() > 0 && skip == 0;
         if again && !self.router.retries.retry() {
             return self.request.none(Refusal::Bound, Some(self.router.pause()));
         }
