--- a/crates/bench/tests/unsent.rs
+++ b/crates/bench/tests/unsent.rs
@@ -23,7 +23,8 @@
     deploy::ready(router, &call).await.unwrap();
     // The agent checks its target twice a second and does not know yet.
     running.engines[0].engine.crash(None);
-    let sent = client::Caller::default().send(router, call);
+    let caller = client::Caller::default();
+    let sent = caller.send(router, call);
     let received = tokio::time::timeout(Duration::from_secs(10), sent)
         .await
         .expect("the refusal arrives at once");
