--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -54,6 +54,9 @@
     previous: Option<String>,
     /// What agents reported of the content after crashes.
     suspects: Vec<msg::Suspect>,
+    /// Why the last agent did not run it; a target that does not answer, at
+    /// first.
+    why: Refusal,
 }
 
 fn class(class: msg::Class) -> settle::Class {
@@ -82,6 +85,7 @@
             stamp: None,
             previous: None,
             suspects: Vec::new(),
+            why: Refusal::Down,
         }
     }
 
@@ -162,11 +166,9 @@
         let choice = choose::choose(&group.view, &query, self.router.seed());
         self.log(&choice);
         let Some(target) = choice.target else {
-            let why = match self.tried.is_empty() {
-                true => Refusal::Down,
-                false => Refusal::Bound,
-            };
-            return self.request.none(why, Some(self.router.pause()));
+            return self
+                .request
+                .none(self.why.clone(), Some(self.router.pause()));
         };
         let Some(agent) = group.agents.get(&target.process) else {
             return self.request.none(Refusal::Down, Some(self.router.pause()));
@@ -366,6 +368,7 @@
             .map(|stamp| (id::Incarnation(stamp.incarnation), Epoch(stamp.epoch)));
         tracing::info!(event = "refused", request = %self.id(), target = self.shown(), reason = %why,
             after_ms = refused.after);
+        self.why = why.clone();
         let peers = refused.peers.iter().filter_map(|peer| peer.parse().ok());
         self.replies = None;
         let step = self.request.refused(why, after, present);
