Give daemons of tests ports that no connection takes; tell a version with its cap

Causes of two failures that did not repeat: a port that was free was taken by an outgoing connection before the daemon bound it; and an agent told a new version before the cap that follows from it (test days_work). A team at its whole share no longer waits longer than the usual patience when it is below one and a half of it (test patience_ends).

--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -31,6 +31,9 @@
 /// requests a team is often just above its share.
 const SURGING: u32 = 3;
 
+/// Halves of its share that a team has as its share.
+const SHARE: u32 = 2;
+
 /// Orders the queue of one team.
 type Key = (Reverse<u32>, time::Mono, u64);
 
@@ -141,12 +144,12 @@
         Some(waiting.ticket)
     }
 
-    /// Returns whether a team surges.
+    /// Returns whether a team uses its share and more is asked for it.
     pub(crate) fn is_pressing(&self, now: time::Mono, team: &id::TeamId, cap: u32) -> bool {
         let weights: u64 = self.teams.values().map(|team| team.weight).sum();
         self.teams
             .get(team)
-            .is_some_and(|team| self.is_surging(now, team, cap, weights))
+            .is_some_and(|team| self.is_above(now, team, cap, weights, SHARE))
     }
 
     /// Notes that a request of the team had to wait.
@@ -230,7 +233,12 @@
     /// large as the largest team, and either had to wait lately or holds most
     /// of the places.
     fn is_surging(&self, now: time::Mono, team: &Team, cap: u32, weights: u64) -> bool {
-        if 2 * team.running < SURGING * share(team, cap, weights) {
+        self.is_above(now, team, cap, weights, SURGING)
+    }
+
+    /// As [`Fair::is_surging`], from so many halves of the team's share.
+    fn is_above(&self, now: time::Mono, team: &Team, cap: u32, weights: u64, halves: u32) -> bool {
+        if 2 * team.running < halves * share(team, cap, weights) {
             return false;
         }
         let is_large = self.teams.values().all(|other| {
--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -4,11 +4,12 @@
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
 use anyhow::Context;
-use base::{id, rate, size, span};
+use base::{hash, id, rate, size, span};
 use conf::{
     change::{Change, FleetUpdate},
     settings, state, value,
@@ -199,11 +200,30 @@
     seeds: Vec<SocketAddr>,
 }
 
-/// Returns an address on loopback whose port is free now.
+/// Ports that are given to daemons. They lie below the ports that the system
+/// gives to outgoing connections, which could take a port between its choice
+/// and its use.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// Returns an address on loopback whose port is free now; no two calls of this
+/// process return the same until all ports were used.
+///
+/// # Errors
+///
+/// When no port is free.
 pub fn free_address() -> anyhow::Result<SocketAddr> {
-    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let listener = TcpListener::bind(any).context("find a free port")?;
-    Ok(listener.local_addr()?)
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    // Processes that run at the same time begin at different ports.
+    let first = hash::bytes(&std::process::id().to_le_bytes()) as u16;
+    for _ in PORTS {
+        let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + number % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    anyhow::bail!("no port on loopback is free")
 }
 
 fn loopback() -> SocketAddr {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -347,11 +347,6 @@
         let version = self.history.version();
         if version > before {
             tracing::info!(event = "configuration_adopted", version = %version, previous = %before);
-            // A query that follows at once must not show the version before.
-            let own = self.exchange.members.own().clone();
-            let now = self.clock.now();
-            self.exchange
-                .update(now, own.standing, version, own.load, own.cap);
         }
         Changed {
             configuration: version > before,
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -149,6 +149,12 @@
         match event {
             Event::Node(signal) => {
                 let changed = self.parts.node.signal(signal);
+                if changed.configuration {
+                    // A query that follows at once must not show the version
+                    // before.
+                    let standing = self.parts.node.exchange.members.own().standing;
+                    self.parts.node.tell(standing, 0, 0);
+                }
                 self.all_dirty |= changed.members || changed.configuration;
                 self.bootstrap();
                 self.suspect(now, &changed.suspects);
