--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,9 @@
 
 pub mod agent;
 pub mod agent_core;
+mod agent_crashes;
+mod agent_offers;
+mod agent_responses;
 pub mod body;
 pub mod claims;
 pub mod commit;
