--- a/crates/daemon/src/agent_crashes.rs
+++ b/crates/daemon/src/agent_crashes.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// Tells whether a suspect may run beside what the target runs. It looks at
+    /// every request that the agent remembers, so it is asked for suspects only.
+    pub(crate) fn may_join(&self, now: time::Mono, fingerprint: id::Fingerprint) -> bool {
+        let running = self.running();
+        let in_flight = running.iter().map(|(_, fingerprint)| fingerprint);
+        self.quarantine.may_join(now, fingerprint, in_flight)
+    }
+
     /// Returns the requests that the target runs.
     pub(crate) fn running(&self) -> Vec<(id::RequestId, id::Fingerprint)> {
         self.open
--- a/crates/daemon/src/agent_offers.rs
+++ b/crates/daemon/src/agent_offers.rs
@@ -153,9 +153,7 @@
                 .refused(now, id, Refusal::Quarantine, Some(remaining));
             return self.act(now, actions);
         }
-        let running = self.running();
-        let in_flight = running.iter().map(|(_, fingerprint)| fingerprint);
-        if !self.quarantine.may_join(now, open.fingerprint, in_flight) {
+        if verdict == quarantine::Verdict::Apart && !self.may_join(now, open.fingerprint) {
             let after = Some(span::Span::from_secs(1));
             let actions = self.ledger.refused(now, id, Refusal::Bound, after);
             return self.act(now, actions);
