--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -12,7 +12,7 @@
 use wire::{convert, msg};
 
 use crate::{
-    failure::Failure, front::Accepted, refusal, replies::Replies, router::Router,
+    failure::Failure, front::Accepted, limits, refusal, replies::Replies, router::Router,
     router_core::Event, session, snapshot,
 };
 
@@ -57,6 +57,8 @@
     /// Why the last agent did not run it; a target that does not answer, at
     /// first.
     why: Refusal,
+    /// The request's place under the limits of its team.
+    _open: Option<limits::Open>,
 }
 
 fn class(class: msg::Class) -> settle::Class {
@@ -69,7 +71,12 @@
 
 impl Forward {
     /// Makes the forwarding of an accepted request.
-    pub fn new(router: Arc<Router>, accepted: Accepted, hint: Option<id::TargetId>) -> Self {
+    pub fn new(
+        router: Arc<Router>,
+        accepted: Accepted,
+        hint: Option<id::TargetId>,
+        open: Option<limits::Open>,
+    ) -> Self {
         let class = class(accepted.run.class());
         Self {
             request: settle::Request::new(accepted.id, class, settle::Limits::default()),
@@ -86,6 +93,7 @@
             previous: None,
             suspects: Vec::new(),
             why: Refusal::Down,
+            _open: open,
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod health;
 pub mod hint;
 pub mod job;
+pub mod limits;
 pub mod link;
 pub mod listen;
 pub mod logs;
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -12,7 +12,7 @@
 use admit::budget;
 use anyhow::Context;
 use arc_swap::ArcSwap;
-use base::{fault::Fault, hash, id, span};
+use base::{fault::Fault, hash, id, span, time};
 use bytes::Bytes;
 use conf::{settings, state};
 use futures_util::{FutureExt, stream};
@@ -27,7 +27,7 @@
 use crate::{
     agent, body,
     forward::{Forward, Output},
-    front, health, hint,
+    front, health, hint, limits,
     link::Links,
     listen,
     metrics::Metrics,
@@ -61,6 +61,9 @@
     pub metrics: Arc<Metrics>,
     /// Tries beyond the first.
     pub retries: Retries,
+    /// Limits of teams.
+    pub teams: limits::Limits,
+    clock: time::Clock,
     signer: Option<hint::Signer>,
     limits: front::Limits,
     events: mpsc::UnboundedSender<Event>,
@@ -151,6 +154,13 @@
         let team = front::authenticate(&conf, &parts.headers)?;
         let body = front::read_body(incoming, &self.limits).await?;
         let accepted = front::accept(id, &conf, team, &parts, body, &self.limits)?;
+        let share = conf.share(&accepted.team, &accepted.service);
+        let open = match &share {
+            Some(share) => self.teams.take(self.clock.now(), share),
+            None => Ok(None),
+        };
+        let open = open
+            .map_err(|over| Problem::new(Code::Overloaded, over.to_string()).after(over.after()))?;
         drop(snapshot);
         self.retries.request(&accepted.team);
         let hint = accepted
@@ -158,7 +168,7 @@
             .as_deref()
             .and_then(|hint| self.signer.as_ref()?.verify(accepted.chat, hint));
         let chat = accepted.chat;
-        let mut forward = Forward::new(self.clone(), accepted, hint);
+        let mut forward = Forward::new(self.clone(), accepted, hint, open);
         match forward.start().await {
             Output::Head(head) => Ok(self.response(chat, forward, head)),
             Output::NotRun(why, after) => Err(not_run(&why, after.unwrap_or(self.pause()))),
@@ -313,6 +323,8 @@
         links: links.clone(),
         metrics: metrics.clone(),
         retries: Retries::default(),
+        teams: limits::Limits::default(),
+        clock: time::Clock::start(),
         signer: secret.map(|secret| hint::Signer::new(secret.as_bytes())),
         limits: limits(&settings),
         events: events.clone(),
