End an agent that leaves without a signal; read the instance list within 3 s

Cause: an agent whose instance the platform takes away drained and then kept its listener open without serving, so that routers settled their requests for 12 s each before they went on (test leaving_instance did not end). Change: its listener closes when it has drained. Agents read the instance list every 2 s instead of 5 s.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -257,14 +257,15 @@
     Ok(async move {
         let mut ended = ended;
         tokio::select! {
-            () = stop.cancelled() => {}
-            _ = &mut ended => return,
+            () = stop.cancelled() => {
+                health.set(health::State::Leaving);
+                events.send(Event::Stop).ok();
+                let drained = tokio::time::timeout(settings.drain_time.duration(), ended);
+                drained.await.ok();
+            }
+            // The instance leaves without a signal, and nothing is in flight.
+            _ = &mut ended => health.set(health::State::Leaving),
         }
-        health.set(health::State::Leaving);
-        events.send(Event::Stop).ok();
-        tokio::time::timeout(settings.drain_time.duration(), ended)
-            .await
-            .ok();
         closed.cancel();
         servers.close();
         servers.wait().await;
--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use base::{hash, id, span, time};
-use conf::{history, row};
+use conf::{history, row, settings};
 use fleet::member;
 use store::list;
 use wire::msg;
@@ -21,9 +21,13 @@
 /// Time between two reads of the head before it was read once.
 const HEAD_RETRY: span::Span = span::Span::from_secs(1);
 
-/// Mean time between two reads of the instance list.
+/// Mean time between a router's reads of the instance list.
 const LIST_INTERVAL: span::Span = span::Span::from_secs(5);
 
+/// Mean time between an agent's reads of the instance list: with the jitter it
+/// is below the 3 s after which a leaving target must get no new work.
+const AGENT_LIST_INTERVAL: span::Span = span::Span::from_secs(2);
+
 /// Time between two reads of the snapshot while the table is down.
 const SNAPSHOT_RETRY: span::Span = span::Span::from_secs(3);
 
@@ -34,6 +38,7 @@
 #[derive(Debug)]
 pub struct Polls {
     seed: u64,
+    interval: span::Span,
     head: time::Mono,
     list: time::Mono,
     snapshot: time::Mono,
@@ -44,9 +49,13 @@
 
 impl Polls {
     /// Everything is due at once.
-    pub fn new(now: time::Mono, seed: u64) -> Self {
+    pub fn new(now: time::Mono, seed: u64, role: settings::Role) -> Self {
         Self {
             seed,
+            interval: match role {
+                settings::Role::Router => LIST_INTERVAL,
+                settings::Role::Agent => AGENT_LIST_INTERVAL,
+            },
             head: now,
             list: now,
             snapshot: now,
@@ -78,7 +87,7 @@
         if now < self.list {
             return false;
         }
-        self.list = now + self.jitter(LIST_INTERVAL);
+        self.list = now + self.jitter(self.interval);
         true
     }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -173,7 +173,7 @@
             links,
             platform,
             due: now,
-            polls: follow::Polls::new(now, incarnation.0),
+            polls: follow::Polls::new(now, incarnation.0, settings.role),
             answered: BTreeSet::new(),
             signals,
             settings,
