Remove functions of the daemon that nothing calls

Found when reading the whole change: a getter of the router's configuration, the closing of links by predicate, two kinds of metric and the engine's own load report. Behaviour is unchanged.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -132,11 +132,6 @@
         messages.pop().ok_or(Empty).at(path, peer)
     }
 
-    /// Closes connections to peers for which `keep` is false.
-    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
-        self.lock().retain(|peer, _| keep(peer));
-    }
-
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Connecting>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,15 +2,10 @@
 //!
 //! The metrics are listed in [the reference](../../../docs/events.md).
 
-use std::{
-    net::{SocketAddr, UdpSocket},
-    time::Duration,
-};
+use std::net::{SocketAddr, UdpSocket};
 
 use base::fault::{At, Fault};
-use cadence::{
-    Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
-};
+use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
 
 /// Prefix of every metric.
 const PREFIX: &str = "ebonywall";
@@ -57,14 +52,4 @@
             .count(name, i64::try_from(count).unwrap_or(i64::MAX))
             .ok();
     }
-
-    /// Reports a value that rises and falls.
-    pub fn gauge(&self, name: &str, value: u64) {
-        self.0.gauge(name, value).ok();
-    }
-
-    /// Reports a length of time.
-    pub fn time(&self, name: &str, time: Duration) {
-        self.0.time(name, time).ok();
-    }
 }
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -14,7 +14,7 @@
 use arc_swap::ArcSwap;
 use base::{fault::Fault, hash, id, span, time};
 use bytes::Bytes;
-use conf::{settings, state};
+use conf::settings;
 use futures_util::{FutureExt, stream};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -419,8 +419,3 @@
         deadline: settings.limits.deadline,
     }
 }
-
-/// Returns the configuration that a router uses now.
-pub fn configuration(router: &Router) -> Arc<state::Configuration> {
-    router.snapshot.load().conf.clone()
-}
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -195,11 +195,6 @@
             .map(drop)
     }
 
-    /// Reads the engine's own load report, as JSON.
-    pub async fn load(&self) -> Result<Bytes, Fault> {
-        self.short(Method::GET, "/load", Bytes::new()).await
-    }
-
     /// Gives the target an order with its fencing token, on a connection of its
     /// own, see [`Target::send`]. Returns the status of the reply.
     ///
