Let show lagging wait until the asked router knows of no lagging member

The leaving operator's order was in force at all 5 members by the view of router 0; the new operator then asked router 1, which had not yet heard the version of one agent and showed it at the version before. Each router learns versions on its own, so both answers are true at the moment they are given.

Ruled out: a version that went back, and a member counted twice; the agent's own report to router 0 was already at the new version.

The tests' start waits until every router, and not only the first, knows all members.

--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -74,7 +74,8 @@
     /// Id of the command, to repeat one whose outcome is not known
     #[bpaf(argument("ID"))]
     pub command: Option<id::CommandId>,
-    /// Waits until an order is in force everywhere
+    /// Waits until an order is in force everywhere, or until show lagging
+    /// names no member
     pub wait: bool,
     /// Longest time to wait, such as 30s
     #[bpaf(argument("TIME"), fallback(Span::from_secs(30)))]
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -132,6 +132,7 @@
     async fn carry_out(&mut self, line: Line, screen: &mut Screen<'_>) -> Result<(), Failure> {
         let why = line.why.unwrap_or_else(|| self.options.why.clone());
         match line.command {
+            Command::Ask(Query::Lagging) if self.options.wait => self.wait_lagging(screen).await,
             Command::Ask(query) => {
                 let answer = self.ask(query).await?;
                 self.show(screen, &answer, render::text)
@@ -239,6 +240,35 @@
         }
     }
 
+    /// Waits until the router knows of no member that lags behind it, and shows
+    /// its last answer. Each router learns the versions of members on its own,
+    /// so one may still show lagging members after another has shown none.
+    async fn wait_lagging(&mut self, screen: &mut Screen<'_>) -> Result<(), Failure> {
+        let end = Instant::now() + self.options.wait_time.duration();
+        let mut shown = String::new();
+        loop {
+            let Answer::Lagging(versions) = self.ask(Query::Lagging).await? else {
+                return Err(Failure::Answer);
+            };
+            let version = versions.version;
+            let lags = !versions.list.is_empty();
+            if !lags || Instant::now() >= end {
+                self.show(screen, &Answer::Lagging(versions), render::text)?;
+                return if lags {
+                    Err(Failure::Timeout(version))
+                } else {
+                    Ok(())
+                };
+            }
+            let progress = lagging(&versions, version);
+            if progress != shown {
+                writeln!(screen.err, "{progress}")?;
+                shown = progress;
+            }
+            time::sleep(LOOK).await;
+        }
+    }
+
     /// Reads the whole record and checks that no change is missing or altered.
     async fn record(&mut self) -> Result<Record, Failure> {
         let mut changes: Vec<ChangeRow> = Vec::new();
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -31,12 +31,20 @@
     let running = Running::start(SMALL, parts)
         .await
         .expect("the deployment starts");
-    let mut operator = Operator::new(&running, 0, deploy::OPERATOR_KEY);
+    for router in 0..running.routers.len() {
+        ready(&running, router).await;
+    }
+    running
+}
+
+/// Waits until a router knows that all members use the first configuration.
+async fn ready(running: &Running, router: usize) {
+    let mut operator = Operator::new(running, router, deploy::OPERATOR_KEY);
     let end = std::time::Instant::now() + std::time::Duration::from_secs(20);
     loop {
         let shown = operator.say("show lagging").await;
         if shown.contains("version 1 here, lowest 1 among 5 members") {
-            return running;
+            return;
         }
         assert!(std::time::Instant::now() < end, "not ready: {shown}");
         tokio::time::sleep(std::time::Duration::from_millis(100)).await;
--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -117,6 +117,37 @@
     );
 }
 
+/// A router that still shows a member with the version before is asked again,
+/// because it learns of that member's version later than another router did.
+#[tokio::test]
+async fn lagging_ends() {
+    let (_stub, address) = Stub::start(Orders::Accept, 2).await;
+    let mut operator = Operator::at(vec![address.to_string()], "key");
+    operator.options.wait = true;
+    let (code, out, err) = operator.run("show lagging").await;
+    assert_eq!(code, Code::Done);
+    let shown = "version 7 here, lowest 7 among 1 members\nno member lags\n";
+    assert_eq!(out, shown);
+    let progress = "waiting for version 7: lowest 6, 1 of 1 members lag: agent-0\n";
+    assert_eq!(err, progress);
+}
+
+/// A member that lags for longer than the wait time is named.
+#[tokio::test]
+async fn lagging_timeout() {
+    let (_stub, address) = Stub::start(Orders::Accept, usize::MAX).await;
+    let mut operator = Operator::at(vec![address.to_string()], "key");
+    operator.options.wait = true;
+    operator.options.wait_time = Span::from_millis(300);
+    let (code, out, err) = operator.run("show lagging").await;
+    assert_eq!(code, Code::Timeout);
+    assert!(out.contains("agent-0  agent  6"), "{out}");
+    assert!(
+        err.ends_with("error: version 7 is not in force everywhere yet\n"),
+        "{err}"
+    );
+}
+
 /// The same command id given again is recognised, and one that was used for
 /// another order is refused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
