Continue a begun response beyond the attempts of a new request

Change: once the caller has the head, up to 8 further agents are asked to continue, without the budget; when no agent is left, the router pauses 200 ms and begins again, at most 20 times. The log line of a choice also tells how many rejected targets it leaves out.

Test continued_refusals.

--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -19,6 +19,14 @@
 /// Time for an agent to take a settlement.
 const SETTLE_CALL: time::Duration = time::Duration::from_secs(2);
 
+/// Pause before agents are chosen again when none is left that could continue
+/// a response.
+const CONTINUE_PAUSE: time::Duration = time::Duration::from_millis(200);
+
+/// Pauses for one response at most; together they last longer than an engine
+/// that crashed needs to be seen as up again.
+const MOST_PAUSES: u32 = 20;
+
 /// What the caller receives next.
 #[derive(Debug)]
 pub enum Output {
@@ -44,6 +52,8 @@
     deadline: Instant,
     hint: Option<id::TargetId>,
     tried: Vec<choose::Tried>,
+    /// Pauses for lack of an agent that could continue the response.
+    pauses: u32,
     /// Target of the present attempt.
     target: Option<id::TargetId>,
     replies: Option<Replies>,
@@ -85,6 +95,7 @@
             accepted,
             hint,
             tried: Vec::new(),
+            pauses: 0,
             target: None,
             replies: None,
             data: Bytes::new(),
@@ -161,7 +172,7 @@
     async fn choose(&mut self, skip: u64) -> settle::Step {
         // A response that has begun is continued without the budget: those are
         // no more than were in flight at the target that broke off.
-        let again = self.request.attempts() > 0 && skip == 0;
+        let again = self.request.attempts() > 0 && !self.request.begun();
         if again && !self.router.retries.retry(&self.accepted.team) {
             return self.request.none(Refusal::Bound, Some(self.router.pause()));
         }
@@ -174,6 +185,12 @@
         let choice = choose::choose(&group.view, &query, self.router.seed());
         self.log(&choice);
         let Some(target) = choice.target else {
+            if self.request.begun() && self.pauses < MOST_PAUSES {
+                self.pauses += 1;
+                self.tried.clear();
+                time::sleep(CONTINUE_PAUSE).await;
+                return settle::Step::Choose { skip };
+            }
             return self
                 .request
                 .none(self.why.clone(), Some(self.router.pause()));
@@ -448,7 +465,7 @@
         tracing::info!(event = "route", request = %self.id(), team = %self.accepted.team,
             service = %self.accepted.service, chat = %self.accepted.chat, target,
             reason = %choice.reason, previous, attempt = self.request.attempts() + 1,
-            rejected = rejected.join(","));
+            rejected = rejected.join(","), omitted = choice.omitted);
         self.router.metrics.count("route");
     }
 
--- a/crates/once/src/settle.rs
+++ b/crates/once/src/settle.rs
@@ -20,6 +20,10 @@
 pub struct Limits {
     /// Agents that are sent the request, resends after a stale epoch excluded.
     pub attempts: u32,
+    /// Further agents that are asked to continue a response whose head the
+    /// caller has. The caller would lose what it received, so that a refusal
+    /// by one busy agent must not end the response.
+    pub continuations: u32,
     /// Settlements in a row that bring no byte and no answer before the agent
     /// counts as unreachable, at most 16.
     pub settles: u32,
@@ -31,6 +35,7 @@
     fn default() -> Self {
         Self {
             attempts: 3,
+            continuations: 8,
             settles: 8,
         }
     }
@@ -168,6 +173,8 @@
     doubt: Option<Doubt>,
     claimed: Option<id::ProcessId>,
     head: Option<Head>,
+    /// Attempts when the head was passed to the caller.
+    begun: u32,
     offset: u64,
 }
 
@@ -187,6 +194,7 @@
             doubt: None,
             claimed: None,
             head: None,
+            begun: 0,
             offset: 0,
         }
     }
@@ -211,6 +219,11 @@
         self.offset
     }
 
+    /// Tells whether the caller has the head of the response.
+    pub fn begun(&self) -> bool {
+        self.head.is_some()
+    }
+
     /// Tells whether the caller has its answer.
     pub fn ended(&self) -> bool {
         matches!(self.phase, Phase::Ended(_))
@@ -307,6 +320,7 @@
         match &self.head {
             None => {
                 self.head = Some(head);
+                self.begun = self.attempts;
                 Step::Head
             }
             Some(first) if first.status == head.status => Step::Read,
@@ -420,7 +434,7 @@
     /// every agent that was sent it has proven that it never runs there.
     fn next(&mut self, why: Refusal, after: Option<Span>) -> Step {
         let spliced = self.head.is_none_or(|head| head.resumable);
-        if self.attempts >= self.limits.attempts || !spliced {
+        if self.attempts >= self.most_attempts() || !spliced {
             return self.give_up(why, after);
         }
         self.resent = false;
@@ -428,6 +442,13 @@
         Step::Choose { skip: self.offset }
     }
 
+    fn most_attempts(&self) -> u32 {
+        match self.head {
+            None => self.limits.attempts,
+            Some(_) => self.begun + self.limits.continuations,
+        }
+    }
+
     fn resend(&mut self, to: Sent, present: (id::Incarnation, Epoch)) -> Step {
         self.resent = true;
         self.attempts -= 1;
--- a/crates/once/tests/settle.rs
+++ b/crates/once/tests/settle.rs
@@ -429,3 +429,22 @@
         request.attached();
     }
 }
+
+/// A response that the caller has a part of survives as many refusals as there
+/// are continuations: busy agents must not end it.
+#[test]
+fn continued_refusals() {
+    let limits = Limits::default();
+    let mut session = Session::new(Class::Repeatable);
+    session.sent("a").refused(Refusal::Bound);
+    session.sent("b").head(true).data(0, 10);
+    session.on("broken", |request| request.broken(true));
+    for number in 1..limits.continuations {
+        session.sent(&format!("busy-{number}"));
+        let step = session.request.refused(Refusal::Bound, None, None);
+        assert_eq!(step, Step::Choose { skip: 10 }, "refusal {number}");
+    }
+    session.sent("last");
+    let step = session.request.refused(Refusal::Bound, None, None);
+    assert!(matches!(step, Step::Abort(_)), "{step}");
+}
--- a/crates/once/tests/world/mod.rs
+++ b/crates/once/tests/world/mod.rs
@@ -1135,6 +1135,7 @@
         };
         let limits = settle::Limits {
             attempts: 2,
+            continuations: 1,
             settles: 2,
         };
         Self {
