Count a crash half when the target seems to crash by itself

A request that was resent from one flapping engine to the other was in flight at a crash of each and was quarantined, although both engines crash without any request's doing; its response was refused by the third and aborted.

Change: a crash of a target that had crashed within the term with none of the same requests in flight has half the weight; two crashes in full are still enough. The agent sets the mark, and it travels with the entry.

Ruled out: half the weight for every repeated crash. lift_reaches_all then fails: after an operator's lift, the same content crashes the same two targets and must be refused again. It passes unchanged with the rule above.

Test two_bad_targets.

--- a/crates/admit/src/quarantine.rs
+++ b/crates/admit/src/quarantine.rs
@@ -5,6 +5,9 @@
 //! refused, unless another suspect was present at the same crashes too: then
 //! either may be the cause, and they are kept apart until one of them is
 //! cleared by a completion or a further crash tells them apart.
+//!
+//! A target that crashes again with none of the same requests in flight may
+//! crash by itself, so that such a crash counts half.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -13,6 +16,15 @@
 /// Crashes of different targets that lead to refusal.
 const LIMIT: usize = 2;
 
+/// Weight of a crash of a target that does not seem to crash by itself.
+const FULL: usize = 2;
+
+/// Weight of a repeated crash, see [`Crash::repeated`].
+const REPEATED: usize = 1;
+
+/// Sum of the weights that leads to refusal: two crashes in full.
+const ENOUGH: usize = LIMIT * FULL;
+
 /// Fingerprints that are remembered at most, about 1 MB.
 const MOST_RECORDS: usize = 4_096;
 
@@ -33,6 +45,9 @@
     pub target: id::TargetId,
     /// Tells the crashes of the target apart.
     pub number: CrashNumber,
+    /// Whether the target had crashed before within the term, with none of the
+    /// same requests in flight.
+    pub repeated: bool,
 }
 
 /// What a fingerprint is held to be.
@@ -86,6 +101,15 @@
             .count()
     }
 
+    /// Returns whether the crashes suffice to refuse the fingerprint.
+    fn convicts(&self) -> bool {
+        let weights = self.crashes.iter().map(|crash| match crash.repeated {
+            true => REPEATED,
+            false => FULL,
+        });
+        self.targets() >= LIMIT && weights.sum::<usize>() >= ENOUGH
+    }
+
     /// Returns whether this one was present at all crashes of the other.
     fn covers(&self, other: &Self) -> bool {
         self.crashes.is_superset(&other.crashes)
@@ -133,6 +157,9 @@
     /// The fingerprints that were in flight at each crash. Suspects can only be
     /// mistaken for those that were present at the same crash.
     cohorts: BTreeMap<Crash, BTreeSet<id::Fingerprint>>,
+    /// The latest crash of each target whose agent this is, with what was in
+    /// flight.
+    latest: BTreeMap<id::TargetId, (time::Mono, BTreeSet<id::Fingerprint>)>,
     next: u64,
 }
 
@@ -144,10 +171,16 @@
             term,
             records: BTreeMap::new(),
             cohorts: BTreeMap::new(),
+            latest: BTreeMap::new(),
             next: (incarnation.0 << COUNT_BITS) + 1,
         }
     }
 
+    /// Changes the length of a quarantine. Terms that run go on as they began.
+    pub fn set_term(&mut self, term: span::Span) {
+        self.term = term;
+    }
+
     /// Returns what a fingerprint is held to be.
     pub fn check(&self, now: time::Mono, fingerprint: id::Fingerprint) -> Verdict {
         match self.records.get(&fingerprint) {
@@ -157,22 +190,24 @@
     }
 
     fn judge(&self, now: time::Mono, fingerprint: id::Fingerprint, record: &Record) -> Verdict {
-        let targets = record.targets();
         let mut has_rival = false;
         for rival in self.rivals(now, fingerprint, record) {
             // A refused one explains the crashes at which both were present.
-            if rival.targets() >= LIMIT && !record.covers(rival) {
+            if rival.convicts() && !record.covers(rival) {
                 return Verdict::Clear;
             }
             has_rival = true;
         }
-        match targets {
-            0 => Verdict::Clear,
-            1 => Verdict::Suspect,
-            _ if has_rival => Verdict::Apart,
-            _ => Verdict::Refused {
+        if record.crashes.is_empty() {
+            Verdict::Clear
+        } else if !record.convicts() {
+            Verdict::Suspect
+        } else if has_rival {
+            Verdict::Apart
+        } else {
+            Verdict::Refused {
                 remaining: record.until.since(now),
-            },
+            }
         }
     }
 
@@ -222,9 +257,15 @@
     ) {
         let number = CrashNumber(self.next);
         self.next += 1;
+        let in_flight: BTreeSet<_> = in_flight.into_iter().collect();
+        let before = self.latest.insert(target.clone(), (now, in_flight.clone()));
+        let repeated = before.is_some_and(|(at, others)| {
+            now.since(at) < self.term && others.is_disjoint(&in_flight)
+        });
         let crash = Crash {
             target: target.clone(),
             number,
+            repeated,
         };
         for fingerprint in in_flight {
             self.merge(
--- a/crates/admit/tests/quarantine.rs
+++ b/crates/admit/tests/quarantine.rs
@@ -60,6 +60,25 @@
     assert_eq!(quarantine.check(at(5), BESIDE), Verdict::Suspect);
 }
 
+/// Two targets that crash by themselves, again and again, must not make a
+/// request refused that happened to be resent from one to the other.
+#[test]
+fn two_bad_targets() {
+    let mut quarantine = quarantine(1);
+    quarantine.crash(at(0), &target(1), [OTHER]);
+    quarantine.crash(at(1), &target(2), [OTHER]);
+    quarantine.completed(OTHER);
+    quarantine.crash(at(2), &target(1), [BESIDE]);
+    quarantine.crash(at(3), &target(2), [BESIDE]);
+    assert_eq!(quarantine.check(at(4), BESIDE), Verdict::Suspect);
+    // The cause of crashes is refused all the same, later.
+    quarantine.crash(at(5), &target(1), [POISON]);
+    quarantine.crash(at(6), &target(2), [POISON]);
+    assert!(!is_refused(&quarantine, at(6), POISON));
+    quarantine.crash(at(7), &target(3), [POISON]);
+    assert!(is_refused(&quarantine, at(7), POISON));
+}
+
 #[test]
 fn completion_clears() {
     let mut quarantine = quarantine(1);
@@ -228,6 +247,7 @@
     let crash = |index| Crash {
         target: target(index),
         number: CrashNumber(1),
+        repeated: false,
     };
     quarantine.merge(
         at(0),
--- a/crates/daemon/src/suspects.rs
+++ b/crates/daemon/src/suspects.rs
@@ -8,9 +8,10 @@
 
 /// Writes an entry as a message; `service` is empty when it is not known.
 pub fn to_message(entry: &Entry, service: &str) -> msg::Suspect {
-    let crash = |target: &id::TargetId, number: CrashNumber| msg::Crash {
+    let crash = |target: &id::TargetId, number: CrashNumber, repeated| msg::Crash {
         target: target.to_string(),
         number: number.0,
+        repeated,
     };
     msg::Suspect {
         fingerprint: entry.fingerprint.0,
@@ -18,12 +19,12 @@
         crashes: entry
             .crashes
             .iter()
-            .map(|c| crash(&c.target, c.number))
+            .map(|c| crash(&c.target, c.number, c.repeated))
             .collect(),
         excused: entry
             .excused
             .iter()
-            .map(|(target, number)| crash(target, *number))
+            .map(|(target, number)| crash(target, *number, false))
             .collect(),
         remaining: u32::try_from(entry.remaining.as_millis()).unwrap_or(u32::MAX),
     }
@@ -49,6 +50,7 @@
     Some(Crash {
         target: crash.target.parse().ok()?,
         number: CrashNumber(crash.number),
+        repeated: crash.repeated,
     })
 }
 
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -1044,7 +1044,11 @@
     }
     latest
         .into_iter()
-        .map(|(target, number)| msg::Crash { target, number })
+        .map(|(target, number)| msg::Crash {
+            target,
+            number,
+            repeated: false,
+        })
         .collect()
 }
 
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -449,6 +449,10 @@
     /// Tells the crashes of the target apart; a larger number is a later one.
     #[prost(uint64, tag = "2")]
     pub number: u64,
+    /// Whether the target had crashed before within the term of a quarantine,
+    /// with none of the same requests in flight.
+    #[prost(bool, tag = "3")]
+    pub repeated: bool,
 }
 
 /// A request content that was in flight at crashes.
