Compare an engine's report of its load with its agent's count

The bound holds only where every request passes the agent.

Change: the agent reads GET /load every 5 s and says foreign_work when the engine reports more than the agent gave it within the last 10 s, three times in a row. The report lags and may be wrong, so it changes no decision. load, queued, cap and engine.load are sent as gauges.

Tests: crates/admit/tests/external.rs (a late report, a single wrong one, foreign work and its end). Daemon tests session, links, limits, outlet, faults pass.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod bound;
 pub mod budget;
+pub mod external;
 mod fair;
 pub mod gate;
 pub mod group;
--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -11,7 +11,7 @@
     },
 };
 
-use admit::{bound, gate, group, quarantine};
+use admit::{bound, external, gate, group, quarantine};
 use arc_swap::ArcSwap;
 use base::{id, span, time};
 use conf::{settings, state};
@@ -25,7 +25,7 @@
 use wire::msg;
 
 use crate::{
-    health,
+    agent_loads, health,
     job::Report,
     metrics::Metrics,
     node::{Node, Signal},
@@ -47,6 +47,9 @@
 /// an engine at its cap must not be above the bound then.
 const MARGIN: f64 = 1.75;
 
+/// Length of a quarantine until the agent knows its service.
+const QUARANTINE: span::Span = span::Span::from_secs(600);
+
 /// What a reply stream is connected to.
 #[derive(Debug)]
 pub enum Attached {
@@ -77,6 +80,8 @@
     Job(id::RequestId, u64, Report),
     /// The target was checked; none when it did not answer in time.
     Health(Option<bool>),
+    /// The engine reported the requests that it has.
+    EngineLoad(u32),
     /// The table answered for a claim.
     Claim(Box<claim::Ask>, claim::Answer),
     /// A response was stored for replay.
@@ -138,6 +143,9 @@
     pub(crate) agent: settings::Agent,
     pub(crate) gate: gate::Gate,
     pub(crate) quarantine: quarantine::Quarantine,
+    /// The engine's reports against this agent's count.
+    pub(crate) external: external::Monitor,
+    pub(crate) load_due: time::Mono,
     pub(crate) ledger: ledger::Ledger,
     pub(crate) links: BTreeMap<event::Link, oneshot::Sender<Attached>>,
     pub(crate) open: BTreeMap<id::RequestId, Open>,
@@ -170,7 +178,9 @@
         ledger.leave(now);
         Self {
             gate: gate::Gate::new(process, gate::Settings::default(), parts.incarnation.0),
-            quarantine: quarantine::Quarantine::new(span::Span::from_secs(600), parts.incarnation),
+            quarantine: quarantine::Quarantine::new(QUARANTINE, parts.incarnation),
+            external: external::Monitor::default(),
+            load_due: now,
             ledger,
             links: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -235,6 +245,7 @@
         let fixed = [
             self.parts.node.due(),
             self.health_due,
+            self.load_due,
             self.ledger.next_expiry(),
         ];
         fixed
@@ -253,6 +264,10 @@
             self.health_due = now + HEALTH_INTERVAL;
             self.check_health();
         }
+        if self.load_due <= now {
+            self.load_due = now + agent_loads::INTERVAL;
+            self.check_load(now);
+        }
         let events = self.gate.expire(now);
         self.gated(now, events);
         let epoch = self.ledger.epoch();
@@ -294,6 +309,7 @@
             },
         };
         let now = self.now();
+        self.quarantine.set_term(service.quarantine);
         let events = self.gate.configure(now, settings);
         self.gated(now, events);
     }
@@ -362,6 +378,7 @@
             Event::Delivered(id) => self.delivered(now, id),
             Event::Job(id, job, report) => self.report(now, id, job, report),
             Event::Health(answer) => self.checked(now, answer),
+            Event::EngineLoad(reported) => self.engine_load(now, reported),
             Event::Claim(ask, answer) => {
                 let actions = self.ledger.answered(now, &ask.key, ask.nonce, answer);
                 self.act(now, actions);
@@ -482,10 +499,12 @@
         let now = self.now();
         let standing = self.standing(now);
         let cap = self.gate.cap(now);
-        self.parts.node.tell(standing, self.gate.load(), cap);
+        let load = self.gate.load();
+        self.external.own(now, load);
+        self.parts.node.tell(standing, load, cap);
         let mut stamp = self.parts.node.stamp();
         stamp.waiting = self.gate.queued();
-        stamp.load = self.gate.load() + stamp.waiting;
+        stamp.load = load + stamp.waiting;
         stamp.cap = cap;
         stamp.epoch = self.ledger.epoch().0;
         if **self.parts.stamp.load() != stamp {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod agent_core;
 mod agent_crashes;
+mod agent_loads;
 mod agent_offers;
 mod agent_responses;
 pub mod body;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, UdpSocket};
 
 use base::fault::{At, Fault};
-use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use cadence::{Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
 
 /// Prefix of every metric.
 const PREFIX: &str = "ebonywall";
@@ -46,6 +46,11 @@
         self.0.count(name, 1).ok();
     }
 
+    /// Tells a value that goes up and down.
+    pub fn gauge(&self, name: &str, value: u64) {
+        self.0.gauge(name, value).ok();
+    }
+
     /// Counts several events.
     pub fn add(&self, name: &str, count: u64) {
         self.0
--- a/crates/daemon/src/target.rs
+++ b/crates/daemon/src/target.rs
@@ -60,6 +60,13 @@
 #[error("target replied with status {0}")]
 pub struct Status(pub StatusCode);
 
+/// An engine's report of its load; other fields are ignored.
+#[derive(Clone, Copy, Debug, serde::Deserialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+}
+
 /// The target's HTTP interface.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -195,6 +202,17 @@
             .map(drop)
     }
 
+    /// Returns the requests that the engine says it has, running and waiting.
+    ///
+    /// # Errors
+    ///
+    /// When the engine cannot be reached or its report cannot be read.
+    pub async fn load(&self) -> Result<u32, Fault> {
+        let body = self.short(Method::GET, "/load", Bytes::new()).await?;
+        let load: Load = serde_json::from_slice(&body).at("read load", self.address)?;
+        Ok(load.running.saturating_add(load.waiting))
+    }
+
     /// Gives the target an order with its fencing token, on a connection of its
     /// own, see [`Target::send`]. Returns the status of the reply.
     ///
