Split the operators' service by connections, orders and queries

Connections go to operate_serve, answers to queries to operate_query; orders stay. Nothing else changes; the tests of the operators' sessions, faults and plans pass.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod node;
 pub mod operate;
 pub mod operate_plan;
+pub mod operate_query;
+pub mod operate_serve;
 pub mod outlet;
 pub mod past;
 pub mod peers;
--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -10,7 +10,7 @@
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_rustls::TlsConnector;
 
-use crate::{node, operate, serve, tls};
+use crate::{node, operate, operate_serve, serve, tls};
 
 /// Connections from other processes at once: every process of a fleet may have
 /// one, and several during reconnection.
@@ -108,7 +108,7 @@
 pub async fn operators(
     settings: &settings::Settings,
     operators: operate::Operators,
-) -> Result<Option<operate::Server>, Fault> {
+) -> Result<Option<operate_serve::Server>, Fault> {
     let Some(address) = settings.listen.operators else {
         return Ok(None);
     };
@@ -116,7 +116,7 @@
         Some(certificate) => Some(tls::caller_acceptor(&files(certificate))?),
         None => None,
     };
-    Ok(Some(operate::Server {
+    Ok(Some(operate_serve::Server {
         listener: bind(address).await?,
         tls,
         operators,
