Keep live members by signs of life of one byte

Cause: a load report takes about 16 bytes, so that at 1,110 members the oldest reports pass the 60 s of silence and live members are removed.

Change: every process has a beat, a counter that advances each second. A message gives up to half of the room after the news to the beats of some parts of the members: the digest of the part and one byte for each member. A receiver that knows the same runs merges them as a maximum per run. Beats come before the loads of the own group and the pulses. A member without a sign of life for 40 s is asked itself before it is removed. A process that lacks a member is told of it by the age of the last sign of life, no longer only while the load is younger than 50 s. Reports are asked for by name after 35 s without a sign of life instead of 35 s without a load.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -3,8 +3,9 @@
 //! Once a second a process sends one message to one neighbour and gets one
 //! back. A message holds the most valuable records that its share of the byte
 //! budget allows: what the receiver asked for, changes of state, quarantine
-//! entries, the loads of the receiver's service group, and last the pulses, by
-//! which every member remains known everywhere. A new version or a change of
+//! entries, signs of life, by which every member remains known everywhere, the
+//! loads of the receiver's service group, and last the pulses, which are load
+//! reports for all. A new version or a change of
 //! standing starts short exchanges before the interval is over.
 //!
 //! Three means find what was lost: a load of an unknown run makes the receiver
@@ -22,7 +23,7 @@
 use prost::Message;
 use wire::msg;
 
-use crate::{budget, convert, member, neighbour, pack, rules};
+use crate::{beat, budget, convert, digest, member, neighbour, pack, rules};
 
 /// Time between two exchanges that a process starts.
 pub const INTERVAL: span::Span = span::Span::from_secs(1);
@@ -62,9 +63,17 @@
 /// Largest answer with member records that were asked for, in bytes.
 const ASKED_SIZE: i64 = 2_500;
 
-/// Age from which a process asks for a fresher report.
+/// Time without a sign of life from which a process asks others for a fresher
+/// report.
 const OLD: span::Span = span::Span::from_secs(35);
 
+/// Time without a sign of life from which a process asks the member itself. The
+/// 20 s up to its removal leave 10 tries, at every second interval.
+const DOUBTED: span::Span = span::Span::from_secs(40);
+
+/// Every how many turns a member without signs of life is asked itself.
+const DOUBT_EVERY: u64 = 2;
+
 /// Every how many turns a lost or merely listed member or a seed is tried, so
 /// that the two sides of a healed cut find each other.
 const PROBE: u64 = 10;
@@ -88,10 +97,6 @@
 /// With 1,110 members a part is about 14 KB.
 const PARTS: u32 = 8;
 
-/// Parts of the members that are compared by digest; 64 digests take 256 bytes,
-/// and with 1,110 members a part that differs takes 18 load records.
-const DIGESTS: u64 = 64;
-
 /// Most parts that differ of which one answer holds the loads.
 const REPAIRED: usize = 16;
 
@@ -172,6 +177,8 @@
     /// Exchanges that are still to be started for urgent news.
     fan: u32,
     urgent: VecDeque<id::ProcessId>,
+    /// Messages with signs of life so far; chooses the parts of the next one.
+    beats: u64,
     wants: BTreeMap<u64, time::Mono>,
     suspects: BTreeMap<u64, Suspicion>,
     /// Parts of the members that have not arrived, and when each was last
@@ -211,6 +218,7 @@
             seeds,
             turn: hash::mix(seed, 0) % (1 << 16) * PROBE,
             urgent: VecDeque::new(),
+            beats: 0,
             wants: BTreeMap::new(),
             suspects: BTreeMap::new(),
             parts: all_parts(),
@@ -317,6 +325,11 @@
         {
             return Some(probe);
         }
+        if self.turn.is_multiple_of(DOUBT_EVERY)
+            && let Some(doubted) = self.doubted(now)
+        {
+            return Some(doubted);
+        }
         self.neighbour(now, self.turn % neighbour::SLOTS)
             .or_else(|| self.probe())
     }
@@ -394,7 +407,7 @@
         answer: &msg::Exchange,
     ) -> Applied {
         let applied = self.merge(now, budget, answer);
-        self.differs = answer.digest != digest(&digests(&self.members));
+        self.differs = answer.digest != digest::whole(&digest::parts(&self.members));
         if self.parts.is_empty() && !self.differs {
             budget.settle();
         }
@@ -443,6 +456,11 @@
             }
         }
         self.apply_sender(now, message, &mut applied);
+        if let Some(beats) = &message.beats
+            && !beat::merge(now, &mut self.members, beats)
+        {
+            applied.invalid += 1;
+        }
         self.ask_back(message);
         applied
     }
@@ -558,6 +576,22 @@
         self.members.entry(process).map(partner)
     }
 
+    /// Returns one of the members without a sign of life for long, another at
+    /// each turn, so that unreachable ones do not keep the others from being
+    /// asked before they are removed.
+    fn doubted(&self, now: time::Mono) -> Option<Partner> {
+        let own = &self.members.own().process;
+        let candidates = self
+            .members
+            .entries()
+            .filter(|entry| entry.state == member::State::Reported)
+            .filter(|entry| entry.quiet(now) >= DOUBTED)
+            .map(|entry| &entry.member.process)
+            .filter(|process| *process != own);
+        let process = neighbour::pick(hash::mix(self.key, self.turn), candidates)?;
+        self.members.entry(process).map(partner)
+    }
+
     /// Returns a member that sends no reports, or a seed, in turn.
     fn probe(&self) -> Option<Partner> {
         let silent: Vec<Partner> = self
@@ -594,7 +628,8 @@
         let mut message = msg::Exchange {
             sender: Some(convert::stamp_record(&own)),
             known: u32::try_from(self.members.reporting()).unwrap_or(u32::MAX),
-            digest: digest(&digests(&self.members)),
+            digest: digest::whole(&digest::parts(&self.members)),
+            beat: beat::Beat::at(now).number(),
             ..Default::default()
         };
         let entry = self.members.entry_mut(&own.process);
@@ -628,7 +663,7 @@
     fn ask(&mut self, now: time::Mono, message: &mut msg::Exchange) {
         self.ask_part(now, message);
         if self.differs && message.parts == 0 {
-            message.digests = digests(&self.members);
+            message.digests = digest::parts(&self.members);
         }
         let silence = self.members.rules().silence;
         self.wants.retain(|_, since| now.since(*since) < silence);
@@ -638,8 +673,8 @@
             .entries()
             .filter(|entry| entry.state == member::State::Reported)
             .filter(|entry| entry.member.process != self.members.own().process)
-            .map(|entry| (entry.age(now), entry.run()))
-            .filter(|(age, _)| *age >= OLD)
+            .map(|entry| (entry.quiet(now), entry.run()))
+            .filter(|(quiet, _)| *quiet >= OLD)
             .collect();
         old.sort_by(|a, b| b.cmp(a));
         message.stale = old.into_iter().map(|(_, run)| run).take(ASKED).collect();
@@ -681,10 +716,10 @@
         request: &msg::Exchange,
     ) {
         for run in &request.wants {
-            let Some(entry) = self.members.by_run(*run).filter(|e| fresh(now, e)) else {
+            let Some(entry) = self.members.by_run(*run).filter(|e| alive(now, e)) else {
                 continue;
             };
-            room.member(message, &entry.relayed(now));
+            room.member(message, &entry.introduced(now));
         }
         for run in &request.stale {
             let Some(entry) = self.members.by_run(*run) else {
@@ -714,24 +749,23 @@
         let mut all: Vec<&member::Entry> = self
             .members
             .entries()
-            .filter(|entry| fresh(now, entry) && entry.member.process != *own)
+            .filter(|entry| alive(now, entry) && entry.member.process != *own)
             .filter(|entry| entry.member.process.as_str() != to)
             .collect();
         self.turn += 1;
-        all.sort_by_key(|entry| hash::mix(self.turn, member::key(&entry.member.process)));
+        all.sort_by_key(|entry| hash::mix(self.turn, entry.key));
         // A process that can't afford the part still names others to ask.
         if room.left < REFERRED_SIZE {
             for entry in all.iter().take(REFERRED) {
-                let record = convert::member_record(&entry.relayed(now));
+                let record = convert::member_record(&entry.introduced(now));
                 message.members.push(record);
             }
             return;
         }
         let mut whole = true;
         for entry in all {
-            let key = member::key(&entry.member.process);
-            if key % parts == u64::from(request.part) {
-                whole &= room.member(message, &entry.relayed(now));
+            if entry.key % parts == u64::from(request.part) {
+                whole &= room.member(message, &entry.introduced(now));
             }
         }
         if whole {
@@ -749,11 +783,11 @@
         room: &mut Room,
         request: &msg::Exchange,
     ) {
-        let own = digests(&self.members);
+        let own = digest::parts(&self.members);
         if request.digests.len() != own.len() {
             return;
         }
-        let mut different: Vec<u64> = (0..DIGESTS)
+        let mut different: Vec<u64> = (0..digest::PARTS)
             .zip(own.iter().zip(&request.digests))
             .filter(|(_, (own, other))| own != other)
             .map(|(part, _)| part)
@@ -763,10 +797,9 @@
         different.sort_by_key(|part| hash::mix(self.turn, *part));
         different.truncate(REPAIRED);
         for entry in self.members.entries() {
-            let key = member::key(&entry.member.process);
-            if different.contains(&(key % DIGESTS))
-                && fresh(now, entry)
-                && !room.load(message, &entry.relayed(now))
+            if different.contains(&digest::part(entry))
+                && alive(now, entry)
+                && !room.load(message, &entry.introduced(now))
             {
                 return;
             }
@@ -784,6 +817,7 @@
         let mut room = Room::new(limit, message);
         self.add_news(now, message, &mut room, to);
         self.add_suspects(now, message, &mut room);
+        self.add_beats(now, message, &mut room);
         self.add_group(now, message, &mut room, to);
         self.add_pulses(now, message, &mut room, to);
     }
@@ -836,6 +870,21 @@
         }
     }
 
+    /// Adds signs of life in at most half of the room, before any load that is
+    /// passed on repeatedly: the share of the group and of the pulses must not
+    /// decide whether a member stays known.
+    fn add_beats(&mut self, now: time::Mono, message: &mut msg::Exchange, room: &mut Room) {
+        let limit = usize::try_from(room.left / 2).unwrap_or(0);
+        self.beats += 1;
+        let turn = hash::mix(self.key, self.beats);
+        let Some(beats) = beat::write(now, &self.members, turn, limit) else {
+            return;
+        };
+        if room.take(beats.encoded_len() + RECORD) {
+            message.beats = Some(beats);
+        }
+    }
+
     /// Adds the loads of the receiver's service group, the freshest first, in
     /// at most half of the room.
     fn add_group(
@@ -989,7 +1038,12 @@
         if stamp.version > self.own.version {
             applied.newer = Some(stamp.version);
         }
-        match self.stamp(now, &stamp) {
+        let outcome = self.stamp(now, &stamp);
+        if let Some(beat) = beat::Beat::read(message.beat) {
+            let (process, incarnation) = (&stamp.process, stamp.incarnation);
+            self.members.beat(now, process, incarnation, beat);
+        }
+        match outcome {
             member::Outcome::Changed => {
                 self.fan = FAN;
                 applied.changed.push(stamp.process);
@@ -1065,33 +1119,14 @@
     entry.state == member::State::Reported && entry.age(now) < FRESH
 }
 
-/// Age up to which reports are passed on.
-const FRESH: span::Span = span::Span::from_secs(50);
-
-/// Returns the digest of each part of the reporting members.
-fn digests(members: &member::Members) -> Vec<u32> {
-    let mut digests = vec![0; usize::try_from(DIGESTS).unwrap_or(0)];
-    for entry in members.entries() {
-        if entry.state != member::State::Reported {
-            continue;
-        }
-        let key = member::key(&entry.member.process);
-        let run = entry.member.incarnation.0 * 2 + u64::from(entry.leaving);
-        if let Some(digest) = usize::try_from(key % DIGESTS)
-            .ok()
-            .and_then(|part| digests.get_mut(part))
-        {
-            *digest ^= (hash::mix(key, run) >> 32) as u32;
-        }
-    }
-    digests
+/// Returns whether a member may be introduced to a process that does not know
+/// it.
+fn alive(now: time::Mono, entry: &member::Entry) -> bool {
+    entry.state == member::State::Reported && entry.quiet(now) < FRESH
 }
 
-fn digest(digests: &[u32]) -> u64 {
-    digests
-        .iter()
-        .fold(0, |sum, digest| hash::mix(sum, u64::from(*digest)))
-}
+/// Age up to which reports are passed on.
+const FRESH: span::Span = span::Span::from_secs(50);
 
 fn all_parts() -> BTreeMap<u32, Option<time::Mono>> {
     (0..PARTS).map(|part| (part, None)).collect()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,8 +4,10 @@
 //! The crate is pure: it has no clock, no I/O and no randomness except a seed.
 //! See [the design page](../../../docs/design.md), sections 2.7 and 3.2.
 
+pub mod beat;
 pub mod budget;
 pub mod convert;
+pub mod digest;
 pub mod exchange;
 pub mod member;
 pub mod neighbour;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -18,7 +18,7 @@
 
 use base::{hash, id, span, time};
 
-use crate::rules;
+use crate::{beat, rules};
 
 /// The two roles of the daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -194,6 +194,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Entry {
     pub(crate) member: Member,
+    /// Key of the process.
+    pub(crate) key: u64,
     pub(crate) state: State,
     /// Set by a report or by the instance list; final for the incarnation.
     pub(crate) leaving: bool,
@@ -217,6 +219,10 @@
     pub(crate) pulsed: time::Mono,
     /// Messages that shall still carry the present pulse.
     pub(crate) pulses: u32,
+    /// The newest beat of this run.
+    pub(crate) beat: Option<beat::Beat>,
+    /// When a beat of this run advanced here.
+    alive: Option<time::Mono>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -306,6 +312,7 @@
     fn new(now: time::Mono, member: Member, state: State) -> Self {
         Self {
             leaving: member.standing == Standing::Leaving,
+            key: key(&member.process),
             member,
             state,
             heard: now,
@@ -319,6 +326,8 @@
             whole: false,
             pulsed: now,
             pulses: 0,
+            beat: None,
+            alive: None,
         }
     }
 
@@ -329,7 +338,7 @@
 
     /// Returns the key of the present run.
     pub(crate) fn run(&self) -> u64 {
-        run(&self.member.process, self.member.incarnation)
+        hash::mix(self.key, self.member.incarnation.0)
     }
 
     /// Returns the age of the last report.
@@ -337,6 +346,35 @@
         add(now.since(self.heard), self.member.age)
     }
 
+    /// Returns the time since the last sign of life: a report, a stamp or an
+    /// advanced beat.
+    pub(crate) fn quiet(&self, now: time::Mono) -> span::Span {
+        let seen = self.seen.map(|seen| seen.at);
+        let signs = seen.into_iter().chain(self.alive);
+        let since = signs.map(|at| now.since(at));
+        since.fold(self.age(now), span::Span::min)
+    }
+
+    /// Returns the last report for a process that does not know this run. A load
+    /// that is older than the last sign of life passes as young as that sign, or
+    /// the receiver would take the member for silent.
+    pub(crate) fn introduced(&self, now: time::Mono) -> Member {
+        let mut member = self.relayed(now);
+        member.age = self.quiet(now);
+        member
+    }
+
+    /// Takes over a beat of the present run when it is newer. The first one only
+    /// sets where to count from, because it may have been on its way for long.
+    fn beat_on(&mut self, now: time::Mono, beat: beat::Beat) {
+        match self.beat {
+            Some(known) if !beat.follows(known) => return,
+            Some(_) => self.alive = Some(now),
+            None => {}
+        }
+        self.beat = Some(beat);
+    }
+
     /// Returns the last report as it is passed on now.
     pub(crate) fn relayed(&self, now: time::Mono) -> Member {
         let mut member = self.member.clone();
@@ -388,7 +426,7 @@
         self.whole = whole;
     }
 
-    fn beat(&mut self, now: time::Mono) {
+    fn pulse(&mut self, now: time::Mono) {
         self.pulsed = now;
         self.pulses = PULSES;
     }
@@ -400,12 +438,14 @@
         self.state = State::Reported;
         self.heard = now;
         self.seen = None;
+        self.beat = None;
+        self.alive = None;
         self.failures = 0;
         self.demoted = None;
         self.whole = false;
         self.started(now);
         self.tell(now, true);
-        self.beat(now);
+        self.pulse(now);
     }
 
     /// Takes over a newer report of the same incarnation.
@@ -413,7 +453,7 @@
         let before = self.member.standing;
         let returned = !self.present();
         if pulse(load.sequence) > pulse(self.member.sequence) {
-            self.beat(now);
+            self.pulse(now);
         }
         self.member.sequence = load.sequence;
         self.member.standing = load.standing;
@@ -427,6 +467,9 @@
             self.started(now);
         }
         if returned {
+            // The counter may have gone round since.
+            self.beat = None;
+            self.alive = None;
             self.tell(now, false);
             return Outcome::Added;
         }
@@ -598,7 +641,7 @@
                 let mut entry = Entry::new(now, member, State::Reported);
                 entry.started(now);
                 entry.tell(now, true);
-                entry.beat(now);
+                entry.pulse(now);
                 self.insert(process.clone(), entry);
                 Outcome::Added
             }
@@ -695,6 +738,26 @@
         Outcome::Refreshed
     }
 
+    /// Takes over a beat of a run of a member that reports; other runs and other
+    /// members are left as they are.
+    pub(crate) fn beat(
+        &mut self,
+        now: time::Mono,
+        process: &id::ProcessId,
+        incarnation: id::Incarnation,
+        beat: beat::Beat,
+    ) {
+        if *process == self.own {
+            return;
+        }
+        if let Some(entry) = self.entries.get_mut(process)
+            && entry.state == State::Reported
+            && entry.member.incarnation == incarnation
+        {
+            entry.beat_on(now, beat);
+        }
+    }
+
     /// Takes over an answer of the instance list; returns the members that
     /// were added, marked as leaving or removed.
     ///
@@ -801,8 +864,7 @@
     pub fn expire(&mut self, now: time::Mono) -> Vec<id::ProcessId> {
         let mut silent = Vec::new();
         for (process, entry) in &mut self.entries {
-            let seen = entry.seen.map(|seen| now.since(seen.at));
-            let quiet = seen.map_or(entry.age(now), |seen| seen.min(entry.age(now)));
+            let quiet = entry.quiet(now);
             if entry.state != State::Reported || quiet < self.rules.silence || *process == self.own
             {
                 continue;
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -512,6 +512,34 @@
     /// differ.
     #[prost(fixed32, repeated, tag = "12")]
     pub digests: Vec<u32>,
+    /// The sender's own beat, as in [`Beats`].
+    #[prost(uint32, tag = "14")]
+    pub beat: u32,
+    /// Signs of life of some parts of the members.
+    #[prost(message, optional, tag = "15")]
+    pub beats: Option<Beats>,
+}
+
+/// Signs of life, one byte for each member of the named parts.
+///
+/// A beat is a counter from 1 to 255 that a process advances every second and
+/// that then begins again; 0 stands for an unknown one.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Beats {
+    /// One bit for each part that the message has.
+    #[prost(fixed64, tag = "1")]
+    pub parts: u64,
+    /// Digest of each of these parts, as in [`Exchange::digests`]. A receiver
+    /// whose digest differs can't tell whose beats they are and ignores them.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub digests: Vec<u32>,
+    /// Number of members of each of these parts, so that a receiver can skip a
+    /// part; at most 255.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub sizes: bytes::Bytes,
+    /// Beats of the members of these parts, in the order of their process ids.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub beats: bytes::Bytes,
 }
 
 /// Asks a peer for configuration changes.
