Measure the path with the engine in a process of its own

Cause: the engine ran in the measuring process beside the callers, so that saturation and half of it were partly those of the measuring process.

Change: child::Stand starts a stand-in as a process of this program, on four threads; measure -- path uses it for the engine and prints the processor time of router, agent, engine and callers for each way, the rates that were reached at half of saturation and the added median. The engine forgets finished streams after 1 s instead of 60 s, so that its cost does not grow with the number of requests. The bounds are unchanged.

--- a/crates/bench/src/child.rs
+++ b/crates/bench/src/child.rs
@@ -1,38 +1,117 @@
-//! Daemons as separate processes, for memory and for faults that need a
-//! process: kill, stop and continue.
+//! Daemons and stand-ins as separate processes, for processor time and memory
+//! and for faults that need a process: kill, stop and continue.
 
 use std::{
+    io::{BufRead, BufReader, Read},
+    net::SocketAddr,
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{Child, ChildStdin, Command, Stdio},
     time::{Duration, Instant},
 };
 
 use anyhow::Context;
 use conf::settings::{self, Role};
+use fakes::stand;
 
 /// First argument with which a program that calls [`serve`] runs a daemon.
 const DAEMON: &str = "daemon";
 
-/// Runs a daemon when the arguments ask for it; returns whether they did.
+/// First argument with which a program that calls [`serve`] runs a stand-in.
+const STAND: &str = "stand";
+
+/// Threads of a stand-in; more than those of a daemon, so that a measurement
+/// saturates the daemon first.
+const STAND_THREADS: usize = 4;
+
+/// Runs a daemon or a stand-in when the arguments ask for it; returns whether
+/// they did.
 ///
 /// # Errors
 ///
-/// As [`daemon::process::run`].
+/// As [`daemon::process::run`], and when a stand-in cannot be started.
 pub fn serve(arguments: &[String]) -> anyhow::Result<bool> {
-    let [first, role, file] = arguments else {
+    let [first, what, with] = arguments else {
         return Ok(false);
     };
-    if first != DAEMON {
-        return Ok(false);
+    match first.as_str() {
+        DAEMON => {
+            let role = match what.as_str() {
+                "router" => Role::Router,
+                _ => Role::Agent,
+            };
+            daemon::process::run(settings::load(&PathBuf::from(with))?, role)?;
+        }
+        STAND => serve_stand(what.parse()?, with)?,
+        _ => return Ok(false),
     }
-    let role = match role.as_str() {
-        "router" => Role::Router,
-        _ => Role::Agent,
-    };
-    daemon::process::run(settings::load(&PathBuf::from(file))?, role)?;
     Ok(true)
 }
 
+/// Runs a stand-in until standard input closes, which is when the process that
+/// started it ends.
+fn serve_stand(kind: stand::Kind, options: &str) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(STAND_THREADS)
+        .enable_all()
+        .build()?;
+    let _inside = runtime.enter();
+    let stand = stand::Stand::start(kind, SocketAddr::from(([127, 0, 0, 1], 0)), options)?;
+    println!("{}", stand.address());
+    std::io::stdin().read_to_end(&mut Vec::new())?;
+    Ok(())
+}
+
+/// A stand-in in a process of its own; it ends when dropped.
+#[derive(Debug)]
+pub struct Stand {
+    child: Child,
+    input: Option<ChildStdin>,
+    address: SocketAddr,
+}
+
+impl Stand {
+    /// Starts a stand-in by this program, whose main function calls [`serve`].
+    ///
+    /// # Errors
+    ///
+    /// When the process does not start or prints no address.
+    pub fn start(kind: &str, options: &impl serde::Serialize) -> anyhow::Result<Self> {
+        let mut child = Command::new(std::env::current_exe()?)
+            .args([STAND, kind, &serde_json::to_string(options)?])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .context("start stand-in")?;
+        let input = child.stdin.take();
+        let output = child.stdout.take().context("stand-in has no output")?;
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line)?;
+        let address = line.trim().parse().context("read address of stand-in")?;
+        Ok(Self {
+            child,
+            input,
+            address,
+        })
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the address on which the stand-in accepts requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Stand {
+    fn drop(&mut self) {
+        drop(self.input.take());
+        self.child.wait().ok();
+    }
+}
+
 /// The program that runs daemons.
 #[derive(Clone, Debug)]
 pub enum Program {
--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -1,8 +1,9 @@
 //! What the path through router and agent adds to calling an engine directly.
 //!
-//! Router and agent run as processes of their own, so that their memory can be
-//! read; the engine runs in this process. Both ways are measured in one run, in
-//! turns, on the same engine.
+//! Router, agent and engine run as processes of their own, so that the processor
+//! time and memory of each can be read and saturation is that of router and
+//! agent. This process holds the callers only. Both ways are measured in one
+//! run, in turns, on the same engine.
 
 use std::{
     net::SocketAddr,
@@ -17,7 +18,7 @@
 use tokio::task::JoinSet;
 
 use crate::{
-    child::{Daemon, Program},
+    child::{self, Daemon, Program, Stand},
     client::{self, Call, Caller},
     deploy,
 };
@@ -43,11 +44,14 @@
 /// Memory goal for each open stream, in bytes.
 const STREAM_GOAL: u64 = 16 * 1024;
 
+/// Callers at saturation and at half of it.
+const CALLERS: usize = 400;
+
 /// Latency goal at half of saturation.
 const ADDED_GOAL: Duration = Duration::from_millis(1);
 
 struct Bench {
-    engine: engine::Engine,
+    engine: Stand,
     router: Daemon,
     agent: Daemon,
     front: SocketAddr,
@@ -58,6 +62,37 @@
     short_direct: Call,
 }
 
+impl Bench {
+    /// Drives one way and prints the processor time that each process used, in
+    /// percent of one core.
+    async fn drive(
+        &self,
+        name: &str,
+        to: SocketAddr,
+        call: &Call,
+        count: usize,
+        rate: Option<f64>,
+        time: Duration,
+    ) -> Way {
+        let processes = [
+            self.router.id(),
+            self.agent.id(),
+            self.engine.id(),
+            std::process::id(),
+        ];
+        let before = processes.map(child::processor);
+        let way = drive(to, call, count, rate, time).await;
+        let seconds = way.elapsed.as_secs_f64();
+        let [router, agent, engine, callers] = std::array::from_fn(|process| {
+            (child::processor(processes[process]) - before[process]) / seconds * 100.0
+        });
+        println!(
+            "processor way={name} streams={count} router_percent={router:.0} agent_percent={agent:.0} engine_percent={engine:.0} callers_percent={callers:.0}"
+        );
+        way
+    }
+}
+
 /// Results of one way.
 struct Way {
     first: Histogram<u64>,
@@ -84,9 +119,14 @@
     for count in options.streams.split(',') {
         let count: usize = count.trim().parse()?;
         let idle = (bench.router.memory(), bench.agent.memory());
-        let direct = drive(bench.engine.address(), &bench.direct, count, None, time).await;
+        let engine = bench.engine.address();
+        let direct = bench
+            .drive("direct", engine, &bench.direct, count, None, time)
+            .await;
         let watch = tokio::spawn(peak(bench.router.id(), bench.agent.id(), time));
-        let path = drive(bench.front, &bench.call, count, None, time).await;
+        let path = bench
+            .drive("path", bench.front, &bench.call, count, None, time)
+            .await;
         let busy = watch.await?;
         report(count, &direct, &path);
         let grown = (busy.0.saturating_sub(idle.0)) + (busy.1.saturating_sub(idle.1));
@@ -100,15 +140,32 @@
             busy.1 / 1024
         );
     }
-    let saturated = drive(bench.front, &bench.short, 400, None, time).await;
-    let half = saturated.rate() / 2.0;
     let engine = bench.engine.address();
-    let direct = drive(engine, &bench.short_direct, 400, Some(half), time).await;
-    let path = drive(bench.front, &bench.short, 400, Some(half), time).await;
+    let saturated = bench
+        .drive("saturated", bench.front, &bench.short, CALLERS, None, time)
+        .await;
+    let half = saturated.rate() / 2.0;
+    let rate = Some(half);
+    let direct = bench
+        .drive(
+            "direct_half",
+            engine,
+            &bench.short_direct,
+            CALLERS,
+            rate,
+            time,
+        )
+        .await;
+    let path = bench
+        .drive("path_half", bench.front, &bench.short, CALLERS, rate, time)
+        .await;
     let added = added(&direct, &path, 99.0);
     println!(
-        "half saturated_rps={:.0} rps={half:.0} direct_p99_us={} path_p99_us={} added_p99_us={added} goal_us={}",
+        "half saturated_rps={:.0} rps={half:.0} direct_rps={:.0} path_rps={:.0} added_p50_us={} direct_p99_us={} path_p99_us={} added_p99_us={added} goal_us={}",
         saturated.rate(),
+        direct.rate(),
+        path.rate(),
+        self::added(&direct, &path, 50.0),
         direct.first.value_at_quantile(0.99),
         path.first.value_at_quantile(0.99),
         ADDED_GOAL.as_micros()
@@ -222,6 +279,9 @@
         pace: span::Span::from_millis(39),
         first: span::Span::from_millis(20),
         prefill: span::Span::ZERO,
+        // Streams end well; a short memory keeps the engine from growing with the
+        // number of requests.
+        keep: span::Span::from_secs(1),
         ..engine::Options::default()
     };
     let mut setup = deploy::Options {
@@ -233,7 +293,7 @@
     };
     setup.service.delay = span::Span::ZERO;
     let running = deploy::Running::start(deployment, setup).await?;
-    let engine = engine::Engine::start(SocketAddr::from(([127, 0, 0, 1], 0)), engine)?;
+    let engine = Stand::start("engine", &engine)?;
     let mut router = running.router_settings(0)?;
     router.threads = 2;
     router.log = options.log.clone();
