Hold less memory for each open stream

Cause, from sizes of futures and a count of live allocations of 2,000 streams: hyper's detection of the HTTP version reads 24 bytes first and then doubles the read buffer of a caller's connection to 16 KiB; the task of a connection had 8.5 KB, with room for a TLS handshake; the body stream of a router 4.3 KB and the job of an agent 5.0 KB, with room for the steps before reading; body and headers of a request kept the read buffer; an agent kept the message of each delivered request (448 bytes) until its ledger forgot the id.

Change: the version is found by a peek, under the time for headers, and a shutdown ends it; futures are boxed where an open stream does not need them; the body is copied and the headers are dropped before forwarding; loads, stamp and suspects of a Run are dropped once taken in, the message after delivery.

--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -92,7 +92,11 @@
 
 /// A request that the ledger knows, with its response.
 pub(crate) struct Open {
-    pub(crate) run: Arc<msg::Run>,
+    /// The request; none once its response was delivered.
+    pub(crate) run: Option<Arc<msg::Run>>,
+    pub(crate) class: msg::Class,
+    /// Bytes of the response that the caller had before.
+    pub(crate) skip: u64,
     pub(crate) fingerprint: id::Fingerprint,
     pub(crate) outlet: Arc<Outlet>,
     /// Number of the job that writes; reports of earlier ones are ignored.
--- a/crates/daemon/src/agent_offers.rs
+++ b/crates/daemon/src/agent_offers.rs
@@ -52,7 +52,15 @@
             let window = self.window(run.class());
             let open = Open {
                 outlet: Arc::new(Outlet::new(window, run.skip)),
-                run: Arc::new(run),
+                class: run.class(),
+                skip: run.skip,
+                run: Some(Arc::new(msg::Run {
+                    // Taken in above; an open stream need not hold them.
+                    stamp: None,
+                    loads: Vec::new(),
+                    suspects: Vec::new(),
+                    ..run
+                })),
                 fingerprint,
                 job: 0,
                 dispatched: None,
@@ -165,7 +173,10 @@
             let actions = self.ledger.refused(now, id, Refusal::Bound, after);
             return self.act(now, actions);
         }
-        let Ok(team) = open.run.team.parse() else {
+        let Some(run) = &open.run else {
+            return;
+        };
+        let Ok(team) = run.team.parse() else {
             let actions = self.ledger.refused(now, id, Refusal::Invalid, None);
             return self.act(now, actions);
         };
@@ -174,9 +185,9 @@
             ticket::Ticket {
                 id,
                 team,
-                weight: open.run.weight.max(1),
-                priority: open.run.priority,
-                deadline: now + span::Span::from_millis(open.run.remaining.into()),
+                weight: run.weight.max(1),
+                priority: run.priority,
+                deadline: now + span::Span::from_millis(run.remaining.into()),
             },
         );
         match offered.verdict {
--- a/crates/daemon/src/agent_responses.rs
+++ b/crates/daemon/src/agent_responses.rs
@@ -26,7 +26,7 @@
     /// stream, and a repeatable request may run again. Other responses are kept
     /// until the ledger forgets the request.
     pub(crate) fn delivered(&mut self, now: time::Mono, id: id::RequestId) {
-        let repeatable = |open: &Open| open.run.class() == msg::Class::Repeatable;
+        let repeatable = |open: &Open| open.class == msg::Class::Repeatable;
         if self.open.get(&id).is_some_and(repeatable) {
             let actions = self.ledger.delivered(id);
             self.act(now, actions);
@@ -42,11 +42,7 @@
         open.outlet.stop();
         let (_, end) = open.outlet.held();
         open.outlet = Arc::new(Outlet::new(Window::RESUMABLE, end));
-        open.run = Arc::new(msg::Run {
-            skip: open.run.skip,
-            class: open.run.class,
-            ..msg::Run::default()
-        });
+        open.run = None;
     }
 
     pub(crate) fn dispatch(&mut self, now: time::Mono, id: id::RequestId) {
@@ -54,7 +50,9 @@
             return;
         };
         open.dispatched = Some(now);
-        let run = open.run.clone();
+        let Some(run) = open.run.clone() else {
+            return;
+        };
         tracing::info!(event = "dispatch", request = %id, team = run.team, target = %self.agent.target,
             load = self.gate.load(), cap = self.gate.cap(now), queued = self.gate.queued(), attempt = run.attempt);
         self.parts.metrics.count("dispatch");
@@ -136,7 +134,7 @@
         };
         let attached = match self.open.get(&of) {
             None => Attached::Broken(broken("the response is no longer kept")),
-            Some(open) => match open.outlet.attach(id, offset, offset > open.run.skip) {
+            Some(open) => match open.outlet.attach(id, offset, offset > open.skip) {
                 Ok(reader) => Attached::Outlet(open.outlet.clone(), reader),
                 Err(gone) => Attached::Broken(broken(&gone.to_string())),
             },
@@ -330,7 +328,7 @@
             return;
         };
         let outlet = open.outlet.clone();
-        let keyed = open.run.class() == msg::Class::Keyed;
+        let keyed = open.class == msg::Class::Keyed;
         if keyed {
             outlet.finish(Finish::Whole);
         }
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -21,6 +21,18 @@
     Full::new(bytes.into()).map_err(never).boxed_unsync()
 }
 
+/// Length below which [`own`] copies, in bytes; half of a read buffer of hyper.
+const SMALL: usize = 4096;
+
+/// Copies a small piece, which would keep the whole read buffer of its
+/// connection in memory.
+pub fn own(bytes: Bytes) -> Bytes {
+    match bytes.len() < SMALL {
+        true => Bytes::copy_from_slice(&bytes),
+        false => bytes,
+    }
+}
+
 /// Makes an empty body.
 pub fn empty() -> Body {
     full(Bytes::new())
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -145,14 +145,19 @@
         self.request.expired()
     }
 
+    /// Carries out one step. An open stream spends its time reading; the other
+    /// steps are boxed so that it holds no room for them (3 KB).
     async fn act(&mut self, step: settle::Step) -> settle::Step {
         match step {
-            settle::Step::Choose { skip } => self.choose(skip).await,
-            settle::Step::Redirect(owner) => self.redirect(owner).await,
-            settle::Step::Resend(to) => self.send(to, self.request.offset()).await,
+            settle::Step::Choose { skip } => Box::pin(self.choose(skip)).await,
+            settle::Step::Redirect(owner) => Box::pin(self.redirect(owner)).await,
+            settle::Step::Resend(to) => Box::pin(self.send(to, self.request.offset())).await,
             settle::Step::Settle { to, offset, pause } => {
-                time::sleep(pause.duration()).await;
-                self.settle(to, offset).await
+                Box::pin(async {
+                    time::sleep(pause.duration()).await;
+                    self.settle(to, offset).await
+                })
+                .await
             }
             _ => self.read().await,
         }
@@ -247,7 +252,7 @@
         match self.router.links.call(address, "/run", &run).await {
             Ok(response) => {
                 self.replies = Some(Replies::new(address, response));
-                self.read().await
+                settle::Step::Read
             }
             Err(Failure::NotSent(fault)) => {
                 self.failed(&agent, &fault, fleet::member::Failure::Refused);
@@ -293,7 +298,7 @@
             Ok(Ok(response)) => {
                 self.replies = Some(Replies::new(address, response));
                 self.request.attached();
-                self.read().await
+                settle::Step::Read
             }
             Ok(Err(Failure::NotSent(fault))) => {
                 self.failed(&to.agent, &fault, fleet::member::Failure::Refused);
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -13,6 +13,7 @@
 use wire::{convert, msg};
 
 use crate::{
+    body,
     problem::{Code, Problem},
     prompt, target,
 };
@@ -129,7 +130,7 @@
             Problem::new(Code::BodyTimeout, detail)
         })?;
     match collected {
-        Ok(body) => Ok(body.to_bytes()),
+        Ok(body) => Ok(body::own(body.to_bytes())),
         Err(cause) if cause.is::<LengthLimitError>() => {
             let detail = format!("the body has more than {} bytes", limits.body);
             Err(Problem::new(Code::BodyTooLarge, detail))
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -84,15 +84,23 @@
 }
 
 impl Job {
-    /// Sends the request and writes its response.
+    /// Sends the request and writes its response. What comes before the body is
+    /// boxed, so that an open stream holds no room for it (4 KB).
     pub async fn run(self, run: Arc<msg::Run>) {
-        self.import(&run).await;
-        let sent = tokio::select! {
-            sent = self.target.send(self.id, &run) => sent,
-            () = self.outlet.stopped(self.writer) => return,
+        let skip = run.skip;
+        let sent = {
+            let send = Box::pin(async {
+                self.import(&run).await;
+                self.target.send(self.id, &run).await
+            });
+            tokio::select! {
+                sent = send => sent,
+                () = self.outlet.stopped(self.writer) => return,
+            }
         };
+        drop(run);
         match sent {
-            Ok(response) => self.receive(response, run.skip).await,
+            Ok(response) => self.receive(response, skip).await,
             Err(Failure::NotSent(fault)) => (self.report)(Report::NotSent(fault)),
             Err(Failure::Broken(fault)) => (self.report)(Report::Broken(fault)),
         }
@@ -141,7 +149,7 @@
         Ok(body.to_bytes())
     }
 
-    async fn receive(self, response: Response<Incoming>, skip: u64) {
+    async fn receive(&self, response: Response<Incoming>, skip: u64) {
         let echoed = response.headers().get(target::REQUEST_ID);
         let own = self.id.to_string();
         if echoed.map(header::HeaderValue::as_bytes) != Some(own.as_bytes()) {
@@ -164,7 +172,7 @@
         self.copy(response.into_body(), skip, stream).await;
     }
 
-    async fn copy(self, mut body: Incoming, skip: u64, stream: bool) {
+    async fn copy(&self, mut body: Incoming, skip: u64, stream: bool) {
         let mut left = skip;
         let mut tail = Vec::new();
         loop {
--- a/crates/daemon/src/outlet.rs
+++ b/crates/daemon/src/outlet.rs
@@ -16,6 +16,8 @@
 use tokio::sync::Notify;
 use wire::msg;
 
+use crate::body;
+
 /// How much of a response an outlet holds, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Window {
@@ -175,7 +177,7 @@
             return;
         }
         state.end += bytes.len() as u64;
-        state.pieces.push_back(own(bytes));
+        state.pieces.push_back(body::own(bytes));
         drop(state);
         self.readable.notify_waiters();
     }
@@ -357,16 +359,6 @@
     }
 }
 
-/// Copies a small piece, which would keep the whole read buffer of its
-/// connection in memory.
-fn own(bytes: Bytes) -> Bytes {
-    const SMALL: usize = 4096;
-    match bytes.len() < SMALL {
-        true => Bytes::copy_from_slice(&bytes),
-        false => bytes,
-    }
-}
-
 fn position_after(readers: &mut BTreeMap<u64, Position>, reader: Reader, data: &msg::Data) {
     if let Some(position) = readers.get_mut(&reader.0) {
         position.next += data.bytes.len() as u64;
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -162,13 +162,15 @@
         let open = open
             .map_err(|over| Problem::new(Code::Overloaded, over.to_string()).after(over.after()))?;
         drop(snapshot);
+        // The headers are parts of the connection's read buffer.
+        drop(parts);
         self.retries.request(&accepted.team);
         let hint = accepted
             .hint
             .as_deref()
             .and_then(|hint| self.signer.as_ref()?.verify(accepted.chat, hint));
         let chat = accepted.chat;
-        let mut forward = Forward::new(self.clone(), accepted, hint, open);
+        let mut forward = Box::new(Forward::new(self.clone(), accepted, hint, open));
         match forward.start().await {
             Output::Head(head) => Ok(self.response(chat, forward, head)),
             Output::NotRun(why, after) => Err(not_run(&why, after.unwrap_or(self.pause()))),
@@ -179,7 +181,7 @@
     fn response(
         self: &Arc<Self>,
         chat: id::ChatHash,
-        forward: Forward,
+        forward: Box<Forward>,
         head: msg::Head,
     ) -> Response<body::Body> {
         let id = forward.id();
@@ -225,9 +227,9 @@
 #[error("the response broke off: {0}")]
 struct Aborted(settle::Doubt);
 
-type Step = (Result<Bytes, Fault>, Option<Forward>);
+type Step = (Result<Bytes, Fault>, Option<Box<Forward>>);
 
-async fn next(forward: Option<Forward>) -> Option<Step> {
+async fn next(forward: Option<Box<Forward>>) -> Option<Step> {
     let mut forward = forward?;
     match forward.next().await {
         Output::Bytes(bytes) => Some((Ok(bytes), Some(forward))),
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{size, span};
-use futures_util::future::BoxFuture;
+use futures_util::{FutureExt, future::BoxFuture};
 use http::{Request, Response};
 use hyper::{body::Incoming, service};
 use hyper_util::{
@@ -64,6 +64,9 @@
 /// at once, because it is one message.
 const REQUEST_WINDOW: u32 = 1 << 20;
 
+/// First bytes of an HTTP/2 connection, which no method of HTTP/1.1 begins with.
+const HTTP2_START: &[u8; 3] = b"PRI";
+
 /// Interval of HTTP/2 pings; with [`PING_TIMEOUT`] it bounds the time until a
 /// cut link or a stopped process is noticed.
 pub const PING_INTERVAL: Duration = Duration::from_secs(2);
@@ -118,12 +121,13 @@
                 peer,
                 tls: self.tls.clone(),
                 time: self.limits.header_time.duration(),
+                versions: self.versions,
                 builder: builder.clone(),
                 handler: self.handler.clone(),
             };
-            let watcher = graceful.watcher();
+            let connected = connection.run(stream, graceful.watcher(), stop.clone());
             tokio::spawn(async move {
-                connection.run(stream, watcher).await;
+                connected.await;
                 drop(permit);
             });
         }
@@ -161,6 +165,7 @@
     peer: SocketAddr,
     tls: Option<TlsAcceptor>,
     time: Duration,
+    versions: Versions,
     builder: Arc<auto::Builder<TokioExecutor>>,
     handler: Handler,
 }
@@ -168,11 +173,43 @@
 type Watcher = hyper_util::server::graceful::Watcher;
 
 impl Connection {
-    async fn run(self, stream: TcpStream, watcher: Watcher) {
-        let Some(tls) = &self.tls else {
-            return self.http(stream, watcher).await;
+    /// Serves the connection. The futures are boxed: an open stream holds its
+    /// connection's future, which otherwise has room for a TLS handshake and
+    /// for a copy of the connection at each level of nesting (8.5 KB).
+    fn run(
+        self,
+        stream: TcpStream,
+        watcher: Watcher,
+        stop: CancellationToken,
+    ) -> BoxFuture<'static, ()> {
+        match (self.tls.clone(), self.versions) {
+            (Some(tls), _) => self.handshake(tls, stream, watcher).boxed(),
+            (None, Versions::Both) => self.detect(stream, watcher, stop).boxed(),
+            (None, Versions::Http2) => self.http(stream, watcher),
+        }
+    }
+
+    /// Finds out whether the caller speaks HTTP/1.1 without taking bytes off the
+    /// stream. hyper's own detection reads 24 bytes first, after which hyper
+    /// makes the read buffer of the connection twice as large, 16 KiB.
+    async fn detect(mut self, stream: TcpStream, watcher: Watcher, stop: CancellationToken) {
+        let mut first = [0; HTTP2_START.len()];
+        let peeked = tokio::select! {
+            () = stop.cancelled() => return,
+            peeked = time::timeout(self.time, stream.peek(&mut first)) => peeked,
+        };
+        let Ok(Ok(count)) = peeked else {
+            return;
         };
-        match time::timeout(self.time, tls.accept(stream)).await {
+        if !HTTP2_START.starts_with(&first[..count]) {
+            self.builder = Arc::new((*self.builder).clone().http1_only());
+        }
+        self.http(stream, watcher).await;
+    }
+
+    async fn handshake(self, tls: TlsAcceptor, stream: TcpStream, watcher: Watcher) {
+        let accepted = time::timeout(self.time, tls.accept(stream).boxed()).await;
+        match accepted {
             Ok(Ok(stream)) => self.http(stream, watcher).await,
             Ok(Err(cause)) => {
                 tracing::info!(event = "handshake_failed", listener = self.name, peer = %self.peer, %cause);
@@ -183,7 +220,7 @@
         }
     }
 
-    async fn http<S>(&self, stream: S, watcher: Watcher)
+    fn http<S>(&self, stream: S, watcher: Watcher) -> BoxFuture<'static, ()>
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
@@ -193,8 +230,14 @@
             async move { Ok::<_, std::convert::Infallible>(response.await) }
         });
         let connection = self.builder.serve_connection(TokioIo::new(stream), service);
-        if let Err(cause) = watcher.watch(connection.into_owned()).await {
-            tracing::debug!(event = "connection_closed", listener = self.name, peer = %self.peer, %cause);
-        }
+        let (name, peer) = (self.name, self.peer);
+        watcher
+            .watch(connection.into_owned())
+            .map(move |served| {
+                if let Err(cause) = served {
+                    tracing::debug!(event = "connection_closed", listener = name, %peer, %cause);
+                }
+            })
+            .boxed()
     }
 }
--- a/crates/daemon/tests/input.rs
+++ b/crates/daemon/tests/input.rs
@@ -7,6 +7,11 @@
     client::{self, Call, Caller},
     deploy::{Deployment, MARSHALS, Options, Running, key, ready},
 };
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -87,6 +92,48 @@
     running.stop().await;
 }
 
+/// The version of HTTP must be found from the first bytes however they arrive.
+#[tokio::test(flavor = "multi_thread")]
+async fn first_bytes() {
+    let (running, router) = start().await;
+    let mut stream = TcpStream::connect(router).await.unwrap();
+    for part in [
+        "P",
+        "OST /dispatch/rosters HTTP/1.1\r\nhost: x\r\nconnection: close\r\n",
+        "authorization: Bearer key-captains\r\ncontent-length: 2\r\n\r\n{}",
+    ] {
+        stream.write_all(part.as_bytes()).await.unwrap();
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let stream = TcpStream::connect(router).await.unwrap();
+    let (mut sender, connection) = http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .unwrap();
+    tokio::spawn(connection);
+    let request = Request::post(format!("http://{router}/dispatch/rosters"))
+        .header("authorization", "Bearer key-captains")
+        .body(Full::new(Bytes::from_static(b"{}")))
+        .unwrap();
+    let response = sender.send_request(request).await.unwrap();
+    assert_eq!(response.status(), 200);
+    running.stop().await;
+}
+
+/// A caller that connects and sends nothing must not hold up a shutdown.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_caller() {
+    let (running, router) = start().await;
+    let mut stream = TcpStream::connect(router).await.unwrap();
+    time::timeout(Duration::from_secs(5), running.stop())
+        .await
+        .expect("the shutdown does not wait for a request");
+    let mut answer = Vec::new();
+    assert_eq!(stream.read_to_end(&mut answer).await.unwrap_or(0), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_requests() {
     let (running, router) = start().await;
