Replay stored responses of any size

Cause: a replayed response of more than 32 KiB is read from the object store. It was sent as one frame, and the router refuses frames over 64 KiB. One of 8 MiB or more also exceeded what a ledger retains, which forgot the request before the response was read; the reader then waited without end.

Change: the task that reads the stored response holds the outlet and ends it itself. A frame carries at most 32 KiB of a body.

Conclusion: a stored response over 64 KiB could not be replayed at all.

--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -81,8 +81,6 @@
     Claim(Box<claim::Ask>, claim::Answer),
     /// A response was stored for replay.
     Stored(id::RequestId, u64, claim::Response),
-    /// A stored response was loaded for replay.
-    Loaded(id::RequestId, Option<bytes::Bytes>),
     /// A plan keeps the target out of service, or no longer does; none changes
     /// nothing. The reply tells whether the target is out and has no work.
     Hold(Option<bool>, oneshot::Sender<bool>),
@@ -370,7 +368,6 @@
                 let actions = self.ledger.complete(now, id, total, Some(response));
                 self.act(now, actions);
             }
-            Event::Loaded(id, body) => self.loaded(id, body),
             Event::Hold(held, reply) => {
                 self.hold(now, held.unwrap_or(self.held));
                 let busy = self.ledger.live() > 0 || self.ledger.unrecorded() > 0;
--- a/crates/daemon/src/agent_responses.rs
+++ b/crates/daemon/src/agent_responses.rs
@@ -170,13 +170,13 @@
         self.parts.metrics.count("replay");
         let now = self.now();
         if let Some(open) = self.open.get_mut(&id) {
-            open.outlet = outlet;
+            open.outlet = outlet.clone();
             open.dispatched = Some(now);
         }
         match response.body {
-            claim::Body::Inline(body) => self.loaded(id, Some(body.0.into())),
-            claim::Body::Object { key, .. } => self.load(id, key),
-            claim::Body::Unkept => self.loaded(id, None),
+            claim::Body::Inline(body) => loaded(&outlet, Some(body.0.into())),
+            claim::Body::Object { key, .. } => self.load(id, key, outlet),
+            claim::Body::Unkept => loaded(&outlet, None),
         }
         if let Some(link) = link {
             self.attach(id, link, id, 0);
@@ -184,10 +184,10 @@
         self.attach_waiting(id);
     }
 
-    /// Reads a stored response from the object store.
-    pub(crate) fn load(&self, id: id::RequestId, key: String) {
+    /// Reads a stored response from the object store. The task holds the
+    /// outlet, because the ledger may forget a large response before it is read.
+    fn load(&self, id: id::RequestId, key: String, outlet: Arc<Outlet>) {
         let objects = self.parts.objects.clone();
-        let events = self.parts.events.clone();
         tokio::spawn(async move {
             let body = match objects.get(&key).await {
                 Ok(object) => object.map(|object| object.bytes),
@@ -196,7 +196,7 @@
                     None
                 }
             };
-            events.send(Event::Loaded(id, body)).ok();
+            loaded(&outlet, body);
         });
     }
 
@@ -229,22 +229,6 @@
         });
     }
 
-    pub(crate) fn loaded(&mut self, id: id::RequestId, body: Option<bytes::Bytes>) {
-        let Some(open) = self.open.get(&id) else {
-            return;
-        };
-        let writer = open.outlet.writer(0);
-        match body {
-            Some(body) => {
-                open.outlet.push(writer, body);
-                open.outlet.finish(Finish::Whole);
-            }
-            None => open
-                .outlet
-                .finish(Finish::Broken(broken("the stored response cannot be read"))),
-        }
-    }
-
     pub(crate) fn fail(&mut self, id: id::RequestId, link: event::Link, cause: action::Cause) {
         tracing::warn!(event = "outcome_unknown", request = %id, target = %self.agent.target, cause = ?cause);
         self.parts.metrics.count("outcome.unknown");
@@ -394,3 +378,15 @@
     };
     Some((response, body))
 }
+
+/// Writes a stored response to the outlet that replays it.
+fn loaded(outlet: &Outlet, body: Option<bytes::Bytes>) {
+    let writer = outlet.writer(0);
+    match body {
+        Some(body) => {
+            outlet.push(writer, body);
+            outlet.finish(Finish::Whole);
+        }
+        None => outlet.finish(Finish::Broken(broken("the stored response cannot be read"))),
+    }
+}
--- a/crates/daemon/src/outlet.rs
+++ b/crates/daemon/src/outlet.rs
@@ -44,6 +44,10 @@
     };
 }
 
+/// Most bytes of a body in one frame, which has at most 64 KiB. A stored
+/// response arrives as one piece of any length.
+const MAX_DATA: usize = 32 * 1024;
+
 /// What a reader receives next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Piece {
@@ -325,13 +329,15 @@
         }
     }
 
-    /// Returns the rest of the piece that holds the offset.
+    /// Returns the rest of the piece that holds the offset, as far as one frame
+    /// carries it.
     fn read(&self, next: u64) -> msg::Data {
         let mut offset = self.start;
         for piece in &self.pieces {
             let end = offset + piece.len() as u64;
             if next < end {
-                let bytes = piece.slice((next - offset) as usize..);
+                let from = (next - offset) as usize;
+                let bytes = piece.slice(from..piece.len().min(from + MAX_DATA));
                 return msg::Data {
                     offset: next,
                     bytes,
