Refuse a claimed request after its abandonment is recorded

Cause: an agent that began to leave while a claim was being inserted refused the request at once, and wrote later that it had not dispatched it. The same held for a target that was not reached. A caller who was told not-run could use the key again while the row still showed the claim as running; if the agent died then, the key ended as unknown.

Change: the ledger keeps such a refusal, those of followers, of settlements and of new requests with the key, until the row shows the claim as abandoned: for at most 2 s, the time limit of a call to the table, not beyond the deadline, and not when the table is unavailable. A new attempt of the same key at the same agent releases them, since it takes the row over.

The golden texts target_refused and target_leaving change: the refusal comes after the answer of the table. They compare the same lines as before.

Conclusion: not-run is told after the record, except where the bound ends the wait; in these cases a later use of the key can still end as unknown.

--- a/crates/once/src/holding.rs
+++ b/crates/once/src/holding.rs
@@ -110,6 +110,11 @@
         )
     }
 
+    /// Tells whether the table owes an answer.
+    pub fn asking(&self) -> bool {
+        self.asked != Asked::Nothing
+    }
+
     /// Tells whether the end of a dispatched request is not recorded yet.
     pub fn unrecorded(&self) -> bool {
         self.ending() && !self.abandoned()
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -33,6 +33,9 @@
     /// Claims whose end the table does not show yet; while there are as many,
     /// keyed requests are refused, as in any outage of the table.
     pub unrecorded: usize,
+    /// Longest time for which a refusal waits for the record that the request
+    /// was not dispatched.
+    pub record: Span,
     /// Longest epoch. A router that reconnects within this time finds the
     /// entry of its request.
     pub epoch: Span,
@@ -51,12 +54,21 @@
             live: 4 * 1024,
             retained: 8 * 1024 * 1024,
             unrecorded: 256,
+            // The time limit of one call of the table client.
+            record: Span::from_secs(2),
             epoch: Span::from_secs(60),
             orphan: Span::from_secs(10),
         }
     }
 }
 
+/// Refusals that wait until the table shows that a claim was abandoned.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Withheld {
+    until: Mono,
+    refusals: Vec<Action>,
+}
+
 /// The request ledger of one incarnation of an agent.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ledger {
@@ -67,6 +79,7 @@
     began: Mono,
     entries: BTreeMap<id::RequestId, Entry>,
     holdings: BTreeMap<claim::Key, Holding>,
+    withheld: BTreeMap<claim::Key, Withheld>,
     /// Keyed requests that wait at the gate.
     queued: BTreeMap<claim::Key, id::RequestId>,
     /// Requests without a link, and since when.
@@ -92,6 +105,7 @@
             began: now,
             entries: BTreeMap::new(),
             holdings: BTreeMap::new(),
+            withheld: BTreeMap::new(),
             queued: BTreeMap::new(),
             orphans: BTreeMap::new(),
             present: VecDeque::new(),
@@ -140,7 +154,7 @@
     /// Tells whether the process may exit: nothing is live and each claim has
     /// its end recorded.
     pub fn drained(&self) -> bool {
-        self.live() == 0 && self.holdings.is_empty()
+        self.live() == 0 && self.holdings.is_empty() && self.withheld.is_empty()
     }
 
     /// Takes a `Run` message.
@@ -164,7 +178,9 @@
             None => {}
         }
         if let Some(why) = self.closed(now, &entry) {
-            return self.bury(now, id, entry, why);
+            let key = entry.key().cloned();
+            let actions = self.bury(now, id, entry, why);
+            return self.withhold_too(key.as_ref(), deadline, actions);
         }
         if let Some(key) = entry.key() {
             self.queued.insert(key.clone(), id);
@@ -227,10 +243,11 @@
         let id = holding.request();
         match holding.answer(now, answer) {
             Next::Ask(ask) => vec![Action::Ask(ask)],
-            Next::Wait => Vec::new(),
+            // While the table is unavailable, a refusal does not wait for it.
+            Next::Wait => self.release(key),
             Next::Ended => {
                 self.holdings.remove(key);
-                Vec::new()
+                self.release(key)
             }
             Next::Held => self.held(now, id),
             Next::Refuse(why) => {
@@ -378,7 +395,11 @@
             return self.settle_unseen(now, settle);
         };
         match entry.state {
-            State::Tombstone => vec![refuse(id, link, entry.refusal())],
+            State::Tombstone => {
+                let refusal = refuse(id, link, entry.refusal());
+                let (key, deadline) = (entry.key().cloned(), entry.deadline);
+                self.withhold_too(key.as_ref(), deadline, vec![refusal])
+            }
             State::Broken(cause) => vec![broken(id, link, cause)],
             State::Queued => {
                 entry.link = Some(link);
@@ -464,6 +485,13 @@
             .into_iter()
             .flat_map(|id| self.cancel(now, id))
             .collect();
+        let late: Vec<claim::Key> = self
+            .withheld
+            .iter()
+            .filter(|(_, withheld)| withheld.until <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        actions.extend(late.iter().flat_map(|key| self.release(key)));
         let asks = self.holdings.values_mut().filter_map(|h| h.retry(now));
         actions.extend(asks.map(Action::Ask));
         if self.began + self.limits.epoch <= now {
@@ -476,8 +504,9 @@
     pub fn next_expiry(&self) -> Mono {
         let orphans = self.cancellable().map(|(_, at)| at);
         let retries = self.holdings.values().filter_map(Holding::due);
+        let withheld = self.withheld.values().map(|withheld| withheld.until);
         let epoch = self.began + self.limits.epoch;
-        orphans.chain(retries).fold(epoch, Ord::min)
+        orphans.chain(retries).chain(withheld).fold(epoch, Ord::min)
     }
 
     /// Returns the orphans that may be cancelled, and when.
@@ -631,8 +660,11 @@
         debug_assert!(self.holdings.get(&key).is_none_or(Holding::abandoned));
         let mut holding = Holding::new(key.clone(), claim, id);
         let ask = holding.start();
+        // This attempt takes the row over from one that was not dispatched.
+        let mut actions = self.release(&key);
         self.holdings.insert(key, holding);
-        vec![Action::Ask(ask)]
+        actions.push(Action::Ask(ask));
+        actions
     }
 
     fn held(&mut self, now: Mono, id: id::RequestId) -> Vec<Action> {
@@ -767,30 +799,67 @@
             actions.push(Action::Release(id));
             actions.extend(self.end_claim(id, claim::State::Abandoned));
         }
-        if let Some(link) = link {
-            let why = why.clone();
-            actions.push(Action::Refuse {
-                id,
-                link,
-                why,
-                after,
-            });
-        }
+        let mut refusals = Vec::new();
+        refusals.extend(link.map(|link| (id, link)));
         for follower in followers {
-            let refusal = Some(why.clone());
-            if let Some(link) = self.finish_follower(follower, State::Tombstone, refusal) {
-                actions.push(Action::Refuse {
-                    id: follower,
-                    link,
-                    why: why.clone(),
-                    after,
-                });
-            }
+            let link = self.finish_follower(follower, State::Tombstone, Some(why.clone()));
+            refusals.extend(link.map(|link| (follower, link)));
         }
+        let refusals = refusals.into_iter().map(|(id, link)| Action::Refuse {
+            id,
+            link,
+            why: why.clone(),
+            after,
+        });
+        actions.extend(self.withhold(now, id, refusals.collect()));
         actions.extend(self.finish(now, id));
         actions
     }
 
+    /// Keeps refusals back while the table is asked to show that the claim of
+    /// `id` was abandoned, so that a later use of the key does not find it
+    /// running; but not beyond the deadline. Returns those that do not wait.
+    fn withhold(&mut self, now: Mono, id: id::RequestId, refusals: Vec<Action>) -> Vec<Action> {
+        let Some(entry) = self.entries.get(&id) else {
+            return refusals;
+        };
+        let until = entry.deadline.min(now + self.limits.record);
+        let Some(key) = entry.key().cloned() else {
+            return refusals;
+        };
+        let asking =
+            |holding: &Holding| holding.request() == id && holding.abandoned() && holding.asking();
+        if refusals.is_empty() || until <= now || !self.holdings.get(&key).is_some_and(asking) {
+            return refusals;
+        }
+        self.withheld.insert(key, Withheld { until, refusals });
+        Vec::new()
+    }
+
+    /// Adds a refusal of another request, or another stream, of the same key to
+    /// those that are kept back, if any are.
+    fn withhold_too(
+        &mut self,
+        key: Option<&claim::Key>,
+        deadline: Mono,
+        actions: Vec<Action>,
+    ) -> Vec<Action> {
+        let Some(withheld) = key.and_then(|key| self.withheld.get_mut(key)) else {
+            return actions;
+        };
+        withheld.until = withheld.until.min(deadline);
+        let refusal = |action: &Action| matches!(action, Action::Refuse { .. });
+        let (refusals, rest): (Vec<_>, Vec<_>) = actions.into_iter().partition(refusal);
+        withheld.refusals.extend(refusals);
+        rest
+    }
+
+    /// Returns the refusals that were kept back for a claim.
+    fn release(&mut self, key: &claim::Key) -> Vec<Action> {
+        let withheld = self.withheld.remove(key);
+        withheld.map_or_else(Vec::new, |withheld| withheld.refusals)
+    }
+
     /// Ends a request whose outcome is unknown, with its followers.
     fn end_broken(&mut self, now: Mono, id: id::RequestId, cause: Cause) -> Vec<Action> {
         let Some(entry) = self.entries.get_mut(&id) else {
--- a/crates/once/tests/session.rs
+++ b/crates/once/tests/session.rs
@@ -6,7 +6,7 @@
 use base::span::Span;
 use common::{AGENT, Session, keyed, owner, response, row};
 use expect_test::expect;
-use once::{claim, event::Class};
+use once::{action::Action, claim, event::Class};
 
 #[test]
 fn ordinary_once() {
@@ -431,8 +431,8 @@
         connection refused by target
             action=release request=1
             action=ask op=write row="claim/orders/gifts/die-7" state=abandoned if=1
-            action=refuse request=1 link=1 reason="down"
         table: written as version 2
+            action=refuse request=1 link=1 reason="down"
     "#]]
     .assert_eq(session.text());
 }
@@ -584,18 +584,70 @@
             action=withdraw request=2
             action=refuse request=2 link=2 reason="leaving"
             action=release request=3
-            action=refuse request=3 link=3 reason="leaving"
         run 4 on link 4
             action=refuse request=4 link=4 reason="leaving"
         table: written as version 1
             action=ask op=write row="claim/orders/gifts/die-7" state=abandoned if=1
         table: written as version 2
+            action=refuse request=3 link=3 reason="leaving"
         end of 1
             action=release request=1
     "#]]
     .assert_eq(session.text());
 }
 
+fn refused(actions: &[Action]) -> bool {
+    let refused = |action: &Action| matches!(action, Action::Refuse { .. });
+    actions.iter().any(refused)
+}
+
+/// A caller that is told not-run may use its key again at once: the row must
+/// not show the claim as running then, or an agent that dies makes it unknown.
+#[test]
+fn abandoned_first() {
+    let mut session = Session::new();
+    session.offer(1, 1, keyed("die-7", 11));
+    session.offer(2, 2, keyed("die-7", 12));
+    session.admit(1);
+    let now = session.now;
+    assert!(!refused(&session.step("leave", |l| l.leave(now))));
+    assert!(!refused(&session.settle(1, 3, 0)));
+    assert!(!refused(&session.offer(3, 4, keyed("die-7", 13))));
+    assert!(!session.ledger.drained());
+    let written = session.table("die-7", 11, claim::Answer::Written(1));
+    assert!(!refused(&written));
+    let abandoned = session.table("die-7", 11, claim::Answer::Written(2));
+    assert_eq!(abandoned.len(), 4);
+    assert!(session.ledger.drained());
+}
+
+/// A table that does not answer holds a refusal back for its time limit, not
+/// beyond the request's deadline, and not at all when it is known to be down.
+#[test]
+fn refusal_bounded() {
+    for (waited, limit) in [(0, 2), (29, 1)] {
+        let mut session = Session::new();
+        session.offer(1, 1, keyed("die-7", 11));
+        session.admit(1);
+        session.wait(Span::from_secs(waited));
+        let now = session.now;
+        assert!(!refused(&session.step("leave", |l| l.leave(now))));
+        let due = now + Span::from_secs(limit);
+        assert_eq!(session.ledger.next_expiry(), due);
+        assert!(refused(&session.step("expire", |l| l.expire(due))));
+    }
+    let mut session = Session::new();
+    session.offer(1, 1, keyed("die-7", 11));
+    session.admit(1);
+    let now = session.now;
+    session.step("leave", |l| l.leave(now));
+    assert!(refused(&session.table(
+        "die-7",
+        11,
+        claim::Answer::Unavailable
+    )));
+}
+
 /// The deadline passed while the table answered: the claim is abandoned, and a
 /// late request does not run.
 #[test]
