--- a/crates/once/src/batch.rs
+++ b/crates/once/src/batch.rs
@@ -10,7 +10,7 @@
 use crate::claim::{Answer, Ask, Op, Row};
 
 /// Bounds of a batch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Limits {
     /// How long the first write of a batch waits for others.
     pub window: Span,
@@ -42,7 +42,7 @@
 }
 
 /// Writes that wait for a transaction.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Batch {
     limits: Limits,
     /// Writes in order of arrival, and when each arrived.
--- a/crates/once/tests/batch.rs
+++ b/crates/once/tests/batch.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeMap;
 
 use base::{id, span::Span, time::Mono};
-use common::{key, owner, row};
+use common::{key, owner, row, transact};
 use once::{
     batch::{Batch, Limits, Outcome},
-    claim::{Answer, Ask, Condition, Op, Row, State},
+    claim::{Answer, Ask, Condition, Op, State},
 };
 use proptest::{
     prelude::*,
@@ -31,35 +31,6 @@
     write(text, nonce, Condition::Absent)
 }
 
-/// Applies a transaction as the table does: all of it or nothing.
-fn transact(table: &mut BTreeMap<String, Row>, taken: &[Ask]) -> Outcome {
-    let holds = |ask: &Ask| match &ask.op {
-        Op::Write { condition, .. } => match condition {
-            Condition::Absent => !table.contains_key(&ask.key.row()),
-            Condition::Version(version) => table
-                .get(&ask.key.row())
-                .is_some_and(|row| row.version == *version),
-        },
-        Op::Read => true,
-    };
-    if let Some(failed) = taken.iter().position(|ask| !holds(ask)) {
-        let found = table.get(&taken[failed].key.row()).cloned();
-        return Outcome::Conflict(failed, found);
-    }
-    let mut versions = Vec::new();
-    for ask in taken {
-        let Op::Write { claim, .. } = &ask.op else {
-            continue;
-        };
-        let row = ask.key.row();
-        let version = table.get(&row).map_or(1, |row| row.version + 1);
-        let claim = claim.clone();
-        table.insert(row, Row { version, claim });
-        versions.push(version);
-    }
-    Outcome::Written(versions)
-}
-
 #[test]
 fn window_shared() {
     let mut batch = Batch::new(Limits::default());
--- a/crates/once/tests/common/mod.rs
+++ b/crates/once/tests/common/mod.rs
@@ -2,12 +2,12 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
-use std::fmt::Write;
+use std::{collections::BTreeMap, fmt::Write};
 
 use base::{id, span::Span, time::Mono};
 use once::{
     action::Action,
-    claim,
+    batch, claim,
     epoch::Epoch,
     event::{Class, Link, Offer, Settle},
     ledger::{Ledger, Limits},
@@ -58,6 +58,35 @@
     }
 }
 
+/// Applies a transaction as the table does: all of it or nothing.
+pub fn transact(table: &mut BTreeMap<String, claim::Row>, taken: &[claim::Ask]) -> batch::Outcome {
+    let holds = |ask: &claim::Ask| match &ask.op {
+        claim::Op::Write { condition, .. } => match condition {
+            claim::Condition::Absent => !table.contains_key(&ask.key.row()),
+            claim::Condition::Version(version) => table
+                .get(&ask.key.row())
+                .is_some_and(|row| row.version == *version),
+        },
+        claim::Op::Read => true,
+    };
+    if let Some(failed) = taken.iter().position(|ask| !holds(ask)) {
+        let found = table.get(&taken[failed].key.row()).cloned();
+        return batch::Outcome::Conflict(failed, found);
+    }
+    let mut versions = Vec::new();
+    for ask in taken {
+        let claim::Op::Write { claim, .. } = &ask.op else {
+            continue;
+        };
+        let row = ask.key.row();
+        let version = table.get(&row).map_or(1, |row| row.version + 1);
+        let claim = claim.clone();
+        table.insert(row, claim::Row { version, claim });
+        versions.push(version);
+    }
+    batch::Outcome::Written(versions)
+}
+
 /// A ledger, the time, and the text of what has happened.
 pub struct Session {
     pub ledger: Ledger,
