Publish only changed services and drop forgotten members

Cause: Core::publish of the router copied the rows of all agents for each batch of events although one service had changed; entries of removed members stayed in Links, epochs, loads and trackers for ever.

Change: Members::of_service and Members::services; publish makes rows of the dirty services only, or of all when members or the configuration changed. Every 10 s the router drops epochs, loads and trackers of members that Members has forgotten, and each process drops connections to addresses that no known member and no seed has once a second.

The removal from Links and Members is tested (forgotten_peers, one_service), that in the router's core is not.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -132,6 +132,12 @@
         messages.pop().ok_or(Empty).at(path, peer)
     }
 
+    /// Forgets the connections to all peers but those that are kept. A
+    /// connection in use closes after its last request.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        self.lock().retain(|peer, _| keep(peer));
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Connecting>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -223,6 +223,14 @@
         self.due = now + exchange::INTERVAL;
         self.poll(now);
         let removed = self.exchange.members.expire(now);
+        let known: BTreeSet<SocketAddr> = self
+            .exchange
+            .members
+            .known()
+            .map(|member| member.address)
+            .chain(self.settings.seeds.iter().copied())
+            .collect();
+        self.links.retain(|peer| known.contains(peer));
         for process in &removed {
             tracing::warn!(event = "member_removed", process = %process, reason = "silent");
         }
--- a/crates/daemon/src/router_core.rs
+++ b/crates/daemon/src/router_core.rs
@@ -27,6 +27,9 @@
 /// Longest time between two publications; ages of reports change meanwhile.
 const PUBLISH_INTERVAL: span::Span = span::Span::from_millis(200);
 
+/// Time between two removals of what belongs to forgotten members.
+const PRUNE_INTERVAL: span::Span = span::Span::from_secs(10);
+
 /// What the traffic threads tell the control thread.
 #[derive(Debug)]
 pub enum Event {
@@ -88,6 +91,7 @@
     dirty: BTreeSet<id::ServiceId>,
     all_dirty: bool,
     published: time::Mono,
+    pruned: time::Mono,
     leaving: bool,
     /// Warm-up and flaps of each service's targets.
     trackers: BTreeMap<id::ServiceId, standing::Tracker>,
@@ -113,6 +117,7 @@
             dirty: BTreeSet::new(),
             all_dirty: true,
             published: time::Mono::default(),
+            pruned: time::Mono::default(),
             leaving: false,
             trackers: BTreeMap::new(),
             quarantine: quarantine::Quarantine::new(suspects::LONGEST, id::Incarnation(0)),
@@ -298,17 +303,23 @@
         self.parts.node.tell(standing, 0, 0);
         let previous = self.parts.snapshot.load_full();
         let mut groups = previous.groups.clone();
-        let rows = self.parts.node.exchange.members.targets(now);
-        let services: BTreeSet<id::ServiceId> = rows
-            .iter()
-            .filter_map(|row| row.member.service.clone())
-            .collect();
-        groups.retain(|service, _| services.contains(service));
+        // A change of members makes all services dirty.
+        let services = match all {
+            true => self.parts.node.exchange.members.services(),
+            false => dirty,
+        };
+        if all {
+            groups.retain(|service, _| services.contains(service));
+            self.prune(now);
+        }
         for service in services {
-            if all || dirty.contains(&service) {
-                let group = self.group(now, &service, &rows);
-                groups.insert(service, Arc::new(group));
+            let rows = self.parts.node.exchange.members.of_service(now, &service);
+            if rows.is_empty() {
+                groups.remove(&service);
+                continue;
             }
+            let group = self.group(now, &service, &rows);
+            groups.insert(service, Arc::new(group));
         }
         if ready {
             self.parts.health.set(health::State::Ready);
@@ -323,12 +334,30 @@
         }));
     }
 
+    /// Drops what is known of members that are forgotten.
+    fn prune(&mut self, now: time::Mono) {
+        if now.since(self.pruned) < PRUNE_INTERVAL {
+            return;
+        }
+        self.pruned = now;
+        let members = &self.parts.node.exchange.members;
+        self.epochs.retain(|process, _| members.knows(process));
+        self.loads.retain(|process, _| members.knows(process));
+        let targets: BTreeSet<&id::TargetId> = members
+            .known()
+            .filter_map(|member| member.target.as_ref())
+            .collect();
+        self.trackers.retain(|_, tracker| {
+            tracker.retain(|target| targets.contains(target));
+            !tracker.is_empty()
+        });
+    }
+
     fn group(&mut self, now: time::Mono, service: &id::ServiceId, rows: &[member::Row]) -> Group {
         let mut targets = Vec::new();
         let mut agents = BTreeMap::new();
         for row in rows {
-            let own = row.member.service.as_ref() == Some(service);
-            let (true, Some(target)) = (own, &row.member.target) else {
+            let Some(target) = &row.member.target else {
                 continue;
             };
             targets.push(self.target(now, target, row));
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -10,9 +10,11 @@
     relay::Relay,
 };
 use conf::state::Kind;
+use daemon::link::Links;
 use fakes::engine::{self, Engine};
-use tokio::time;
+use tokio::{net::TcpListener, time};
 use tokio_util::sync::CancellationToken;
+use wire::msg;
 
 fn options() -> Options {
     Options {
@@ -96,3 +98,36 @@
     assert_eq!(running.instances[0].service.record().executions, before);
     deploy::Running::stop(running).await;
 }
+
+/// Connections to members that are gone must not be kept for ever, and those to
+/// present ones must not be made anew.
+#[tokio::test]
+async fn forgotten_peers() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let links = Links::new(None);
+    let cancel = msg::Cancel::default();
+    let call = || {
+        time::timeout(
+            Duration::from_millis(200),
+            links.call(peer, "/cancel", &cancel),
+        )
+    };
+    let mut open = Vec::new();
+    let mut accepted = async || {
+        let accepting = time::timeout(Duration::from_millis(100), listener.accept());
+        let Ok(Ok(connection)) = accepting.await else {
+            return false;
+        };
+        open.push(connection);
+        true
+    };
+    call().await.unwrap_err();
+    assert!(accepted().await, "the first call connects");
+    links.retain(|kept| *kept == peer);
+    call().await.unwrap_err();
+    assert!(!accepted().await, "a kept connection is used again");
+    links.retain(|_| false);
+    call().await.unwrap_err();
+    assert!(accepted().await, "a forgotten peer is connected to again");
+}
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -866,6 +866,34 @@
             .collect()
     }
 
+    /// Returns the agents of one service, for its part of a router's view.
+    pub fn of_service(&self, now: time::Mono, service: &id::ServiceId) -> Vec<Row> {
+        self.present()
+            .filter(|entry| entry.member.role == Role::Agent)
+            .filter(|entry| entry.member.service.as_ref() == Some(service))
+            .map(|entry| self.row(now, entry))
+            .collect()
+    }
+
+    /// Returns the services that have agents.
+    pub fn services(&self) -> BTreeSet<id::ServiceId> {
+        self.present()
+            .filter(|entry| entry.member.role == Role::Agent)
+            .filter_map(|entry| entry.member.service.clone())
+            .collect()
+    }
+
+    /// Returns all that are not forgotten. A removed member is among them for a
+    /// while, because what is known of it counts when it comes back.
+    pub fn known(&self) -> impl Iterator<Item = &Member> {
+        self.entries.values().map(|entry| &entry.member)
+    }
+
+    /// Tells whether a member is not forgotten, as [`Members::known`].
+    pub fn knows(&self, process: &id::ProcessId) -> bool {
+        self.entries.contains_key(process)
+    }
+
     /// Returns the other agents of a service, for an agent's bound.
     pub fn group(&self, now: time::Mono, service: &id::ServiceId) -> Vec<Peer> {
         self.present()
--- a/crates/fleet/tests/sources.rs
+++ b/crates/fleet/tests/sources.rs
@@ -49,6 +49,34 @@
     assert_eq!(standing(&members, at(3), &one), None);
 }
 
+#[test]
+fn one_service() {
+    // Guards against agents of another service in a service's view, and
+    // against a removed member that is forgotten before it may come back.
+    let mut members = members();
+    let (one, two) = (agent(1, "crew"), agent(2, "dispatch"));
+    let both = vec![instance(&one, false), instance(&two, false)];
+    members.list(at(1), &list(1, both));
+    members.report(at(1), one.clone());
+    members.report(at(1), two.clone());
+    let rows = |members: &member::Members, service: &member::Member| {
+        let service = service.service.clone().unwrap();
+        let rows = members.of_service(at(2), &service);
+        rows.into_iter()
+            .map(|row| row.member.process)
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(rows(&members, &one), vec![one.process.clone()]);
+    assert_eq!(members.services().len(), 2);
+    members.list(at(2), &list(2, vec![instance(&two, false)]));
+    assert!(rows(&members, &one).is_empty());
+    assert_eq!(members.services().len(), 1);
+    assert!(members.knows(&one.process));
+    let later = at(2) + members.rules().retain;
+    members.expire(later);
+    assert!(!members.knows(&one.process));
+}
+
 #[test]
 fn list_fault() {
     // Guards against an empty answer of the list that removes the fleet.
--- a/crates/place/src/standing.rs
+++ b/crates/place/src/standing.rs
@@ -112,6 +112,11 @@
         Some(track.standing(now, &self.tuning))
     }
 
+    /// Tells whether no target is followed.
+    pub fn is_empty(&self) -> bool {
+        self.tracks.is_empty()
+    }
+
     /// Forgets all targets but those that are still members.
     pub fn retain(&mut self, is_member: impl Fn(&id::TargetId) -> bool) {
         self.tracks.retain(|target, _| is_member(target));
