Regroup an agent from the rows of its own service

Cause: an agent copied the rows of all agents for each request that carries load reports, and used those of its own service.

Change: regroup asks Members::of_service.

No change of behaviour.

Conclusion: the cost for each request follows the service, not the fleet.

--- a/crates/daemon/src/agent_core.rs
+++ b/crates/daemon/src/agent_core.rs
@@ -305,10 +305,10 @@
     /// Tells the gate the members of the group and their loads.
     pub(crate) fn regroup(&mut self, now: time::Mono) {
         let own = self.parts.node.settings.process.clone();
-        let rows = self.parts.node.exchange.members.targets(now);
+        let members = &self.parts.node.exchange.members;
+        let rows = members.of_service(now, &self.agent.service);
         let members = rows
             .into_iter()
-            .filter(|row| row.member.service.as_ref() == Some(&self.agent.service))
             .filter(|row| row.member.process != own)
             .map(|row| group::Member {
                 process: row.member.process.clone(),
