Shorten the messages of a member that many others choose

Cause: a member that many others choose as their neighbour receives more than its share, and its own messages stayed at full length until the bucket of 18,000 bytes was empty, which is up to 1,200 B/s above the rate in 15 s.

Change: the usual exchange uses the upper 7,500 bytes of the bucket, and its messages become shorter in the lower half of these. 7,500 bytes follow from the requirement: (5,000 - 4,500) B/s in 15 s.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -86,6 +86,11 @@
         rate::ByteRate(self.rate)
     }
 
+    /// Returns the bytes that a full bucket holds.
+    pub fn burst(&self) -> u64 {
+        self.burst
+    }
+
     /// Returns all bytes charged so far.
     pub fn spent(&self) -> u64 {
         self.spent
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -50,6 +50,11 @@
 /// the bucket filled for urgent news and for new processes.
 const STEADY: i64 = 85;
 
+/// Bytes below a full bucket that the usual exchange uses; the rest is left for
+/// urgent news and new processes. With the rate of 4,500 B/s a process spends at
+/// most the required 5,000 B/s over 15 s.
+const USUAL: i64 = 7_500;
+
 /// Smallest message worth sending, in bytes.
 const SMALLEST: i64 = 200;
 
@@ -512,7 +517,13 @@
         let micros = i64::try_from(INTERVAL.as_micros()).unwrap_or(i64::MAX);
         let even = rate * micros / 1_000_000 / MESSAGES * STEADY / 100;
         let overhead = i64::try_from(budget::OVERHEAD).unwrap_or(0);
-        even.min(budget.available(now)) - overhead
+        // A member that many others choose receives more than its share, and what
+        // it receives can't be refused: its own messages become shorter instead.
+        let available = budget.available(now);
+        let burst = i64::try_from(budget.burst()).unwrap_or(i64::MAX);
+        let usual = (available - burst + USUAL).clamp(0, USUAL / 2);
+        let eased = even * usual / (USUAL / 2);
+        eased.min(available) - overhead
     }
 
     /// Returns one of all members, another at each turn, so that the parts for a
--- a/crates/fleet/tests/trade.rs
+++ b/crates/fleet/tests/trade.rs
@@ -193,3 +193,55 @@
         .expect("it is known");
     assert_eq!(row.standing, member::Standing::Leaving);
 }
+
+#[test]
+fn chosen_often() {
+    // Guards against a member that many others choose as their neighbour and
+    // that spends its full bucket on top of the rate: 5 KB/s over 15 s is the
+    // requirement.
+    const SECONDS: u64 = 15;
+    let fill = |exchange: &mut ex::Exchange, now: u64, round: u64| {
+        for nth in 10..110 {
+            let mut report = agent(nth, "other");
+            report.sequence = id::Sequence(round << 20);
+            exchange.members.report(at(now), report);
+        }
+    };
+    let mut hub = exchange(agent(1, "crew"), address(2));
+    let mut peer = exchange(agent(2, "crew"), address(1));
+    let mut budget = budget::Budget::new(at(0), budget::RATE, budget::BURST);
+    for _ in 0..8 {
+        // New processes ask for all members in parts first.
+        meet(at(0), &mut hub, &mut peer);
+        meet(at(0), &mut peer, &mut hub);
+    }
+    for now in 1..=SECONDS {
+        fill(&mut hub, now, now);
+        fill(&mut peer, now, now);
+        hub.partner(at(now));
+        peer.partner(at(now));
+        let to_peer = ex::Partner {
+            process: Some(agent(2, "crew").process),
+            address: address(2),
+        };
+        let to_hub = ex::Partner {
+            process: Some(agent(1, "crew").process),
+            address: address(1),
+        };
+        let full = || budget::Budget::new(at(now), budget::RATE, budget::BURST);
+        if let Some(request) = hub.compose(at(now), &mut budget, &to_peer) {
+            let (answer, _) = peer.answer(at(now), &mut full(), &request);
+            hub.apply(at(now), &mut budget, &answer);
+        }
+        // Eighteen others choose the hub, three times as many as on average.
+        for _ in 0..3 {
+            let request = peer
+                .compose(at(now), &mut full(), &to_hub)
+                .expect("the budget is full");
+            let (answer, _) = hub.answer(at(now), &mut budget, &request);
+            peer.apply(at(now), &mut full(), &answer);
+        }
+    }
+    let spent = budget.spent();
+    assert!(spent < 5_000 * SECONDS, "{spent} bytes in {SECONDS} s");
+}
