--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -15,7 +15,7 @@
 //! See [the design page](../../../docs/design.md), section 2.7.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     net,
 };
 
@@ -23,7 +23,7 @@
 use prost::Message;
 use wire::msg;
 
-use crate::{beat, budget, convert, digest, member, neighbour, pack, rules};
+use crate::{beat, budget, convert, crash, digest, member, neighbour, pack, room, rules};
 
 /// Time between two exchanges that a process starts.
 pub const INTERVAL: span::Span = span::Span::from_secs(1);
@@ -359,7 +359,7 @@
             message.urgent = true;
             message.wants = self.wants.keys().copied().take(ASKED).collect();
             self.ask_part(now, &mut message);
-            let mut room = Room::new(limit, &message);
+            let mut room = room::Room::new(limit, &message);
             self.add_news(now, &mut message, &mut room, to.process.as_ref());
             charge(now, budget, &message);
             return Some(message);
@@ -386,7 +386,7 @@
             .and_then(|stamp| stamp.process.parse().ok());
         let mut answer = self.head(now, to.as_ref());
         answer.urgent = request.urgent;
-        let mut room = Room::new(limit, &answer);
+        let mut room = room::Room::new(limit, &answer);
         self.add_correction(now, &mut answer, &mut room, request);
         self.add_asked(now, &mut answer, &mut room, request);
         self.add_part(now, &mut answer, &mut room, request);
@@ -697,7 +697,7 @@
         &mut self,
         now: time::Mono,
         message: &mut msg::Exchange,
-        room: &mut Room,
+        room: &mut room::Room,
         request: &msg::Exchange,
     ) {
         let Some(stamp) = request.sender.as_ref().and_then(|s| convert::stamp(s).ok()) else {
@@ -723,7 +723,7 @@
         &mut self,
         now: time::Mono,
         message: &mut msg::Exchange,
-        room: &mut Room,
+        room: &mut room::Room,
         request: &msg::Exchange,
     ) {
         for run in &request.wants {
@@ -747,7 +747,7 @@
         &mut self,
         now: time::Mono,
         message: &mut msg::Exchange,
-        room: &mut Room,
+        room: &mut room::Room,
         request: &msg::Exchange,
     ) {
         let reporting = u32::try_from(self.members.reporting()).unwrap_or(u32::MAX);
@@ -791,7 +791,7 @@
         &mut self,
         now: time::Mono,
         message: &mut msg::Exchange,
-        room: &mut Room,
+        room: &mut room::Room,
         request: &msg::Exchange,
     ) {
         let own = digest::parts(&self.members);
@@ -825,7 +825,7 @@
         to: Option<&id::ProcessId>,
         limit: i64,
     ) {
-        let mut room = Room::new(limit, message);
+        let mut room = room::Room::new(limit, message);
         self.add_news(now, message, &mut room, to);
         self.add_suspects(now, message, &mut room);
         self.add_beats(now, message, &mut room);
@@ -840,7 +840,7 @@
         &mut self,
         now: time::Mono,
         message: &mut msg::Exchange,
-        room: &mut Room,
+        room: &mut room::Room,
         to: Option<&id::ProcessId>,
     ) {
         let mut news: Vec<(time::Mono, id::ProcessId)> = self
@@ -866,7 +866,12 @@
         }
     }
 
-    fn add_suspects(&mut self, now: time::Mono, message: &mut msg::Exchange, room: &mut Room) {
+    fn add_suspects(
+        &mut self,
+        now: time::Mono,
+        message: &mut msg::Exchange,
+        room: &mut room::Room,
+    ) {
         self.suspects.retain(|_, suspicion| now < suspicion.until);
         for suspicion in self.suspects.values_mut() {
             if suspicion.left == 0 {
@@ -884,14 +889,14 @@
     /// Adds signs of life in at most half of the room, before any load that is
     /// passed on repeatedly: the share of the group and of the pulses must not
     /// decide whether a member stays known.
-    fn add_beats(&mut self, now: time::Mono, message: &mut msg::Exchange, room: &mut Room) {
+    fn add_beats(&mut self, now: time::Mono, message: &mut msg::Exchange, room: &mut room::Room) {
         let limit = usize::try_from(room.left / 2).unwrap_or(0);
         self.beats += 1;
         let turn = hash::mix(self.key, self.beats);
         let Some(beats) = beat::write(now, &self.members, turn, limit) else {
             return;
         };
-        if room.take(beats.encoded_len() + RECORD) {
+        if room.take(beats.encoded_len() + room::RECORD) {
             message.beats = Some(beats);
         }
     }
@@ -902,7 +907,7 @@
         &mut self,
         now: time::Mono,
         message: &mut msg::Exchange,
-        room: &mut Room,
+        room: &mut room::Room,
         to: Option<&id::ProcessId>,
     ) {
         let Some(service) = to
@@ -932,7 +937,7 @@
         &mut self,
         now: time::Mono,
         message: &mut msg::Exchange,
-        room: &mut Room,
+        room: &mut room::Room,
         to: Option<&id::ProcessId>,
     ) {
         let mut pulses: Vec<(time::Mono, id::ProcessId)> = self
@@ -1082,8 +1087,8 @@
         if merged.service.is_empty() {
             merged.service = entry.service;
         }
-        merged.excused = latest(merged.excused.into_iter().chain(entry.excused));
-        merged.crashes = pending(
+        merged.excused = crash::latest(merged.excused.into_iter().chain(entry.excused));
+        merged.crashes = crash::pending(
             merged.crashes.into_iter().chain(entry.crashes),
             &merged.excused,
         );
@@ -1100,30 +1105,6 @@
     }
 }
 
-/// Returns the latest crash of each target.
-fn latest(crashes: impl Iterator<Item = msg::Crash>) -> Vec<msg::Crash> {
-    let mut latest: BTreeMap<String, u64> = BTreeMap::new();
-    for crash in crashes {
-        let number = latest.entry(crash.target).or_default();
-        *number = crash.number.max(*number);
-    }
-    latest
-        .into_iter()
-        .map(|(target, number)| msg::Crash { target, number })
-        .collect()
-}
-
-/// Returns the crashes that are not excused, each once.
-fn pending(crashes: impl Iterator<Item = msg::Crash>, excused: &[msg::Crash]) -> Vec<msg::Crash> {
-    let pending: BTreeSet<msg::Crash> = crashes
-        .filter(|crash| {
-            let of_target = excused.iter().find(|e| e.target == crash.target);
-            of_target.is_none_or(|excused| excused.number < crash.number)
-        })
-        .collect();
-    pending.into_iter().collect()
-}
-
 /// Returns whether a report may be passed on; one that is nearly as old as
 /// the time of silence would only delay the removal.
 fn fresh(now: time::Mono, entry: &member::Entry) -> bool {
@@ -1154,65 +1135,3 @@
     let bytes = u64::try_from(message.encoded_len()).unwrap_or(u64::MAX);
     budget.charge(now, bytes + budget::OVERHEAD);
 }
-
-/// The bytes that are left in a message.
-struct Room {
-    left: i64,
-}
-
-/// Bytes of a field's tag and of the length of a record up to 16 KiB.
-const RECORD: usize = 3;
-
-impl Room {
-    fn new(limit: i64, message: &msg::Exchange) -> Self {
-        let used = i64::try_from(message.encoded_len()).unwrap_or(i64::MAX);
-        Self { left: limit - used }
-    }
-
-    fn take(&mut self, bytes: usize) -> bool {
-        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
-        if bytes > self.left {
-            return false;
-        }
-        self.left -= bytes;
-        true
-    }
-
-    fn member(&mut self, message: &mut msg::Exchange, member: &member::Member) -> bool {
-        let record = convert::member_record(member);
-        let added = self.take(record.encoded_len() + RECORD);
-        if added {
-            message.members.push(record);
-        }
-        added
-    }
-
-    fn load(&mut self, message: &mut msg::Exchange, member: &member::Member) -> bool {
-        let run = member::run(&member.process, member.incarnation);
-        let version = message.sender.as_ref().map_or(0, |stamp| stamp.version);
-        let version = id::Version(version);
-        let loads = message.loads.get_or_insert_default();
-        if loads.runs.contains(&run) {
-            return true;
-        }
-        let columns = if loads.runs.is_empty() {
-            pack::COLUMNS
-        } else {
-            0
-        };
-        let load = member.load();
-        let added = self.take(pack::size(&load, version) + columns);
-        if added {
-            pack::push(loads, run, &load, version);
-        }
-        added
-    }
-
-    fn suspect(&mut self, message: &mut msg::Exchange, entry: msg::Suspect) -> bool {
-        let added = self.take(entry.encoded_len() + RECORD);
-        if added {
-            message.suspects.push(entry);
-        }
-        added
-    }
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod beat;
 pub mod budget;
 pub mod convert;
+mod crash;
 pub mod digest;
 pub mod exchange;
 pub mod member;
 pub mod neighbour;
 pub mod pack;
+mod room;
 pub mod rules;
