--- a/crates/bench/examples/measure.rs
+++ b/crates/bench/examples/measure.rs
@@ -18,7 +18,7 @@
     };
     match scenario.as_str() {
         "path" => traffic(path::run(parse(path::options(), rest))),
-        "spread" => spread::main(rest),
+        "spread" => spread::main(&parse(spread::options(), rest)),
         "recovery" => traffic(recovery::run(parse(recovery::options(), rest))),
         name if faults::exists(name) => traffic(faults::run(name, parse(faults::options(), rest))),
         name if placement::exists(name) => {
--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -35,10 +35,10 @@
 /// Time between two looks at all members.
 const LOOK: Duration = Duration::from_millis(25);
 
-/// Options of the scenario.
+/// Time until news are everywhere, and cost of the exchange
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
-pub struct Spread {
+pub struct Options {
     /// Number of members
     #[bpaf(argument("N"), fallback(50))]
     members: usize,
@@ -53,16 +53,17 @@
     steady: u64,
 }
 
-/// Reads the options and runs the scenario.
-pub fn main(arguments: &[String]) -> anyhow::Result<()> {
-    let options = spread()
-        .run_inner(arguments)
-        .map_err(|failure| anyhow::anyhow!("{failure:?}"))?;
+/// Runs the scenario on a few threads of its own.
+///
+/// # Errors
+///
+/// When the threads or the sockets cannot be made.
+pub fn main(options: &Options) -> anyhow::Result<()> {
     let runtime = runtime::Builder::new_multi_thread()
         .worker_threads(THREADS)
         .enable_all()
         .build()?;
-    runtime.block_on(run(&options))
+    runtime.block_on(run(options))
 }
 
 struct Fleet {
@@ -163,7 +164,7 @@
     }
 }
 
-async fn run(options: &Spread) -> anyhow::Result<()> {
+async fn run(options: &Options) -> anyhow::Result<()> {
     let before = meter::memory()?;
     let mut fleet = Fleet {
         peers: Vec::new(),
