Read numbers with units, and build clients and stand-ins, in one place

Cause: base::size and base::span repeated the reading of a number with a unit; the clients in store and the stand-ins in fakes repeated their construction; the command line had two loops that wait for versions.

Ruled out: a shared trait for sizes and spans; two functions suffice.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod size;
 pub mod span;
 pub mod time;
+mod unit;
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -132,7 +132,7 @@
     async fn carry_out(&mut self, line: Line, screen: &mut Screen<'_>) -> Result<(), Failure> {
         let why = line.why.unwrap_or_else(|| self.options.why.clone());
         match line.command {
-            Command::Ask(Query::Lagging) if self.options.wait => self.wait_lagging(screen).await,
+            Command::Ask(Query::Lagging) if self.options.wait => self.none_lags(screen).await,
             Command::Ask(query) => {
                 let answer = self.ask(query).await?;
                 self.show(screen, &answer, render::text)
@@ -202,7 +202,7 @@
         let accepted = Accepted { command, version };
         self.show(screen, &accepted, |_| render::accepted(version))?;
         match self.options.wait {
-            true => self.wait(version, screen).await,
+            true => self.in_force(version, screen).await,
             false => Ok(()),
         }
     }
@@ -214,58 +214,60 @@
         Ok(self.client.call(call).await?)
     }
 
-    /// Waits until a version is in force everywhere, and shows which members
-    /// lag.
-    async fn wait(&mut self, version: id::Version, screen: &mut Screen<'_>) -> Result<(), Failure> {
+    /// Waits until a version is in force everywhere; without one, until no member
+    /// lags behind the router. Shows meanwhile which members lag. Returns the last
+    /// answer, and whether the wait ended before its time.
+    ///
+    /// Each router learns the versions of members on its own, so one may still
+    /// show lagging members after another has shown none.
+    async fn wait(
+        &mut self,
+        version: Option<id::Version>,
+        screen: &mut Screen<'_>,
+    ) -> Result<(Versions, bool), Failure> {
         let end = Instant::now() + self.options.wait_time.duration();
         let mut shown = String::new();
         loop {
             let Answer::Versions(versions) = self.ask(Query::Versions).await? else {
                 return Err(Failure::Answer);
             };
-            if versions.reached(version) {
-                let members = versions.members;
-                writeln!(screen.out, "in force at all {members} members")?;
-                return Ok(());
+            let wanted = version.unwrap_or(versions.version);
+            if versions.reached(wanted) {
+                return Ok((versions, true));
             }
-            let progress = lagging(&versions, version);
+            let progress = lagging(&versions, wanted);
             if progress != shown {
                 writeln!(screen.err, "{progress}")?;
                 shown = progress;
             }
             if Instant::now() >= end {
-                return Err(Failure::Timeout(version));
+                return Ok((versions, false));
             }
             time::sleep(LOOK).await;
         }
     }
 
-    /// Waits until the router knows of no member that lags behind it, and shows
-    /// its last answer. Each router learns the versions of members on its own,
-    /// so one may still show lagging members after another has shown none.
-    async fn wait_lagging(&mut self, screen: &mut Screen<'_>) -> Result<(), Failure> {
-        let end = Instant::now() + self.options.wait_time.duration();
-        let mut shown = String::new();
-        loop {
-            let Answer::Lagging(versions) = self.ask(Query::Lagging).await? else {
-                return Err(Failure::Answer);
-            };
-            let version = versions.version;
-            let lags = !versions.list.is_empty();
-            if !lags || Instant::now() >= end {
-                self.show(screen, &Answer::Lagging(versions), render::text)?;
-                return if lags {
-                    Err(Failure::Timeout(version))
-                } else {
-                    Ok(())
-                };
-            }
-            let progress = lagging(&versions, version);
-            if progress != shown {
-                writeln!(screen.err, "{progress}")?;
-                shown = progress;
-            }
-            time::sleep(LOOK).await;
+    async fn in_force(
+        &mut self,
+        version: id::Version,
+        screen: &mut Screen<'_>,
+    ) -> Result<(), Failure> {
+        let (versions, reached) = self.wait(Some(version), screen).await?;
+        if !reached {
+            return Err(Failure::Timeout(version));
+        }
+        let members = versions.members;
+        Ok(writeln!(screen.out, "in force at all {members} members")?)
+    }
+
+    async fn none_lags(&mut self, screen: &mut Screen<'_>) -> Result<(), Failure> {
+        let (mut versions, reached) = self.wait(None, screen).await?;
+        let version = versions.version;
+        versions.list.retain(|member| member.version < version);
+        self.show(screen, &Answer::Lagging(versions), render::text)?;
+        match reached {
+            true => Ok(()),
+            false => Err(Failure::Timeout(version)),
         }
     }
 
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -5,13 +5,44 @@
 
 use base::{rate, span};
 use http::{Response, StatusCode};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{body, clock, fault, server};
 
 /// Advised pause after a refusal.
 const RETRY_AFTER: span::Span = span::Span::from_secs(1);
 
+/// How a service is built.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Options {
+    /// Reads that all callers together may make.
+    pub reads: Option<rate::Rate>,
+    /// Writes, or transactions, that all callers together may make.
+    pub writes: Option<rate::Rate>,
+    /// Seed of the faults.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            // Design page 1.3: several hundred writes and about two thousand
+            // reads a second for all processes together.
+            reads: Some(rate::Rate(2000.0)),
+            writes: Some(rate::Rate(400.0)),
+            seed: 0,
+        }
+    }
+}
+
+impl Options {
+    /// Makes the gate of a service with these options.
+    pub fn gate(&self) -> Gate {
+        Gate::new(self.reads, self.writes, self.seed)
+    }
+}
+
 /// Whether a request reads or writes; each has its own rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Access {
--- a/crates/store/src/list.rs
+++ b/crates/store/src/list.rs
@@ -6,16 +6,9 @@
     fault::{At, Fault},
     id, span,
 };
-use bytes::Bytes;
-use http::Request;
 use serde::Deserialize;
 
-use crate::{
-    control::{Access, Policy},
-    error::Error,
-    guard::Guard,
-    http::Client,
-};
+use crate::{control::Policy, error::Error, service::Service};
 
 /// How a client reaches the instance list.
 #[derive(Clone, Debug)]
@@ -75,33 +68,27 @@
     pub revision: u64,
 }
 
-#[derive(Debug)]
-struct Inner {
-    client: Client,
-    guard: Guard,
-}
-
 /// A client of the instance list; clones share the connections and the limits.
 #[derive(Clone, Debug)]
-pub struct Instances(Arc<Inner>);
+pub struct Instances(Arc<Service>);
 
 impl Instances {
     /// Makes a client; it connects with the first call.
     pub fn new(options: Options) -> Self {
-        Self(Arc::new(Inner {
-            client: Client::new(options.peer, options.timeout),
-            guard: Guard::new(options.policy),
-        }))
+        let Options {
+            peer,
+            timeout,
+            policy,
+        } = options;
+        Self(Arc::new(Service::new(peer, timeout, policy)))
     }
 
     /// Reads the list; the cause of a fault is an [`Error`].
     pub async fn read(&self) -> Result<Page, Fault> {
-        let Inner { client, guard } = &*self.0;
-        let attempt = || client.send(Request::builder(), "/v1/instances", Bytes::new(), &[]);
-        let reply = guard.call(Access::Read, attempt).await;
+        let reply = self.0.read("/v1/instances", &[]).await;
         let page = reply.and_then(|reply| {
             serde_json::from_slice(&reply.body).map_err(|error| Error::Reply(Box::new(error)))
         });
-        page.at("read instances", client.peer())
+        page.at("read instances", self.0.peer())
     }
 }
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -10,16 +10,13 @@
 use http::{HeaderMap, Method, Request, StatusCode, header};
 
 use crate::{
-    control::{Access, Policy},
+    control::Policy,
     error::Error,
-    guard::Guard,
-    http::{self as exchange, Client},
+    http as exchange,
+    service::{self, Service},
     share::Rates,
 };
 
-/// Time to come back when a write was not sent for a reason that names none.
-const DEFAULT_AFTER: span::Span = span::Span::from_secs(1);
-
 /// How a client reaches the object store.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -84,42 +81,34 @@
     Unknown(Fault),
 }
 
-#[derive(Debug)]
-struct Inner {
-    client: Client,
-    guard: Guard,
-}
-
 /// A client of the object store; clones share the connections and the limits.
 #[derive(Clone, Debug)]
-pub struct Objects(Arc<Inner>);
+pub struct Objects(Arc<Service>);
 
 impl Objects {
     /// Makes a client; it connects with the first call.
     pub fn new(options: Options) -> Self {
-        Self(Arc::new(Inner {
-            client: Client::new(options.peer, options.timeout),
-            guard: Guard::new(options.policy),
-        }))
+        let Options {
+            peer,
+            timeout,
+            policy,
+        } = options;
+        Self(Arc::new(Service::new(peer, timeout, policy)))
     }
 
     /// Changes this process's share of the rates.
     pub fn rates(&self, rates: Rates) {
-        self.0.guard.rates(rates);
+        self.0.rates(rates);
     }
 
     /// Reads an object; the cause of a fault is an [`Error`].
     pub async fn get(&self, key: &str) -> Result<Option<Object>, Fault> {
-        let Inner { client, guard } = &*self.0;
-        let path = path(key);
-        let allowed = &[StatusCode::NOT_FOUND];
-        let attempt = || client.send(Request::builder(), &path, Bytes::new(), allowed);
-        let reply = guard.call(Access::Read, attempt).await;
+        let reply = self.0.read(&path(key), &[StatusCode::NOT_FOUND]).await;
         let object = reply.and_then(|reply| match reply.status {
             StatusCode::NOT_FOUND => Ok(None),
             _ => object(reply).map(Some),
         });
-        object.at("read object", client.peer())
+        object.at("read object", self.0.peer())
     }
 
     /// Writes an object.
@@ -140,9 +129,9 @@
         bytes: Bytes,
         condition: &Condition,
     ) -> Outcome {
-        let Inner { client, guard } = &*self.0;
         let path = path(key);
         let allowed = &[StatusCode::PRECONDITION_FAILED, StatusCode::NOT_FOUND];
+        let client = self.0.client();
         let attempt = || {
             let request = Request::builder().method(method.clone());
             let request = match condition {
@@ -152,15 +141,15 @@
             };
             client.send(request, &path, bytes.clone(), allowed)
         };
-        let peer = client.peer();
-        match guard.call(Access::Write, attempt).await {
+        let peer = self.0.peer();
+        match self.0.write(attempt).await {
             Ok(reply) if reply.status == StatusCode::PRECONDITION_FAILED => Outcome::Conflict,
             Ok(reply) => Outcome::Written(tag(&reply.headers)),
             Err(error) if error.may_have_run() => {
                 Outcome::Unknown(Fault::new("write object", peer, error))
             }
             Err(error) => Outcome::NotSent {
-                after: error.after().unwrap_or(DEFAULT_AFTER),
+                after: error.after().unwrap_or(service::DEFAULT_AFTER),
                 fault: Fault::new("write object", peer, error),
             },
         }
--- /dev/null
+++ b/crates/store/src/service.rs
@@ -0,0 +1,69 @@
+//! One service of the platform, as its client reaches it: the connections and
+//! the decisions about calls.
+
+use std::{future::Future, net::SocketAddr};
+
+use base::span;
+use bytes::Bytes;
+use http::{Request, StatusCode};
+
+use crate::{
+    breaker,
+    control::{Access, Policy},
+    error::Error,
+    guard::Guard,
+    http::{Client, Reply},
+    share::Rates,
+};
+
+/// Time to come back when a write was not sent for a reason that names none.
+pub(crate) const DEFAULT_AFTER: span::Span = span::Span::from_secs(1);
+
+/// The connections to a service and the limits on its calls.
+#[derive(Debug)]
+pub(crate) struct Service {
+    client: Client,
+    guard: Guard,
+}
+
+impl Service {
+    pub(crate) fn new(peer: SocketAddr, timeout: span::Span, policy: Policy) -> Self {
+        Self {
+            client: Client::new(peer, timeout),
+            guard: Guard::new(policy),
+        }
+    }
+
+    pub(crate) fn peer(&self) -> SocketAddr {
+        self.client.peer()
+    }
+
+    pub(crate) fn client(&self) -> &Client {
+        &self.client
+    }
+
+    pub(crate) fn rates(&self, rates: Rates) {
+        self.guard.rates(rates);
+    }
+
+    pub(crate) fn breaker(&self) -> breaker::State {
+        self.guard.breaker()
+    }
+
+    /// Reads a path; statuses other than 2xx and those in `allowed` are errors.
+    pub(crate) async fn read(&self, path: &str, allowed: &[StatusCode]) -> Result<Reply, Error> {
+        let attempt = || {
+            self.client
+                .send(Request::builder(), path, Bytes::new(), allowed)
+        };
+        self.guard.call(Access::Read, attempt).await
+    }
+
+    /// Runs the attempts of a write, which send by [`Service::client`].
+    pub(crate) async fn write<F>(&self, attempt: impl FnMut() -> F) -> Result<Reply, Error>
+    where
+        F: Future<Output = Result<Reply, Error>>,
+    {
+        self.guard.call(Access::Write, attempt).await
+    }
+}
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -12,17 +12,13 @@
 
 use crate::{
     breaker,
-    control::{Access, Policy},
+    control::Policy,
     error::Error,
-    guard::Guard,
-    http::{self as exchange, Client},
+    http as exchange,
+    service::{self, Service},
     share::Rates,
 };
 
-/// Time to come back when a transaction was not sent for a reason that names
-/// none.
-const DEFAULT_AFTER: span::Span = span::Span::from_secs(1);
-
 /// Rows of one request of a scan.
 const PAGE: usize = 500;
 
@@ -212,44 +208,40 @@
     versions: Vec<RowVersion>,
 }
 
-#[derive(Debug)]
-struct Inner {
-    client: Client,
-    guard: Guard,
-}
-
 /// A client of the table; clones share the connections and the limits.
 #[derive(Clone, Debug)]
-pub struct Table(Arc<Inner>);
+pub struct Table(Arc<Service>);
 
 impl Table {
     /// Makes a client; it connects with the first call.
     pub fn new(options: Options) -> Self {
-        Self(Arc::new(Inner {
-            client: Client::new(options.peer, options.timeout),
-            guard: Guard::new(options.policy),
-        }))
+        let Options {
+            peer,
+            timeout,
+            policy,
+        } = options;
+        Self(Arc::new(Service::new(peer, timeout, policy)))
     }
 
     /// Changes this process's share of the rates.
     pub fn rates(&self, rates: Rates) {
-        self.0.guard.rates(rates);
+        self.0.rates(rates);
     }
 
     /// Returns the state of the circuit breaker.
     pub fn breaker(&self) -> breaker::State {
-        self.0.guard.breaker()
+        self.0.breaker()
     }
 
     /// Reads a row; the cause of a fault is an [`Error`].
     pub async fn read(&self, key: &str) -> Result<Option<Row>, Fault> {
         let path = format!("/v1/rows/{}", exchange::escape(key));
-        let reply = self.get(&path, &[StatusCode::NOT_FOUND]).await;
+        let reply = self.0.read(&path, &[StatusCode::NOT_FOUND]).await;
         let row = reply.and_then(|reply| match reply.status {
             StatusCode::NOT_FOUND => Ok(None),
             _ => decode(&reply.body).map(Some),
         });
-        row.at("read row", self.0.client.peer())
+        row.at("read row", self.0.peer())
     }
 
     /// Reads up to `limit` rows whose keys begin with a prefix and follow `after`.
@@ -264,9 +256,9 @@
         if let Some(after) = after {
             path = format!("{path}&after={}", exchange::escape(after));
         }
-        let reply = self.get(&path, &[]).await;
+        let reply = self.0.read(&path, &[]).await;
         let page = reply.and_then(|reply| decode(&reply.body));
-        page.at("scan rows", self.0.client.peer())
+        page.at("scan rows", self.0.peer())
     }
 
     /// Reads all rows whose keys begin with a prefix, in several requests;
@@ -289,7 +281,7 @@
     /// A transaction is repeated only while it is proven that it had no effect.
     /// When the future is dropped, the outcome is unknown.
     pub async fn transact(&self, ops: &[Op]) -> Outcome {
-        let peer = self.0.client.peer();
+        let peer = self.0.peer();
         let result = match serde_json::to_vec(&Transaction { ops }) {
             Ok(body) => self.post(body.into()).await,
             Err(error) => Err(Error::Request(Box::new(error))),
@@ -300,21 +292,15 @@
                 Outcome::Unknown(Fault::new("transact", peer, error))
             }
             Err(error) => Outcome::NotSent {
-                after: error.after().unwrap_or(DEFAULT_AFTER),
+                after: error.after().unwrap_or(service::DEFAULT_AFTER),
                 fault: Fault::new("transact", peer, error),
             },
         }
     }
 
-    async fn get(&self, path: &str, allowed: &[StatusCode]) -> Result<exchange::Reply, Error> {
-        let Inner { client, guard } = &*self.0;
-        let attempt = || client.send(Request::builder(), path, Bytes::new(), allowed);
-        guard.call(Access::Read, attempt).await
-    }
-
     async fn post(&self, body: Bytes) -> Result<Outcome, Error> {
         const JSON: &str = "application/json";
-        let Inner { client, guard } = &*self.0;
+        let client = self.0.client();
         let attempt = || {
             let request = Request::builder()
                 .method(Method::POST)
@@ -322,7 +308,7 @@
             let allowed = &[StatusCode::CONFLICT];
             client.send(request, "/v1/transactions", body.clone(), allowed)
         };
-        let reply = guard.call(Access::Write, attempt).await?;
+        let reply = self.0.write(attempt).await?;
         match reply.status {
             StatusCode::CONFLICT => decode(&reply.body).map(Outcome::Conflict),
             _ => decode::<Committed>(&reply.body)
