Serve the users' platform with routers alone that send to targets

Cause: nothing of the platform existed here. platform/ decodes its settings, rows, configuration, request and response heads; crate edge is the router; place::cost, place::trust and admit::repeat are its decisions.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod group;
 mod jitter;
 pub mod quarantine;
+pub mod repeat;
 pub mod ticket;
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -118,6 +118,8 @@
     PlanId;
     /// A routing rule.
     RuleId;
+    /// One attempt of a caller, as the caller names it; the unit of at most once.
+    AttemptId;
 }
 
 macro_rules! number_id {
--- a/crates/bench/examples/local.rs
+++ b/crates/bench/examples/local.rs
@@ -7,7 +7,7 @@
 async fn main() -> anyhow::Result<()> {
     let name = std::env::args().nth(1).unwrap_or("perdana".to_owned());
     let deployment = deploy::named(&name)?;
-    daemon::logs::init(&std::env::var("LOG").unwrap_or("warn".to_owned()));
+    roles::logs::init(&std::env::var("LOG").unwrap_or("warn".to_owned()));
     let running = deploy::Running::start(deployment.clone(), deploy::Options::default()).await?;
     let router = running.callers()[0];
     let team = deployment.teams[0].0;
--- a/crates/bench/src/child.rs
+++ b/crates/bench/src/child.rs
@@ -29,7 +29,7 @@
 ///
 /// # Errors
 ///
-/// As [`daemon::process::run`], and when a stand-in cannot be started.
+/// As [`roles::process::run`], and when a stand-in cannot be started.
 pub fn serve(arguments: &[String]) -> anyhow::Result<bool> {
     let [first, what, with] = arguments else {
         return Ok(false);
@@ -40,7 +40,7 @@
                 "router" => Role::Router,
                 _ => Role::Agent,
             };
-            daemon::process::run(settings::load(&PathBuf::from(with))?, role)?;
+            roles::process::run(settings::load(&PathBuf::from(with))?, role)?;
         }
         STAND => serve_stand(what.parse()?, with)?,
         _ => return Ok(false),
--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -14,9 +14,9 @@
     change::{Change, FleetUpdate},
     settings, state, value,
 };
-use daemon::{agent, router};
 use fakes::{engine, list, object, service, table};
 use place::policy;
+use roles::{agent, router};
 use tokio::{task::JoinHandle, time};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/bench/src/placement.rs
+++ b/crates/bench/src/placement.rs
@@ -12,9 +12,9 @@
 use bpaf::Bpaf;
 use bytes::Bytes;
 use conf::state;
-use daemon::agent;
 use fakes::{clock, engine};
 use place::policy;
+use roles::agent;
 use tokio::time::sleep;
 use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 
@@ -104,7 +104,7 @@
 ///
 /// When the deployment cannot be started.
 pub async fn run(name: &str, options: Options) -> anyhow::Result<()> {
-    daemon::logs::init(&options.log);
+    roles::logs::init(&options.log);
     let mut site = Site::start(name, &options).await?;
     let seconds = Duration::from_secs(options.seconds);
     let from = clock::now();
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -156,7 +156,7 @@
             .map(|router| router.settings.advertise)
             .collect();
         settings.log = match self.logs {
-            Some(_) => format!("{}=trace", daemon::session::TARGET),
+            Some(_) => format!("{}=trace", roles::session::TARGET),
             None => std::env::var("LOG").unwrap_or("info".to_owned()),
         };
         self.platform.enlist(&settings);
--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -376,7 +376,7 @@
     settings.tls.callers = Some(own.clone());
     let address = settings.listen.operators.expect("an address").to_string();
     let stop = CancellationToken::new();
-    let router = daemon::router::start(settings, running.options.tuning, stop.clone());
+    let router = roles::router::start(settings, running.options.tuning, stop.clone());
     let router = tokio::spawn(router.await.expect("the router starts"));
 
     let run = async |tls: Option<Tls>| {
--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -3,7 +3,7 @@
 
 use base::{rate::Rate, time::Mono};
 use conf::state::Team;
-use daemon::limits::{Limits, Over};
+use roles::limits::{Limits, Over};
 
 fn team(rate: Option<f64>, open: Option<u32>) -> Team {
     let mut team = Team::new("crew".parse().unwrap());
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -10,8 +10,8 @@
     relay::Relay,
 };
 use conf::state::Kind;
-use daemon::link::Links;
 use fakes::engine::{self, Engine};
+use roles::link::Links;
 use tokio::{net::TcpListener, time};
 use tokio_util::sync::CancellationToken;
 use wire::msg;
@@ -47,7 +47,7 @@
     settings.advertise = relay.address();
     settings.seeds = vec![running.routers[0].settings.advertise];
     let stop = CancellationToken::new();
-    let agent = tokio::spawn(daemon::agent::start(settings, stop.clone()).await.unwrap());
+    let agent = tokio::spawn(roles::agent::start(settings, stop.clone()).await.unwrap());
     let router = running.callers()[0];
     ready(router, &chat(1)).await.unwrap();
     let stream = tokio::spawn(async move { Caller::default().send(router, chat(100)).await });
--- a/crates/daemon/tests/operator/mod.rs
+++ b/crates/daemon/tests/operator/mod.rs
@@ -11,12 +11,12 @@
     deploy::{self, Deployment, MARSHALS, Options, Running, key},
 };
 use conf::{change::FleetUpdate, settings};
-use daemon::{
+use fakes::engine;
+use plan::plan::{Action, Artifact, Condition, Kind, Operation, Plan, Request, Roll, Stage, State};
+use roles::{
     plans::{self, Listed, Post, Sight},
     platform::Platform,
 };
-use fakes::engine;
-use plan::plan::{Action, Artifact, Condition, Kind, Operation, Plan, Request, Roll, Stage, State};
 use tokio::{sync::Mutex, task::JoinSet, time};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/daemon/tests/outlet.rs
+++ b/crates/daemon/tests/outlet.rs
@@ -5,7 +5,7 @@
 
 use base::id;
 use bytes::Bytes;
-use daemon::outlet::{Finish, Outlet, Piece, Reader, Window, Writer};
+use roles::outlet::{Finish, Outlet, Piece, Reader, Window, Writer};
 use tokio::time;
 use wire::msg;
 
--- a/crates/daemon/tests/plan_kinds.rs
+++ b/crates/daemon/tests/plan_kinds.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use base::span;
-use daemon::plans::Listed;
 use fakes::engine;
 use operator::{DEPLOYMENT, Desk, PLAN_TIME, load, loading, roll, start, target};
 use plan::plan::{Action, Kind, Operation, Plan, Replace, State};
+use roles::plans::Listed;
 use tokio::{task::JoinHandle, time};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/daemon/tests/plans.rs
+++ b/crates/daemon/tests/plans.rs
@@ -16,13 +16,13 @@
     site::Site,
 };
 use conf::state;
-use daemon::plans::{self, PlanError};
 use fakes::{engine, fault};
 use operator::{
     DEPLOYMENT, Desk, LOADS, PLAN_TIME, assert_whole, chat, load, loading, name, options, roll,
     start, target,
 };
 use plan::plan::{Kind, Operation, Plan, Stage, State};
+use roles::plans::{self, PlanError};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
--- a/crates/daemon/tests/session.rs
+++ b/crates/daemon/tests/session.rs
@@ -62,7 +62,7 @@
 
 impl<S: tracing::Subscriber> Layer<S> for Capture {
     fn enabled(&self, metadata: &tracing::Metadata<'_>, _: Context<'_, S>) -> bool {
-        metadata.target() == daemon::session::TARGET
+        metadata.target() == roles::session::TARGET
     }
 
     fn on_event(&self, event: &tracing::Event<'_>, _: Context<'_, S>) {
--- a/crates/daemon/tests/tls.rs
+++ b/crates/daemon/tests/tls.rs
@@ -6,12 +6,12 @@
 use bench::deploy::{self, Deployment, MARSHALS, Running, key};
 use bytes::Bytes;
 use conf::settings::{Certificate, PeerCertificate, Tls};
-use daemon::{link::Links, tls};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use roles::{link::Links, tls};
 use rustls_pki_types::{CertificateDer, ServerName, pem::PemObject};
 use tokio::{net::TcpStream, time};
 use tokio_rustls::{
--- /dev/null
+++ b/crates/edge/src/events.rs
@@ -0,0 +1,96 @@
+//! Cuts an event stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event that is kept until its end comes, in bytes.
+const MAX_EVENT: usize = 256 * 1024;
+
+/// Ends an event.
+const END: &[u8] = b"\n\n";
+
+/// Why a stream cannot be forwarded further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum EventError {
+    /// The ids do not increase.
+    #[error("event {found} follows event {last}")]
+    Order {
+        /// Last id before it.
+        last: u64,
+        /// The id.
+        found: u64,
+    },
+    /// An event is longer than 256 KiB.
+    #[error("an event is too long")]
+    Long,
+}
+
+/// Collects the bytes of a stream until events are whole, so that a stream
+/// which breaks off within an event can go on elsewhere.
+#[derive(Debug)]
+pub struct Aligner {
+    buffer: BytesMut,
+    last: Option<u64>,
+}
+
+impl Aligner {
+    /// Starts after an event that the caller already has, if any.
+    pub fn new(last: Option<u64>) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            last,
+        }
+    }
+
+    /// Returns the id of the last whole event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Returns whether part of an event is left.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Forgets a part of an event, before the stream goes on elsewhere.
+    pub fn reset(&mut self) {
+        self.buffer.clear();
+    }
+
+    /// Adds bytes and returns the whole events.
+    ///
+    /// # Errors
+    ///
+    /// When ids do not increase or an event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+        self.buffer.extend_from_slice(bytes);
+        let end = self.buffer.windows(END.len()).rposition(|end| end == END);
+        let Some(end) = end else {
+            return match self.buffer.len() {
+                ..=MAX_EVENT => Ok(Bytes::new()),
+                _ => Err(EventError::Long),
+            };
+        };
+        let events = self.buffer.split_to(end + END.len()).freeze();
+        for line in events.split(|byte| *byte == b'\n') {
+            if let Some(id) = id(line) {
+                self.follow(id)?;
+            }
+        }
+        Ok(events)
+    }
+
+    fn follow(&mut self, found: u64) -> Result<(), EventError> {
+        match self.last {
+            Some(last) if found <= last => Err(EventError::Order { last, found }),
+            _ => {
+                self.last = Some(found);
+                Ok(())
+            }
+        }
+    }
+}
+
+fn id(line: &[u8]) -> Option<u64> {
+    let id = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,22 @@
+//! The router on the users' platform: takes callers, decides, sends to targets
+//! and answers.
+//!
+//! One thread carries traffic; another reads the platform's table and talks to
+//! the other routers. They share immutable snapshots. See
+//! [the design page](../../../docs/design.md), section 5.
+
+pub mod body;
+pub mod control;
+pub mod events;
+pub mod fleet;
+pub mod front;
+pub mod leaving;
+pub mod logs;
+pub mod process;
+pub mod ready;
+pub mod refuse;
+pub mod relay;
+pub mod routes;
+pub mod shared;
+pub mod stream;
+pub mod upstream;
--- /dev/null
+++ b/crates/edge/src/relay.rs
@@ -0,0 +1,486 @@
+//! Answers one request: finds its rule, chooses targets and delivers the
+//! response.
+
+use std::sync::Arc;
+
+use base::{hash, id, span, time};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use place::cost;
+use platform::{
+    answer::Answer,
+    call::{self, Call},
+    config::{Rule, Team},
+};
+use tokio::time as timer;
+
+use crate::{
+    body::{self, Body},
+    fleet::{Chain, Flight, Target},
+    front::Active,
+    refuse::{self, Reason},
+    routes::{self, Denied},
+    shared::Shared,
+    stream::Stream,
+    upstream::{Failure, Lease},
+};
+
+/// Longest response that is not a stream, in bytes.
+const MAX_RESPONSE: usize = 8 * 1024 * 1024;
+
+/// Time before the caller's own limit at which it is answered, so that the
+/// answer still arrives.
+const ANSWER_MARGIN: span::Span = span::Span::from_millis(30);
+
+/// Targets that are asked for one request at most, also when none of them ran
+/// it.
+const MOST_SENDS: usize = 4;
+
+/// A caller's request, read whole.
+#[derive(Debug)]
+pub struct Job {
+    /// What the process shares.
+    pub shared: Arc<Shared>,
+    /// The decoded head.
+    pub call: Call,
+    /// The rule.
+    pub rule: Rule,
+    /// When the request came.
+    pub started: time::Mono,
+    /// When it is answered at the latest.
+    pub deadline: time::Mono,
+    team: Option<Team>,
+    service: id::ServiceId,
+    chain: Chain,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// The targets that a request was sent to.
+#[derive(Clone, Debug, Default)]
+pub struct Tried {
+    /// All of them.
+    pub targets: Vec<id::TargetId>,
+    /// Number of those that may have run it.
+    pub runs: u32,
+}
+
+/// A response whose head has come.
+#[derive(Debug)]
+pub struct Reply {
+    /// The head.
+    pub answer: Answer,
+    /// The rest.
+    pub body: Incoming,
+    /// The connection.
+    pub lease: Lease,
+    /// The request at the target.
+    pub flight: Flight,
+}
+
+/// Why an attempt gave no response for the caller.
+#[derive(Debug)]
+enum Miss {
+    /// The target did not run the request.
+    NotRun,
+    /// It may have run.
+    Lost,
+    /// The time is over; it may have run.
+    Timeout,
+    /// The target ran it and failed.
+    Failed(Response<Body>),
+}
+
+/// Answers a request.
+pub async fn answer(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    active: Active,
+) -> Response<Body> {
+    let started = shared.clock.now();
+    match Job::read(shared, started, request).await {
+        Ok(job) => job.run(active).await,
+        Err((attempt, reason)) => {
+            tracing::info!(event = "refused", id = attempt, %reason);
+            refuse::answer(reason)
+        }
+    }
+}
+
+impl Job {
+    async fn read(
+        shared: &Arc<Shared>,
+        started: time::Mono,
+        request: Request<Incoming>,
+    ) -> Result<Self, (String, Reason)> {
+        let (head, body) = request.into_parts();
+        let call = Call::decode(&head).map_err(|error| (error.to_string(), Reason::Malformed))?;
+        let fail = |reason| (call.attempt.to_string(), reason);
+        let Some(routes) = shared.routes.load_full() else {
+            return Err(fail(Reason::Unready));
+        };
+        let found = routes.find(&call.host, head.uri.path(), call.key.as_deref());
+        let (rule, team) = found.map_err(|denied| {
+            fail(match denied {
+                Denied::Rule => Reason::Rule,
+                Denied::Key => Reason::Key,
+            })
+        })?;
+        let service = routes::service(&rule.shares, &call.attempt);
+        let service = service.ok_or(fail(Reason::Rule))?.clone();
+        let body = Limited::new(body, routes.config.limits.body)
+            .collect()
+            .await;
+        let body = body.map_err(|_| fail(Reason::Large))?.to_bytes();
+        let timeout = started + rule.timeout;
+        let deadline = match call.left {
+            Some(left) => timeout.min(started + less(left, ANSWER_MARGIN)),
+            None => timeout,
+        };
+        let (rule, team) = (rule.clone(), team.cloned());
+        Ok(Self {
+            shared: shared.clone(),
+            chain: Chain::new(&call.prompt),
+            headers: call::forwarded(&head.headers),
+            method: head.method,
+            uri: head.uri,
+            call,
+            rule,
+            started,
+            deadline,
+            team,
+            service,
+            body,
+        })
+    }
+
+    async fn run(self, active: Active) -> Response<Body> {
+        let job = Arc::new(self);
+        let mut tried = Tried::default();
+        let mut failed = None;
+        loop {
+            let Some(target) = job.next(&mut tried) else {
+                return job.give_up(&tried, failed);
+            };
+            let reply = match job.attempt(&target, None).await {
+                Ok(reply) => reply,
+                Err(miss) => {
+                    job.count(&mut tried, &miss);
+                    if let Miss::Failed(response) = miss {
+                        failed = Some(response);
+                    }
+                    continue;
+                }
+            };
+            if reply.answer.events && reply.answer.status.is_success() {
+                tried.runs += 1;
+                return Stream::response(job, reply, tried, active);
+            }
+            match job.plain(reply).await {
+                Ok(response) => {
+                    job.done("answered", Some(response.status()), &tried);
+                    return response;
+                }
+                Err(miss) => {
+                    job.count(&mut tried, &miss);
+                    if let Miss::Failed(response) = miss {
+                        failed = Some(response);
+                    }
+                }
+            }
+        }
+    }
+
+    fn count(&self, tried: &mut Tried, miss: &Miss) {
+        match miss {
+            Miss::NotRun => {}
+            Miss::Lost | Miss::Timeout | Miss::Failed(_) => tried.runs += 1,
+        }
+    }
+
+    /// Returns the next target, if another attempt is allowed and there is one.
+    pub fn next(&self, tried: &mut Tried) -> Option<Arc<Target>> {
+        let now = self.shared.clock.now();
+        let may_run =
+            tried.runs == 0 || (self.rule.class.is_repeatable() && tried.runs < self.rule.attempts);
+        if !may_run || now >= self.deadline || tried.targets.len() >= MOST_SENDS {
+            return None;
+        }
+        let (target, choice) = self.choose(now, tried)?;
+        if tried.targets.is_empty() {
+            self.shared.repeats().first(now, &self.service);
+        } else {
+            let routers = self
+                .shared
+                .routers
+                .load(std::sync::atomic::Ordering::Relaxed);
+            if !self.shared.repeats().repeat(now, &self.service, routers) {
+                tracing::info!(event = "repeat_denied", id = %self.call.attempt, service = %self.service);
+                return None;
+            }
+        }
+        tracing::info!(
+            event = "sent",
+            id = %self.call.attempt,
+            rule = %self.rule.id,
+            service = %self.service,
+            target = %target.row.id,
+            reason = %choice.reason,
+            cost_us = choice.micros,
+            attempt = tried.targets.len() + 1,
+            left = %self.deadline.since(now),
+        );
+        tried.targets.push(target.row.id.clone());
+        Some(target)
+    }
+
+    fn choose(&self, now: time::Mono, tried: &Tried) -> Option<(Arc<Target>, cost::Choice)> {
+        let fleet = self.shared.fleet.load();
+        let targets = fleet.as_ref()?.get(&self.service)?;
+        let centre = &self.shared.settings.centre;
+        let mut candidates: Vec<_> = targets
+            .iter()
+            .map(|target| cost::Candidate {
+                open: true,
+                ..target.candidate(now, &self.chain, centre)
+            })
+            .collect();
+        let open = targets
+            .iter()
+            .map(|target| target.candidate(now, &self.chain, centre).open);
+        let open: Vec<_> = open.collect();
+        // When all targets are set aside, the least bad one is tried.
+        let any = open.iter().any(|open| *open);
+        for ((candidate, open), target) in candidates.iter_mut().zip(open).zip(targets) {
+            candidate.open = (open || !any) && !tried.targets.contains(&target.row.id);
+        }
+        let seed = hash::bytes(self.call.attempt.as_str().as_bytes());
+        let choice = cost::choose(&candidates, self.chain.shared(), seed)?;
+        Some((targets[choice.index].clone(), choice))
+    }
+
+    /// Sends the request to a target and waits for the head of the response;
+    /// `seen` is the last event that was delivered.
+    async fn attempt(&self, target: &Arc<Target>, seen: Option<u64>) -> Result<Reply, Miss> {
+        let now = self.shared.clock.now();
+        let left = self.deadline.since(now);
+        let flight = target.begin(now, &self.chain);
+        let request = self.request(target, left, seen);
+        let sent = target.pool.send(request);
+        let (response, lease) = match timer::timeout(left.duration(), sent).await {
+            Ok(Ok(sent)) => sent,
+            Ok(Err(failure)) => return Err(self.missed(target, failure)),
+            Err(_) => {
+                self.note(target, "timeout");
+                return Err(Miss::Timeout);
+            }
+        };
+        let (head, body) = response.into_parts();
+        let answer = Answer::decode(head);
+        let reply = Reply {
+            answer,
+            body,
+            lease,
+            flight,
+        };
+        self.check(target, reply)
+    }
+
+    /// Resumes a stream at another target.
+    pub async fn resume(&self, tried: &mut Tried, seen: Option<u64>) -> Option<Reply> {
+        loop {
+            let target = self.next(tried)?;
+            match self.attempt(&target, seen).await {
+                Ok(reply) if reply.answer.events && reply.answer.status.is_success() => {
+                    tried.runs += 1;
+                    return Some(reply);
+                }
+                Ok(_) => tried.runs += 1,
+                Err(miss) => self.count(tried, &miss),
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        target: &Target,
+        left: span::Span,
+        seen: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let team = self.team.as_ref();
+        let priority = team
+            .and_then(|team| team.priority)
+            .unwrap_or(self.rule.priority);
+        let send = call::Send {
+            target: &target.row.id,
+            team: team.map(|team| &team.id),
+            left,
+            priority: self.rule.class.is_stream().then_some(priority),
+            seen,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = path(&self.uri);
+        *request.headers_mut() = call::address(&self.headers, &send);
+        request
+    }
+
+    fn missed(&self, target: &Target, failure: Failure) -> Miss {
+        let now = self.shared.clock.now();
+        target.outcome(|trust| trust.unanswered(now));
+        match failure {
+            Failure::NotSent(fault) => {
+                tracing::info!(event = "not_sent", id = %self.call.attempt, target = %target.row.id, %fault);
+                Miss::NotRun
+            }
+            Failure::Lost(fault) => {
+                tracing::info!(event = "lost", id = %self.call.attempt, target = %target.row.id, %fault);
+                Miss::Lost
+            }
+        }
+    }
+
+    fn note(&self, target: &Target, outcome: &'static str) {
+        tracing::info!(event = "missed", id = %self.call.attempt, target = %target.row.id, outcome);
+    }
+
+    /// Decides whether a response belongs to this request and can be used.
+    fn check(&self, target: &Arc<Target>, reply: Reply) -> Result<Reply, Miss> {
+        let now = self.shared.clock.now();
+        let answer = &reply.answer;
+        let own = answer
+            .attempt
+            .as_ref()
+            .is_none_or(|id| *id == self.call.attempt);
+        if !own {
+            target.outcome(|trust| trust.failed());
+            self.note(target, "foreign-response");
+            return Err(Miss::Lost);
+        }
+        if let Some(load) = answer.load {
+            target.report(now, load);
+        }
+        if answer.not_run {
+            if answer.status == StatusCode::MISDIRECTED_REQUEST {
+                target.outcome(|trust| trust.unanswered(now));
+            } else {
+                target.full(now);
+            }
+            self.note(target, "not-run");
+            return Err(Miss::NotRun);
+        }
+        // Without the target's word these statuses would promise the caller
+        // that the request did not run.
+        let promises = matches!(answer.status.as_u16(), 408 | 429 | 503);
+        if promises || (answer.status.is_success() && !(answer.signed && answer.attempt.is_some()))
+        {
+            target.outcome(|trust| trust.failed());
+            self.note(target, "unusable-response");
+            return Err(Miss::Lost);
+        }
+        Ok(reply)
+    }
+
+    /// Reads a response that is not a stream.
+    async fn plain(&self, reply: Reply) -> Result<Response<Body>, Miss> {
+        let Reply {
+            answer,
+            body,
+            lease,
+            flight,
+        } = reply;
+        let target = flight.target().clone();
+        let left = self.deadline.since(self.shared.clock.now());
+        let whole = Limited::new(body, MAX_RESPONSE).collect();
+        let bytes = match timer::timeout(left.duration(), whole).await {
+            Ok(Ok(whole)) => whole.to_bytes(),
+            Ok(Err(error)) => {
+                target.outcome(|trust| trust.failed());
+                tracing::info!(event = "lost", id = %self.call.attempt, target = %target.row.id, %error);
+                return Err(Miss::Lost);
+            }
+            Err(_) => {
+                self.note(&target, "timeout");
+                return Err(Miss::Timeout);
+            }
+        };
+        if !answer.closes {
+            target.pool.keep(lease, answer.idle);
+        }
+        let failed = answer.status.is_server_error();
+        target.outcome(|trust| {
+            if failed {
+                trust.failed()
+            } else {
+                trust.served()
+            }
+        });
+        let mut response = Response::new(body::full(bytes));
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = answer.headers;
+        if failed && self.rule.class.is_repeatable() {
+            return Err(Miss::Failed(response));
+        }
+        Ok(response)
+    }
+
+    /// Answers a request that no target serves.
+    fn give_up(&self, tried: &Tried, failed: Option<Response<Body>>) -> Response<Body> {
+        if let Some(response) = failed {
+            self.done("failed", Some(response.status()), tried);
+            return response;
+        }
+        let expired = self.shared.clock.now() >= self.deadline;
+        let reason = match (tried.runs, expired) {
+            (0, true) => Reason::Expired,
+            (0, false) if self.shared.fleet.load().is_none() => Reason::Unready,
+            (0, false) => Reason::Busy,
+            (_, true) => Reason::Timeout,
+            (_, false) => Reason::Lost,
+        };
+        let response = refuse::answer(reason);
+        tracing::info!(
+            event = "refused",
+            id = %self.call.attempt,
+            rule = %self.rule.id,
+            service = %self.service,
+            %reason,
+            sends = tried.targets.len(),
+            runs = tried.runs,
+            took = %self.took(),
+        );
+        response
+    }
+
+    fn took(&self) -> span::Span {
+        self.shared.clock.now().since(self.started)
+    }
+
+    /// Logs how the request ended.
+    pub fn done(&self, outcome: &'static str, status: Option<StatusCode>, tried: &Tried) {
+        tracing::info!(
+            event = "done",
+            id = %self.call.attempt,
+            outcome,
+            status = status.map(|status| status.as_u16()),
+            sends = tried.targets.len(),
+            took = %self.took(),
+        );
+    }
+}
+
+/// Returns the path and the query as the caller sent them.
+fn path(uri: &Uri) -> Uri {
+    match uri.path_and_query() {
+        Some(path) => Uri::from(path.clone()),
+        None => Uri::from_static("/"),
+    }
+}
+
+fn less(span: span::Span, margin: span::Span) -> span::Span {
+    span::Span::from_micros(span.as_micros().saturating_sub(margin.as_micros()))
+}
--- /dev/null
+++ b/crates/edge/src/shared.rs
@@ -0,0 +1,66 @@
+//! What the threads of a router share.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, AtomicU32, Ordering},
+};
+
+use admit::repeat::Repeats;
+use arc_swap::ArcSwapOption;
+use base::time;
+use platform::settings::Settings;
+
+use crate::{fleet::Fleet, routes::Routes};
+
+/// Snapshots for traffic, and the state of decisions that span requests.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings of this process.
+    pub settings: Settings,
+    /// The process's clock.
+    pub clock: time::Clock,
+    /// The configuration in force; `None` until one is known.
+    pub routes: ArcSwapOption<Routes>,
+    /// The targets that take new work; `None` until the table was read.
+    pub fleet: ArcSwapOption<Fleet>,
+    /// Whether the process has been told to stop.
+    pub stopping: AtomicBool,
+    /// Routers that share the budget of repeats, this one included.
+    pub routers: AtomicU32,
+    repeats: Mutex<Repeats>,
+}
+
+impl Shared {
+    /// Starts with nothing known.
+    pub fn new(settings: Settings) -> Arc<Self> {
+        let bounds = settings.bounds;
+        let rule = admit::repeat::Rule {
+            ratio: bounds.ratio,
+            allowance: bounds.allowance,
+            window: bounds.window,
+        };
+        Arc::new(Self {
+            clock: time::Clock::start(),
+            routes: ArcSwapOption::empty(),
+            fleet: ArcSwapOption::empty(),
+            stopping: AtomicBool::new(false),
+            routers: AtomicU32::new(FIRST_ROUTERS),
+            repeats: Mutex::new(Repeats::new(rule)),
+            settings,
+        })
+    }
+
+    /// Returns the budget of repeats.
+    pub fn repeats(&self) -> MutexGuard<'_, Repeats> {
+        self.repeats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let knows = self.routes.load().is_some() && self.fleet.load().is_some();
+        knows && !self.stopping.load(Ordering::Relaxed)
+    }
+}
+
+/// Routers that are assumed to share the budget of repeats before any is known.
+const FIRST_ROUTERS: u32 = 8;
--- /dev/null
+++ b/crates/edge/src/stream.rs
@@ -0,0 +1,152 @@
+//! Forwards an event stream, and resumes it at another target where the rule
+//! allows it.
+
+use std::sync::Arc;
+
+use base::fault::Fault;
+use bytes::Bytes;
+use futures_util::stream;
+use http::Response;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use tokio::time as timer;
+
+use crate::{
+    body::Body,
+    events::Aligner,
+    front::Active,
+    relay::{Job, Reply, Tried},
+};
+
+/// A stream on its way to a caller.
+pub struct Stream {
+    job: Arc<Job>,
+    reply: Reply,
+    aligner: Aligner,
+    tried: Tried,
+    ended: bool,
+    _active: Active,
+}
+
+/// What was read from the target.
+enum Read {
+    Events(Bytes),
+    End,
+    Broken(Fault),
+    Timeout,
+}
+
+impl Stream {
+    /// Makes the response to the caller: the head of the first target and
+    /// the events as they come.
+    pub fn response(job: Arc<Job>, reply: Reply, tried: Tried, active: Active) -> Response<Body> {
+        let status = reply.answer.status;
+        let headers = reply.answer.headers.clone();
+        let stream = Self {
+            aligner: Aligner::new(job.call.seen),
+            job,
+            reply,
+            tried,
+            ended: false,
+            _active: active,
+        };
+        let frames = stream::unfold(stream, |stream| async move { stream.next().await });
+        let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    async fn next(mut self) -> Option<(Result<Frame<Bytes>, Fault>, Self)> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            match self.read().await {
+                Read::Events(events) if events.is_empty() => {}
+                Read::Events(events) => return Some((Ok(Frame::data(events)), self)),
+                Read::End => return self.finish(),
+                Read::Broken(fault) => {
+                    let target = self.reply.flight.target().clone();
+                    target.outcome(|trust| trust.failed());
+                    let id = &self.job.call.attempt;
+                    let last = self.aligner.last();
+                    tracing::info!(event = "stream_broken", %id, target = %target.row.id, last, %fault);
+                    if !self.resume().await {
+                        return self.abort("stream-broken", fault);
+                    }
+                }
+                Read::Timeout => {
+                    let fault = Fault::new("read stream", "target", "time limit reached");
+                    return self.abort("stream-timeout", fault);
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Read {
+        let left = self.job.deadline.since(self.job.shared.clock.now());
+        let frame = timer::timeout(left.duration(), self.reply.body.frame()).await;
+        let peer = &self.reply.flight.target().row.id;
+        match frame {
+            Err(_) => Read::Timeout,
+            Ok(None) if self.aligner.has_rest() => Read::Broken(Fault::new(
+                "read stream",
+                peer,
+                "the last event is not whole",
+            )),
+            Ok(None) => Read::End,
+            Ok(Some(Err(error))) => Read::Broken(Fault::new("read stream", peer, error)),
+            Ok(Some(Ok(frame))) => {
+                let data = frame.into_data().unwrap_or_default();
+                match self.aligner.push(&data) {
+                    Ok(events) => {
+                        self.reply.flight.answered();
+                        Read::Events(events)
+                    }
+                    Err(error) => Read::Broken(Fault::new("read stream", peer, error)),
+                }
+            }
+        }
+    }
+
+    async fn resume(&mut self) -> bool {
+        self.aligner.reset();
+        if !self.job.rule.class.is_repeatable() {
+            return false;
+        }
+        match self.job.resume(&mut self.tried, self.aligner.last()).await {
+            Some(reply) => {
+                self.reply = reply;
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn finish(self) -> Option<(Result<Frame<Bytes>, Fault>, Self)> {
+        let Reply {
+            answer,
+            lease,
+            flight,
+            ..
+        } = self.reply;
+        let target = flight.target();
+        target.outcome(|trust| trust.served());
+        if !answer.closes {
+            target.pool.keep(lease, answer.idle);
+        }
+        self.job.done("streamed", Some(answer.status), &self.tried);
+        None
+    }
+
+    fn abort(
+        mut self,
+        outcome: &'static str,
+        fault: Fault,
+    ) -> Option<(Result<Frame<Bytes>, Fault>, Self)> {
+        self.job.done(outcome, None, &self.tried);
+        self.ended = true;
+        Some((Err(fault), self))
+    }
+}
--- /dev/null
+++ b/crates/edge/src/upstream.rs
@@ -0,0 +1,185 @@
+//! Connections to one target.
+
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use base::{
+    fault::{At, Fault},
+    span,
+};
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle, time};
+
+/// Longest time for a new connection. The path takes a few milliseconds; a
+/// target that drops the first packet is better passed over.
+const CONNECT_TIMEOUT: span::Span = span::Span::from_millis(400);
+
+/// Time after which sent bytes that the target's host did not acknowledge break
+/// the connection.
+const SILENCE_TIMEOUT: span::Span = span::Span::from_millis(900);
+
+/// Longest time that an idle connection is kept, where the target names none.
+const IDLE_TIMEOUT: span::Span = span::Span::from_secs(4);
+
+/// Time before the end that the target names at which an idle connection is
+/// given up, because a request may cross its close.
+const IDLE_MARGIN: span::Span = span::Span::from_millis(700);
+
+/// Idle connections that are kept to one target at most.
+const MOST_IDLE: usize = 16;
+
+/// Why a request got no response.
+#[derive(Debug)]
+pub enum Failure {
+    /// No byte of it was sent.
+    NotSent(Fault),
+    /// It may have run.
+    Lost(Fault),
+}
+
+/// Kept connections to one target.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    idle: Mutex<Vec<Idle>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: Task,
+}
+
+/// Closes the connection when it is dropped, which cancels the request on it.
+#[derive(Debug)]
+struct Task(AbortHandle);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection while a response is read from it.
+#[derive(Debug)]
+pub struct Lease(Connection);
+
+impl Pool {
+    /// Makes an empty pool.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Mutex::default(),
+        }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// When there is no response; the failure says whether the request may have
+    /// run.
+    pub async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), Failure> {
+        loop {
+            let kept = self.take();
+            let fresh = kept.is_none();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => self.connect().await.map_err(Failure::NotSent)?,
+            };
+            if connection.sender.ready().await.is_err() && !fresh {
+                continue;
+            }
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, Lease(connection))),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if !fresh => request = unsent,
+                    Some(_) => {
+                        let fault = Fault::new("send request", self.address, error.into_error());
+                        return Err(Failure::NotSent(fault));
+                    }
+                    None => {
+                        let fault = Fault::new("read response", self.address, error.into_error());
+                        return Err(Failure::Lost(fault));
+                    }
+                },
+            }
+        }
+    }
+
+    /// Keeps a connection whose response was read to its end.
+    pub fn keep(&self, lease: Lease, idle: Option<span::Span>) {
+        let named = idle.map(|idle| idle.as_micros().saturating_sub(IDLE_MARGIN.as_micros()));
+        let limit = IDLE_TIMEOUT.as_micros();
+        let time = span::Span::from_micros(named.unwrap_or(limit).min(limit));
+        let mut kept = self.idle();
+        if time > span::Span::ZERO && kept.len() < MOST_IDLE {
+            kept.push(Idle {
+                connection: lease.0,
+                until: Instant::now() + time.duration(),
+            });
+        }
+    }
+
+    fn take(&self) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle();
+        idle.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+        idle.pop().map(|idle| idle.connection)
+    }
+
+    async fn connect(&self) -> Result<Connection, Fault> {
+        const STEP: &str = "connect";
+        let connect = TcpStream::connect(self.address);
+        let stream = time::timeout(CONNECT_TIMEOUT.duration(), connect).await;
+        let stream = stream.at(STEP, self.address)?.at(STEP, self.address)?;
+        guard(&stream, SILENCE_TIMEOUT.duration()).at(STEP, self.address)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .at(STEP, self.address)?;
+        let address = self.address;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = "target_connection", %address, %error);
+            }
+        });
+        Ok(Connection {
+            sender,
+            task: Task(task.abort_handle()),
+        })
+    }
+}
+
+/// Breaks a connection whose peer acknowledges nothing for a time.
+///
+/// # Errors
+///
+/// When the system refuses an option.
+pub fn guard(stream: &TcpStream, silence: Duration) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(silence))
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,7 +8,9 @@
 //! See [the design page](../../../docs/design.md), section 2.4.
 
 pub mod choose;
+pub mod cost;
 pub mod policy;
 mod rank;
 pub mod standing;
+pub mod trust;
 pub mod view;
--- a/crates/daemon/src/logs.rs
+++ b/crates/roles/src/logs.rs
@@ -6,7 +6,7 @@
 use tracing_subscriber::{EnvFilter, layer::SubscriberExt, util::SubscriberInitExt};
 
 /// Sends log lines to standard error; `filter` has the syntax of
-/// `tracing_subscriber::EnvFilter`, such as `info` or `daemon=debug`.
+/// `tracing_subscriber::EnvFilter`, such as `info` or `roles=debug`.
 ///
 /// A second call in one process changes nothing, so that tests and examples
 /// can run several daemons.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod list;
 pub mod object;
 pub mod ramp;
-mod service;
+pub mod service;
 pub mod share;
 pub mod table;
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -21,37 +21,46 @@
 
 /// The connections to a service and the limits on its calls.
 #[derive(Debug)]
-pub(crate) struct Service {
+pub struct Service {
     client: Client,
     guard: Guard,
 }
 
 impl Service {
-    pub(crate) fn new(peer: SocketAddr, timeout: span::Span, policy: Policy) -> Self {
+    /// Makes the connections; the first is opened with the first call.
+    pub fn new(peer: SocketAddr, timeout: span::Span, policy: Policy) -> Self {
         Self {
             client: Client::new(peer, timeout),
             guard: Guard::new(policy),
         }
     }
 
-    pub(crate) fn peer(&self) -> SocketAddr {
+    /// Returns the service's address.
+    pub fn peer(&self) -> SocketAddr {
         self.client.peer()
     }
 
-    pub(crate) fn client(&self) -> &Client {
+    /// Returns the connections.
+    pub fn client(&self) -> &Client {
         &self.client
     }
 
-    pub(crate) fn rates(&self, rates: Rates) {
+    /// Changes this process's share of the rates.
+    pub fn rates(&self, rates: Rates) {
         self.guard.rates(rates);
     }
 
-    pub(crate) fn breaker(&self) -> breaker::State {
+    /// Returns the state of the circuit breaker.
+    pub fn breaker(&self) -> breaker::State {
         self.guard.breaker()
     }
 
     /// Reads a path; statuses other than 2xx and those in `allowed` are errors.
-    pub(crate) async fn read(&self, path: &str, allowed: &[StatusCode]) -> Result<Reply, Error> {
+    ///
+    /// # Errors
+    ///
+    /// When no allowed reply came, or the call was not sent.
+    pub async fn read(&self, path: &str, allowed: &[StatusCode]) -> Result<Reply, Error> {
         let attempt = || {
             self.client
                 .send(Request::builder(), path, Bytes::new(), allowed)
@@ -60,7 +69,11 @@
     }
 
     /// Runs the attempts of a write, which send by [`Service::client`].
-    pub(crate) async fn write<F>(&self, attempt: impl FnMut() -> F) -> Result<Reply, Error>
+    ///
+    /// # Errors
+    ///
+    /// When no allowed reply came, or the call was not sent.
+    pub async fn write<F>(&self, attempt: impl FnMut() -> F) -> Result<Reply, Error>
     where
         F: Future<Output = Result<Reply, Error>>,
     {
