Bound the time that lapsed rows are kept, and stop accepting before the end

A removed row was kept for 1.9 s whenever a call had failed within 3 s, and the ramp of the table's client slowed the reads after an outage. A stopping router took requests until its end.

Ruled out: the pace of reading in calm (0.7 s); the feed's order of changes.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -38,6 +38,11 @@
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time from nothing to the whole rate after an outage. Short, because a router
+/// makes two calls a second, and new work must stop reaching a target within
+/// two seconds of its leave.
+const RAMP_TIME: span::Span = span::Span::from_millis(200);
+
 /// Routers among which the rates of the table are divided.
 const RATE_SHARES: u32 = 40;
 
@@ -72,7 +77,7 @@
             longest: span::Span::from_millis(1_000),
             probe: CALL_TIMEOUT,
         },
-        climb: span::Span::from_secs(2),
+        climb: RAMP_TIME,
         ..Policy::default()
     };
     Service::new(store.address, CALL_TIMEOUT, policy)
@@ -206,6 +211,9 @@
     loop {
         let change = follower.next(span::Span::ZERO).await;
         let now = shared.clock.now();
+        if change.is_ok() {
+            listed.answered(now);
+        }
         match change {
             Ok(Change::All(rows)) => {
                 let targets = rows.iter().filter_map(decode).collect();
@@ -219,7 +227,7 @@
                     }
                 }
             }
-            Err(_) => listed.failed(now),
+            Err(_) => listed.failed(),
         }
         if follower.position.is_some() {
             publish(&shared, listed.open(now));
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -27,6 +27,10 @@
 /// a caller who keeps to the limit never meets the close.
 const IDLE_MARGIN: span::Span = span::Span::from_secs(3);
 
+/// Pause after a connection could not be accepted, such as for want of
+/// descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Time after which unacknowledged bytes break a caller's connection.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -66,21 +70,29 @@
             active: AtomicU32::new(0),
             connections: AtomicU32::new(0),
         });
-        let accepting = front.clone();
-        tokio::spawn(async move {
-            loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        tokio::spawn(accepting.clone().connection(stream));
-                    }
-                    Err(error) => {
-                        tracing::warn!(event = "accept_failed", %address, %error);
-                        timer::sleep(Duration::from_millis(10)).await;
-                    }
+        tokio::spawn(front.clone().accept(listener));
+        Ok(front)
+    }
+
+    /// Accepts callers until connections are to be closed: a request that came
+    /// later might not end before the process must.
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut closing = self.closing.clone();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = closing.wait_for(|closing| *closing) => return,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().connection(stream));
+                }
+                Err(error) => {
+                    tracing::warn!(event = "accept_failed", %error);
+                    timer::sleep(ACCEPT_PAUSE).await;
                 }
             }
-        });
-        Ok(front)
+        }
     }
 
     async fn connection(self: Arc<Self>, stream: TcpStream) {
--- a/crates/edge/src/leaving.rs
+++ b/crates/edge/src/leaving.rs
@@ -10,12 +10,9 @@
 use base::{id, span, time};
 use platform::target::Target;
 
-/// Time after a failed call to the table in which removed rows are taken to
-/// have lapsed in the outage.
-const OUTAGE_SHADOW: span::Span = span::Span::from_secs(3);
-
-/// Time in which a lapsed row may come back.
-const RETURN_TIME: span::Span = span::Span::from_millis(1_900);
+/// Time after the table's return in which rows that lapsed in its outage come
+/// back: two seconds, and the time of a call.
+const RETURN_TIME: span::Span = span::Span::from_millis(2_100);
 
 #[derive(Clone, Debug)]
 struct Entry {
@@ -28,13 +25,32 @@
 #[derive(Clone, Debug, Default)]
 pub struct Listed {
     entries: BTreeMap<id::TargetId, Entry>,
-    failed: Option<time::Mono>,
+    table: Table,
+}
+
+/// Whether the table answers.
+#[derive(Clone, Copy, Debug, Default)]
+enum Table {
+    /// It has answered all calls so far.
+    #[default]
+    Sound,
+    /// The latest call failed.
+    Away,
+    /// It answers again since then.
+    Back(time::Mono),
 }
 
 impl Listed {
     /// Notes that a call to the table failed.
-    pub fn failed(&mut self, now: time::Mono) {
-        self.failed = Some(now);
+    pub fn failed(&mut self) {
+        self.table = Table::Away;
+    }
+
+    /// Notes that the table answered.
+    pub fn answered(&mut self, now: time::Mono) {
+        if matches!(self.table, Table::Away) {
+            self.table = Table::Back(now);
+        }
     }
 
     /// Takes in a row. A leave is final for the same start of the target.
@@ -48,13 +64,12 @@
 
     /// Takes in the removal of a row.
     pub fn remove(&mut self, now: time::Mono, id: &str) {
-        let shadow = self
-            .failed
-            .is_some_and(|failed| now.since(failed) < OUTAGE_SHADOW);
-        if !shadow {
-            self.entries.remove(id);
-        } else if let Some(entry) = self.entries.get_mut(id) {
-            entry.gone.get_or_insert(now + RETURN_TIME);
+        let until = match self.table {
+            Table::Back(back) => back + RETURN_TIME,
+            Table::Sound | Table::Away => now,
+        };
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.gone.get_or_insert(until);
         }
     }
 
