--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,26 +1,22 @@
 //! Reads the platform's table: the configuration and the targets.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use base::{
     fault::{At, Fault},
-    id, span,
+    span, time,
 };
 use bytes::Bytes;
-use http::StatusCode;
-use platform::{
-    config::Config,
-    rows::{self, Page, Position, Row, Table},
-    target as row,
-};
+use http::{Method, Request, StatusCode, header};
+use platform::rows::{self, Page, Position, Row, Table};
 use store::{backoff::Backoff, breaker, control::Policy, service::Service, share::Rates};
 use tokio::time as timer;
 
 use crate::{
-    fleet::{Fleet, Target},
     leaving::Listed,
-    routes::Routes,
+    peers::Peers,
     shared::Shared,
+    view::{self, View},
 };
 
 /// Time for one call, the wait of a feed included. Above the longest wait of a
@@ -35,6 +31,16 @@
 /// second, so that a feed that waits for the first change returns at once.
 const TARGET_PAUSE: Duration = Duration::from_millis(700);
 
+/// Time that the feed of the routers' rows waits for a change. Routers hear of
+/// one another by news too.
+const MEMBER_WAIT: span::Span = span::Span::from_millis(1_500);
+
+/// Pause between two reads of the routers' rows.
+const MEMBER_PAUSE: Duration = Duration::from_secs(6);
+
+/// Pause after this router's row could not be written or the others not read.
+const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -46,15 +52,32 @@
 /// Routers among which the rates of the table are divided.
 const RATE_SHARES: u32 = 40;
 
-/// Follows the table until the runtime ends.
+/// Follows the table and speaks with the other routers until the runtime ends.
 pub async fn run(shared: Arc<Shared>) {
     let service = Arc::new(client(&shared));
-    let config = tokio::spawn(follow_config(shared.clone(), service.clone()));
-    let targets = tokio::spawn(follow_targets(shared, service));
-    for task in [config, targets] {
-        if let Err(error) = task.await {
-            tracing::error!(event = "control_failed", %error);
-        }
+    let view = View::new(shared.clone());
+    let peers = Peers::new(shared.clone(), view.clone());
+    tokio::spawn(follow_config(view.clone(), service.clone()));
+    tokio::spawn(follow_targets(
+        shared.clone(),
+        view.clone(),
+        service.clone(),
+    ));
+    tokio::spawn(register(shared, service.clone()));
+    tokio::spawn(follow_members(peers.clone(), service));
+    tokio::spawn(wake(view, peers.clone()));
+    if let Err(fault) = peers.serve().await {
+        tracing::error!(event = "peers_failed", %fault);
+    }
+    // The other tasks go on without the peers.
+    std::future::pending().await
+}
+
+/// Tells the other routers at once what changed.
+async fn wake(view: Arc<View>, peers: Arc<Peers>) {
+    loop {
+        view.changed.notified().await;
+        peers.wake.notify_one();
     }
 }
 
@@ -167,14 +190,14 @@
     }
 }
 
-async fn follow_config(shared: Arc<Shared>, service: Arc<Service>) {
+async fn follow_config(view: Arc<View>, service: Arc<Service>) {
     let mut follower = Follower::new(service, Table::Operator);
     loop {
         match follower.next(CONFIG_WAIT).await {
             Ok(Change::All(rows) | Change::Some(rows)) => {
                 let values = rows.into_iter().filter(|row| row.key == rows::CONFIG);
                 for value in values.filter_map(|row| row.value) {
-                    adopt(&shared, &value);
+                    view.adopt(&value, "table");
                 }
             }
             Err(_) => timer::sleep(FAILURE_PAUSE).await,
@@ -182,104 +205,110 @@
     }
 }
 
-/// Puts a configuration in force unless a newer one is.
-fn adopt(shared: &Shared, value: &Bytes) {
-    let config = match Config::decode(value) {
-        Ok(config) => config,
-        Err(error) => {
-            tracing::error!(event = "config_unreadable", %error);
-            return;
+async fn follow_targets(shared: Arc<Shared>, view: Arc<View>, service: Arc<Service>) {
+    let mut follower = Follower::new(service, Table::Targets);
+    loop {
+        let change = follower.next(span::Span::ZERO).await;
+        take_in(
+            &mut view.listed(),
+            shared.clock.now(),
+            follower.position,
+            change,
+        );
+        if follower.position.is_some() {
+            view.publish("table");
         }
-    };
-    let known = shared
-        .routes
-        .load()
-        .as_ref()
-        .map(|routes| routes.config.version);
-    let version = config.version;
-    if known.is_some_and(|known| known >= version) {
-        return;
+        timer::sleep(TARGET_PAUSE).await;
     }
-    let rules = config.rules.len();
-    shared.routes.store(Some(Arc::new(Routes::new(config))));
-    tracing::info!(event = "config", %version, rules, previous = known.map_or(0, |known| known.0));
 }
 
-async fn follow_targets(shared: Arc<Shared>, service: Arc<Service>) {
-    let mut follower = Follower::new(service, Table::Targets);
-    let mut listed = Listed::default();
-    loop {
-        let change = follower.next(span::Span::ZERO).await;
-        let now = shared.clock.now();
-        if change.is_ok() {
+fn take_in(
+    listed: &mut Listed,
+    now: time::Mono,
+    position: Option<Position>,
+    change: Result<Change, Fault>,
+) {
+    match change {
+        Ok(Change::All(rows)) => {
             listed.answered(now);
+            let targets = rows
+                .iter()
+                .filter_map(|row| Some((row.position, view::target(row)?)));
+            listed.replace(now, position.unwrap_or_default(), targets.collect());
         }
-        match change {
-            Ok(Change::All(rows)) => {
-                let targets = rows.iter().filter_map(decode).collect();
-                listed.replace(now, targets);
-            }
-            Ok(Change::Some(rows)) => {
-                for row in &rows {
-                    match decode(row) {
-                        Some(target) => listed.put(target),
-                        None => listed.remove(now, &row.key),
-                    }
+        Ok(Change::Some(rows)) => {
+            listed.answered(now);
+            for row in &rows {
+                match view::target(row) {
+                    Some(target) => listed.put(now, row.position, target),
+                    None => listed.remove(now, row.position, &row.key),
                 }
             }
-            Err(_) => listed.failed(),
         }
-        if follower.position.is_some() {
-            publish(&shared, listed.open(now));
+        Err(_) => listed.failed(),
+    }
+}
+
+/// Writes this router's row, so that the others find it.
+async fn register(shared: Arc<Shared>, service: Arc<Service>) {
+    let key = shared.settings.process.as_str();
+    let address = shared.settings.peers.to_string();
+    loop {
+        let written = match rows::write(Table::Members, key, address.as_bytes()) {
+            Ok(body) => transact(&service, body).await,
+            Err(error) => Err(Fault::new("encode row", key, error)),
+        };
+        match written {
+            Ok(()) => {
+                tracing::info!(event = "registered", address);
+                return;
+            }
+            Err(fault) => {
+                tracing::info!(event = "not_registered", %fault);
+                timer::sleep(REGISTER_PAUSE).await;
+            }
         }
-        timer::sleep(TARGET_PAUSE).await;
     }
 }
 
-fn decode(row: &Row) -> Option<row::Target> {
-    let value = row.value.as_ref()?;
-    match row::Target::decode(&row.key, value) {
-        Ok(target) => Some(target),
-        Err(error) => {
-            tracing::info!(event = "row_unusable", key = row.key, position = row.position.0, %error);
-            None
+async fn transact(service: &Service, body: Bytes) -> Result<(), Fault> {
+    let client = service.client();
+    let attempt = || {
+        let request = Request::builder()
+            .method(Method::POST)
+            .header(header::CONTENT_TYPE, "application/json");
+        client.send(request, rows::TRANSACTION, body.clone(), &[])
+    };
+    let reply = service
+        .write(attempt)
+        .await
+        .at("write row", service.peer())?;
+    tracing::debug!(event = "row_written", status = reply.status.as_u16());
+    Ok(())
+}
+
+async fn follow_members(peers: Arc<Peers>, service: Arc<Service>) {
+    let mut follower = Follower::new(service, Table::Members);
+    loop {
+        match follower.next(MEMBER_WAIT).await {
+            Ok(Change::All(rows) | Change::Some(rows)) => {
+                for row in &rows {
+                    list(&peers, row);
+                }
+                timer::sleep(MEMBER_PAUSE).await;
+            }
+            Err(_) => timer::sleep(REGISTER_PAUSE).await,
         }
     }
 }
 
-/// Replaces the fleet that traffic sees; what is known of a target that stays
-/// is kept.
-fn publish(shared: &Shared, open: Vec<&row::Target>) {
-    let old = shared.fleet.load_full();
-    let known: BTreeMap<&id::TargetId, &Arc<Target>> = old
-        .iter()
-        .flat_map(|fleet| fleet.values().flatten())
-        .map(|target| (&target.row.id, target))
-        .collect();
-    let unchanged = known.len() == open.len()
-        && open
-            .iter()
-            .all(|row| known.get(&row.id).is_some_and(|target| target.row == **row));
-    if unchanged && old.is_some() {
+fn list(peers: &Peers, row: &Row) {
+    let Some(value) = &row.value else {
         return;
+    };
+    let text = String::from_utf8_lossy(value);
+    match text.parse() {
+        Ok(address) => peers.list(address),
+        Err(error) => tracing::info!(event = "row_unusable", key = row.key, %error),
     }
-    let mut fleet = Fleet::new();
-    for row in &open {
-        let kept = known.get(&row.id).filter(|target| target.row == **row);
-        let target = kept.map_or_else(
-            || {
-                tracing::info!(event = "target_open", target = %row.id, service = %row.service, address = %row.address);
-                Arc::new(Target::new((*row).clone()))
-            },
-            |target| (*target).clone(),
-        );
-        fleet.entry(row.service.clone()).or_default().push(target);
-    }
-    for target in known
-        .keys()
-        .filter(|id| open.iter().all(|row| row.id != ***id))
-    {
-        tracing::info!(event = "target_closed", %target);
-    }
-    shared.fleet.store(Some(Arc::new(fleet)));
 }
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -17,8 +17,23 @@
 /// Time after which the load that a target reported counts for nothing.
 const REPORT_LIFE: span::Span = span::Span::from_secs(2);
 
-/// The targets by service, immutable once built.
-pub type Fleet = BTreeMap<id::ServiceId, Vec<Arc<Target>>>;
+/// Time after which what a peer told of its requests counts for nothing.
+const PEER_LIFE: span::Span = span::Span::from_millis(1_500);
+
+/// The targets, immutable once built.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    services: BTreeMap<id::ServiceId, Vec<Arc<Target>>>,
+    targets: BTreeMap<TargetHash, Arc<Target>>,
+}
+
+/// Hash of a target's id, which routers send to one another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TargetHash(pub u64);
+
+/// Hash of a part of a prompt and of all parts before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PartHash(pub u64);
 
 /// One target.
 #[derive(Debug)]
@@ -26,9 +41,10 @@
     /// Its row.
     pub row: row::Target,
     /// Kept connections.
-    pub pool: Pool,
-    hash: u64,
-    live: Mutex<Live>,
+    pub pool: Arc<Pool>,
+    /// Hash of its id.
+    pub hash: TargetHash,
+    live: Arc<Mutex<Live>>,
 }
 
 #[derive(Debug, Default)]
@@ -37,20 +53,59 @@
     pending: u32,
     others: u32,
     reported: time::Mono,
+    peers: BTreeMap<u64, Told>,
     trust: Trust,
-    parts: BTreeMap<u64, time::Mono>,
+    parts: BTreeMap<PartHash, time::Mono>,
 }
 
-/// The parts of a prompt as hashes of everything up to their end.
+/// What a peer told of its requests at a target.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    count: u32,
+    at: time::Mono,
+}
+
+/// The parts of a prompt, each hashed with everything before it.
 #[derive(Clone, Debug, Default)]
 pub struct Chain(Vec<Link>);
 
 #[derive(Clone, Copy, Debug)]
 struct Link {
-    hash: u64,
+    hash: PartHash,
     tokens: u32,
 }
 
+impl Fleet {
+    /// Builds the fleet from rows; what is known of a target that stays is kept.
+    pub fn new(rows: &[&row::Target], old: Option<&Self>) -> Self {
+        let mut fleet = Self::default();
+        for row in rows {
+            let hash = TargetHash(hash::bytes(row.id.as_str().as_bytes()));
+            let known = old.and_then(|old| old.targets.get(&hash));
+            let target = Arc::new(Target::new((*row).clone(), hash, known));
+            fleet.targets.insert(hash, target.clone());
+            let service = fleet.services.entry(row.service.clone()).or_default();
+            service.push(target);
+        }
+        fleet
+    }
+
+    /// Returns the targets of a service, those that leave included.
+    pub fn service(&self, service: &id::ServiceId) -> &[Arc<Target>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns a target by its hash.
+    pub fn target(&self, hash: TargetHash) -> Option<&Arc<Target>> {
+        self.targets.get(&hash)
+    }
+
+    /// Returns all targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.targets.values()
+    }
+}
+
 impl Chain {
     /// Hashes the parts of a prompt; an engine holds a part only for the same
     /// model and after the same parts.
@@ -59,32 +114,44 @@
         let link = |part: &Part| {
             hash = hash::mix(hash, hash::bytes(part.id.as_bytes()));
             Link {
-                hash,
+                hash: PartHash(hash),
                 tokens: part.tokens,
             }
         };
         Self(parts.iter().map(link).collect())
     }
 
-    /// Returns the hash of the longest part that other requests share.
-    pub fn shared(&self) -> Option<u64> {
-        let own = self.0.len().checked_sub(1)?;
-        Some(self.0.get(own.checked_sub(1)?)?.hash)
+    /// Returns the parts that other requests share, the longest last.
+    pub fn shared(&self) -> impl Iterator<Item = PartHash> {
+        let count = self.0.len().saturating_sub(1);
+        self.0.iter().take(count).map(|link| link.hash)
     }
 
-    fn tokens(&self) -> u32 {
+    /// Returns the length of the whole prompt.
+    pub fn tokens(&self) -> u32 {
         self.0.iter().map(|link| link.tokens).sum()
     }
+
+    /// Returns the length of the request's own part.
+    pub fn own(&self) -> u32 {
+        self.0.last().map_or(0, |link| link.tokens)
+    }
 }
 
 impl Target {
-    /// Makes a target that nothing is known of.
-    pub fn new(row: row::Target) -> Self {
+    fn new(row: row::Target, hash: TargetHash, known: Option<&Arc<Self>>) -> Self {
+        let same = known.filter(|known| {
+            known.row.id == row.id && known.row.born == row.born && known.row.address == row.address
+        });
+        let (pool, live) = match same {
+            Some(same) => (same.pool.clone(), same.live.clone()),
+            None => (Arc::new(Pool::new(row.address)), Arc::default()),
+        };
         Self {
-            hash: hash::bytes(row.id.as_str().as_bytes()),
-            pool: Pool::new(row.address),
-            live: Mutex::default(),
             row,
+            pool,
+            hash,
+            live,
         }
     }
 
@@ -101,24 +168,27 @@
     ) -> cost::Candidate {
         let live = self.live();
         cost::Candidate {
-            hash: self.hash,
+            hash: self.hash.0,
             load: live.own + live.others(now),
             pending: live.pending,
             missing: live.missing(chain),
             penalty: live.trust.penalty(),
             near: self.row.centre == *centre,
-            open: live.trust.is_open(now),
+            open: !self.row.leaving,
+            trusted: live.trust.is_open(now),
         }
     }
 
     /// Notes that a request is sent; the flight ends when it is dropped.
-    pub fn begin(self: &Arc<Self>, now: time::Mono, chain: &Chain) -> Flight {
+    /// `missing` is the length of what the target reads.
+    pub fn begin(self: &Arc<Self>, now: time::Mono, chain: &Chain, missing: u32) -> Flight {
         let mut live = self.live();
-        let missing = live.missing(chain);
         live.own += 1;
         live.pending = live.pending.saturating_add(missing);
         live.trust.sent(now);
-        live.hold(now, chain);
+        for link in &chain.0 {
+            live.hold(now, link.hash);
+        }
         drop(live);
         Flight {
             target: self.clone(),
@@ -126,6 +196,29 @@
         }
     }
 
+    /// Returns how many requests of this router are at the target.
+    pub fn own(&self) -> u32 {
+        self.live().own
+    }
+
+    /// Notes that a peer sent a prompt with a part to the target.
+    pub fn holds(&self, now: time::Mono, part: PartHash) {
+        self.live().hold(now, part);
+    }
+
+    /// Notes how many requests of a peer are at the target.
+    pub fn told(&self, now: time::Mono, peer: u64, count: u32) {
+        let mut live = self.live();
+        match count {
+            0 => {
+                live.peers.remove(&peer);
+            }
+            _ => {
+                live.peers.insert(peer, Told { count, at: now });
+            }
+        }
+    }
+
     /// Notes the load that the target reported.
     pub fn report(&self, now: time::Mono, load: report::Load) {
         let mut live = self.live();
@@ -144,13 +237,31 @@
     pub fn outcome(&self, note: impl FnOnce(&mut Trust)) {
         note(&mut self.live().trust);
     }
+
+    /// Returns for how long the target is set aside.
+    pub fn aside(&self, now: time::Mono) -> Option<span::Span> {
+        self.live().trust.aside(now)
+    }
 }
 
 impl Live {
+    /// Returns the requests of others: what peers told, or the target's own
+    /// report where no peer tells anything.
     fn others(&self, now: time::Mono) -> u32 {
+        let fresh = |told: &&Told| now.since(told.at) < PEER_LIFE;
+        let told: u32 = self
+            .peers
+            .values()
+            .filter(fresh)
+            .map(|told| told.count)
+            .sum();
         let age = now.since(self.reported).as_micros();
         let left = REPORT_LIFE.as_micros().saturating_sub(age);
-        (u64::from(self.others) * left / REPORT_LIFE.as_micros()) as u32
+        let reported = u64::from(self.others) * left / REPORT_LIFE.as_micros();
+        match told {
+            0 => reported as u32,
+            _ => told,
+        }
     }
 
     fn missing(&self, chain: &Chain) -> u32 {
@@ -161,10 +272,8 @@
         chain.tokens() - held.map(|link| link.tokens).sum::<u32>()
     }
 
-    fn hold(&mut self, now: time::Mono, chain: &Chain) {
-        for link in &chain.0 {
-            self.parts.insert(link.hash, now);
-        }
+    fn hold(&mut self, now: time::Mono, part: PartHash) {
+        self.parts.insert(part, now);
         if self.parts.len() > MOST_PARTS {
             let mut used: Vec<_> = self.parts.values().copied().collect();
             let (_, middle, _) = used.select_nth_unstable(MOST_PARTS / 2);
--- /dev/null
+++ b/crates/edge/src/news.rs
@@ -0,0 +1,227 @@
+//! What routers tell one another.
+//!
+//! News is a datagram that each router sends to all others several times a
+//! second. It repeats absolute values, so that a lost one does no harm. What
+//! must arrive whole is fetched by a [`Snapshot`].
+
+use base::{id, span};
+use platform::{rows::Position, target as row};
+use prost::Message;
+
+use crate::{
+    fleet::{PartHash, TargetHash},
+    leaving::Leave,
+};
+
+/// Longest datagram that is sent, in bytes; longer ones would be split on the
+/// way.
+pub const MAX_DATAGRAM: usize = 1_400;
+
+/// Parts told in one datagram at most.
+pub const MOST_HOLDS: usize = 32;
+
+/// Leaves told in one datagram at most.
+pub const MOST_LEAVES: usize = 10;
+
+/// Targets set aside that are told in one datagram at most.
+pub const MOST_ASIDE: usize = 10;
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub struct News {
+    /// The sender.
+    #[prost(string, tag = "1")]
+    pub process: String,
+    /// Distinguishes the sender's runs.
+    #[prost(fixed64, tag = "2")]
+    pub run: u64,
+    /// Orders the datagrams of one run.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Version of the configuration in force, 0 before any.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
+    /// The sender's requests at targets; those not named have none.
+    #[prost(message, repeated, tag = "5")]
+    pub loads: Vec<LoadAt>,
+    /// Prompt parts that the sender sent to targets lately.
+    #[prost(message, repeated, tag = "6")]
+    pub holds: Vec<Hold>,
+    /// Targets that leave or are gone.
+    #[prost(message, repeated, tag = "7")]
+    pub leaves: Vec<Left>,
+    /// Targets that did not answer the sender.
+    #[prost(message, repeated, tag = "8")]
+    pub aside: Vec<Aside>,
+    /// Whether the sender stops and sends nothing more.
+    #[prost(bool, tag = "9")]
+    pub stopping: bool,
+}
+
+/// Requests at a target.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct LoadAt {
+    /// Hash of the target's id.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// Requests of the sender.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+
+/// A prompt part at a target.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Hold {
+    /// Hash of the target's id.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// Hash of the part and those before it.
+    #[prost(fixed64, tag = "2")]
+    pub part: u64,
+}
+
+/// A target that leaves.
+#[derive(Clone, PartialEq, Message)]
+pub struct Left {
+    /// The target's id.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Position of the change in the table.
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    /// Whether its row is gone.
+    #[prost(bool, tag = "3")]
+    pub gone: bool,
+}
+
+/// A target that did not answer.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Aside {
+    /// Hash of the target's id.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// Milliseconds for which it gets no request.
+    #[prost(uint32, tag = "2")]
+    pub millis: u32,
+}
+
+/// What a router needs that cannot read the table.
+#[derive(Clone, PartialEq, Message)]
+pub struct Snapshot {
+    /// The configuration as the table holds it; empty before any.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub config: bytes::Bytes,
+    /// The targets.
+    #[prost(message, repeated, tag = "2")]
+    pub targets: Vec<TargetRow>,
+}
+
+/// One target.
+#[derive(Clone, PartialEq, Message)]
+pub struct TargetRow {
+    /// The target's id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Where it listens.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Its service.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// Where it is.
+    #[prost(string, tag = "4")]
+    pub centre: String,
+    /// Requests that it runs at once.
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    /// Whether it leaves.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    /// Time of its start.
+    #[prost(int64, tag = "7")]
+    pub born: i64,
+    /// Position of its row in the table.
+    #[prost(uint64, tag = "8")]
+    pub position: u64,
+}
+
+impl Hold {
+    /// Makes an entry.
+    pub fn new(target: TargetHash, part: PartHash) -> Self {
+        Self {
+            target: target.0,
+            part: part.0,
+        }
+    }
+}
+
+impl Aside {
+    /// Makes an entry.
+    pub fn new(target: TargetHash, time: span::Span) -> Self {
+        Self {
+            target: target.0,
+            millis: u32::try_from(time.as_micros() / 1_000).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns for how long the target gets no request.
+    pub fn time(&self) -> span::Span {
+        span::Span::from_millis(self.millis.into())
+    }
+}
+
+impl From<&Leave> for Left {
+    fn from(leave: &Leave) -> Self {
+        Self {
+            target: leave.target.to_string(),
+            position: leave.position.0,
+            gone: leave.gone,
+        }
+    }
+}
+
+impl TryFrom<&Left> for Leave {
+    type Error = id::IdError;
+
+    fn try_from(left: &Left) -> Result<Self, id::IdError> {
+        Ok(Self {
+            target: left.target.parse()?,
+            position: Position(left.position),
+            gone: left.gone,
+        })
+    }
+}
+
+impl TargetRow {
+    /// Makes a row.
+    pub fn new(position: Position, target: &row::Target) -> Self {
+        Self {
+            id: target.id.to_string(),
+            address: target.address.to_string(),
+            service: target.service.to_string(),
+            centre: target.centre.to_string(),
+            slots: target.slots,
+            leaving: target.leaving,
+            born: target.born,
+            position: position.0,
+        }
+    }
+
+    /// Returns the target and the position of its row.
+    ///
+    /// # Errors
+    ///
+    /// When an id or the address is malformed.
+    pub fn target(&self) -> anyhow::Result<(Position, row::Target)> {
+        let target = row::Target {
+            id: self.id.parse()?,
+            address: self.address.parse()?,
+            service: self.service.parse()?,
+            centre: self.centre.parse()?,
+            slots: self.slots,
+            leaving: self.leaving,
+            born: self.born,
+        };
+        Ok((Position(self.position), target))
+    }
+}
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,334 @@
+//! Tells the other routers what this one knows, and hears what they know.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use base::{
+    fault::{At, Fault},
+    id, span, time,
+};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::{
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::Notify,
+    time as timer,
+};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::{
+    fleet::{PartHash, TargetHash},
+    leaving::Leave,
+    news::{
+        Aside, Left, LoadAt, MAX_DATAGRAM, MOST_ASIDE, MOST_HOLDS, MOST_LEAVES, News, Snapshot,
+    },
+    shared::Shared,
+    view::View,
+};
+
+/// Shortest pause between two rounds of news.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Pause for each peer, so that a router of a large fleet sends no more
+/// datagrams a second than one of a small fleet.
+const PEER_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time without news after which a peer does not count.
+const SILENT_TIME: span::Span = span::Span::from_secs(2);
+
+/// Rounds between two datagrams to a peer that is silent.
+const SILENT_ROUNDS: u64 = 8;
+
+/// Time after which a peer that neither speaks nor has a row is forgotten.
+const FORGET_TIME: span::Span = span::Span::from_secs(60);
+
+/// Time for fetching a snapshot.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Shortest time between two fetches.
+const FETCH_PAUSE: span::Span = span::Span::from_millis(200);
+
+/// Longest snapshot, in bytes.
+const MAX_SNAPSHOT: usize = 16 * 1024 * 1024;
+
+/// The other routers.
+#[derive(Debug)]
+pub struct Peers {
+    shared: Arc<Shared>,
+    view: Arc<View>,
+    known: Mutex<BTreeMap<SocketAddr, Peer>>,
+    fetched: Mutex<time::Mono>,
+    run: u64,
+    sequence: AtomicU64,
+    /// Wakes the sender before its pause is over.
+    pub wake: Notify,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    /// Whether the peer has a row in the table or is a seed.
+    listed: bool,
+    heard: Option<time::Mono>,
+    run: u64,
+    sequence: u64,
+}
+
+impl Peers {
+    /// Knows the seeds only.
+    pub fn new(shared: Arc<Shared>, view: Arc<View>) -> Arc<Self> {
+        let own = shared.settings.peers;
+        let seeds = shared.settings.seeds.iter().filter(|seed| **seed != own);
+        let peer = Peer {
+            listed: true,
+            ..Peer::default()
+        };
+        let known = seeds.map(|seed| (*seed, peer.clone())).collect();
+        Arc::new(Self {
+            shared,
+            view,
+            known: Mutex::new(known),
+            fetched: Mutex::default(),
+            run: id::random_bits() as u64,
+            sequence: AtomicU64::new(0),
+            wake: Notify::new(),
+        })
+    }
+
+    fn known(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in the row of a router.
+    pub fn list(&self, address: SocketAddr) {
+        if address != self.shared.settings.peers {
+            self.known().entry(address).or_default().listed = true;
+        }
+    }
+
+    /// Speaks with the other routers until the runtime ends.
+    ///
+    /// # Errors
+    ///
+    /// When the address for peers cannot be bound.
+    pub async fn serve(self: Arc<Self>) -> Result<(), Fault> {
+        let address = self.shared.settings.peers;
+        let socket = Arc::new(UdpSocket::bind(address).await.at("bind", address)?);
+        let listener = TcpListener::bind(address).await.at("listen", address)?;
+        tokio::spawn(self.clone().answer(listener));
+        tokio::spawn(self.clone().hear(socket.clone()));
+        let mut round = 0;
+        loop {
+            self.tell(&socket, round).await;
+            round += 1;
+            let peers = u32::try_from(self.known().len()).unwrap_or(u32::MAX);
+            let pause = PAUSE.max(PEER_PAUSE.saturating_mul(peers));
+            tokio::select! {
+                () = timer::sleep(pause) => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    /// Sends one round of news.
+    async fn tell(&self, socket: &UdpSocket, round: u64) {
+        let now = self.shared.clock.now();
+        let datagram = self.news(now).encode_to_vec();
+        if datagram.len() > MAX_DATAGRAM {
+            tracing::debug!(event = "news_long", bytes = datagram.len());
+        }
+        for address in self.receivers(now, round) {
+            if let Err(error) = socket.send_to(&datagram, address).await {
+                tracing::debug!(event = "news_unsent", %address, %error);
+            }
+        }
+    }
+
+    /// Returns the peers that get this round of news; silent ones get fewer.
+    fn receivers(&self, now: time::Mono, round: u64) -> Vec<SocketAddr> {
+        let mut known = self.known();
+        known.retain(|_, peer| {
+            peer.listed
+                || peer
+                    .heard
+                    .is_some_and(|heard| now.since(heard) < FORGET_TIME)
+        });
+        let speaks = |peer: &Peer| {
+            peer.heard
+                .is_some_and(|heard| now.since(heard) < SILENT_TIME)
+        };
+        let live = known.values().filter(|peer| speaks(peer)).count();
+        let routers = u32::try_from(live).unwrap_or(u32::MAX).saturating_add(1);
+        self.shared.routers.store(routers, Ordering::Relaxed);
+        known
+            .iter()
+            .filter(|(_, peer)| speaks(peer) || round % SILENT_ROUNDS == 0)
+            .map(|(address, _)| *address)
+            .collect()
+    }
+
+    fn news(&self, now: time::Mono) -> News {
+        let fleet = self.shared.fleet.load();
+        let targets = || fleet.iter().flat_map(|fleet| fleet.targets());
+        let loads = targets().map(|target| LoadAt {
+            target: target.hash.0,
+            count: target.own(),
+        });
+        let aside =
+            targets().filter_map(|target| Some(Aside::new(target.hash, target.aside(now)?)));
+        let leaves = self.view.listed().leaves(now);
+        News {
+            process: self.shared.settings.process.to_string(),
+            run: self.run,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+            version: self.shared.version().0,
+            loads: loads.filter(|load| load.count > 0).collect(),
+            holds: self.shared.take_holds(MOST_HOLDS),
+            leaves: leaves
+                .iter()
+                .rev()
+                .take(MOST_LEAVES)
+                .map(Left::from)
+                .collect(),
+            aside: aside.take(MOST_ASIDE).collect(),
+            stopping: self.shared.stopping.load(Ordering::Relaxed),
+        }
+    }
+
+    async fn hear(self: Arc<Self>, socket: Arc<UdpSocket>) {
+        let mut buffer = vec![0; 64 * 1024];
+        loop {
+            match socket.recv_from(&mut buffer).await {
+                Ok((length, address)) => match News::decode(&buffer[..length]) {
+                    Ok(news) => self.take_in(address, &news),
+                    Err(error) => tracing::info!(event = "news_unreadable", %address, %error),
+                },
+                Err(error) => {
+                    tracing::warn!(event = "news_failed", %error);
+                    timer::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn take_in(self: &Arc<Self>, address: SocketAddr, news: &News) {
+        let now = self.shared.clock.now();
+        if !self.is_next(now, address, news) {
+            return;
+        }
+        if let Some(fleet) = self.shared.fleet.load().as_ref() {
+            let loads: BTreeMap<u64, u32> = news
+                .loads
+                .iter()
+                .map(|load| (load.target, load.count))
+                .collect();
+            for target in fleet.targets() {
+                let count = loads.get(&target.hash.0).copied().unwrap_or(0);
+                target.told(now, news.run, count);
+            }
+            for hold in &news.holds {
+                if let Some(target) = fleet.target(TargetHash(hold.target)) {
+                    target.holds(now, PartHash(hold.part));
+                }
+            }
+            for aside in &news.aside {
+                if let Some(target) = fleet.target(TargetHash(aside.target)) {
+                    target.outcome(|trust| trust.told(now, aside.time()));
+                }
+            }
+        }
+        self.view.told(
+            news.leaves
+                .iter()
+                .filter_map(|left| Leave::try_from(left).ok()),
+        );
+        self.catch_up(now, address, news.version);
+    }
+
+    /// Returns whether a datagram is newer than what came from its sender.
+    fn is_next(&self, now: time::Mono, address: SocketAddr, news: &News) -> bool {
+        let mut known = self.known();
+        let peer = known.entry(address).or_default();
+        let silent = peer
+            .heard
+            .is_none_or(|heard| now.since(heard) >= SILENT_TIME);
+        if silent {
+            tracing::info!(event = "peer_heard", peer = news.process, %address);
+        }
+        if peer.run == news.run && peer.sequence >= news.sequence {
+            return false;
+        }
+        *peer = Peer {
+            listed: peer.listed,
+            heard: Some(now),
+            run: news.run,
+            sequence: news.sequence,
+        };
+        true
+    }
+
+    /// Fetches a snapshot from a peer that has a newer configuration, or while
+    /// no target is known.
+    fn catch_up(self: &Arc<Self>, now: time::Mono, address: SocketAddr, version: u64) {
+        let behind = self.shared.version().0 < version || self.shared.fleet.load().is_none();
+        let mut fetched = self.fetched.lock().unwrap_or_else(PoisonError::into_inner);
+        if !behind || version == 0 || now.since(*fetched) < FETCH_PAUSE {
+            return;
+        }
+        *fetched = now;
+        let peers = self.clone();
+        tokio::spawn(async move {
+            match timer::timeout(FETCH_TIMEOUT, fetch(address)).await {
+                Ok(Ok(snapshot)) => peers.view.adopt_snapshot(&snapshot),
+                Ok(Err(fault)) => tracing::info!(event = "snapshot_failed", %fault),
+                Err(_) => tracing::info!(event = "snapshot_late", %address),
+            }
+        });
+    }
+
+    /// Sends a snapshot to each peer that connects.
+    async fn answer(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, address)) => {
+                    let snapshot = self.view.snapshot().encode_to_vec();
+                    tokio::spawn(async move {
+                        let mut frames = frames(stream);
+                        let sent = frames.send(Bytes::from(snapshot));
+                        if !matches!(timer::timeout(FETCH_TIMEOUT, sent).await, Ok(Ok(()))) {
+                            tracing::info!(event = "snapshot_unsent", %address);
+                        }
+                    });
+                }
+                Err(error) => {
+                    tracing::warn!(event = "accept_failed", %error);
+                    timer::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+fn frames(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_SNAPSHOT)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+async fn fetch(address: SocketAddr) -> Result<Snapshot, Fault> {
+    const STEP: &str = "fetch snapshot";
+    let stream = TcpStream::connect(address).await.at(STEP, address)?;
+    let frame = frames(stream).next().await;
+    let frame = frame
+        .ok_or("the peer closed the connection")
+        .at(STEP, address)?;
+    Snapshot::decode(frame.at(STEP, address)?).at(STEP, address)
+}
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,7 +1,10 @@
 //! Answers one request: finds its rule, chooses targets and delivers the
 //! response.
 
-use std::sync::Arc;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+};
 
 use base::{hash, id, span, time};
 use bytes::Bytes;
@@ -53,6 +56,8 @@
     pub deadline: time::Mono,
     team: Option<Team>,
     service: id::ServiceId,
+    /// Whether the service's engines fetch prompt parts from one another.
+    fetches: bool,
     chain: Chain,
     method: Method,
     uri: Uri,
@@ -69,6 +74,16 @@
     pub runs: u32,
 }
 
+/// A target for the next attempt.
+#[derive(Clone, Debug)]
+pub struct Pick {
+    target: Arc<Target>,
+    /// Where it fetches the prompt parts that it lacks.
+    source: Option<SocketAddr>,
+    /// Prompt tokens that it lacks.
+    missing: u32,
+}
+
 /// A response whose head has come.
 #[derive(Debug)]
 pub struct Reply {
@@ -142,6 +157,11 @@
             None => timeout,
         };
         let (rule, team) = (rule.clone(), team.cloned());
+        let fetches = routes
+            .config
+            .services
+            .get(&service)
+            .is_some_and(|service| service.fetches);
         Ok(Self {
             shared: shared.clone(),
             chain: Chain::new(&call.prompt),
@@ -154,6 +174,7 @@
             deadline,
             team,
             service,
+            fetches,
             body,
         })
     }
@@ -163,10 +184,10 @@
         let mut tried = Tried::default();
         let mut failed = None;
         loop {
-            let Some(target) = job.next(&mut tried) else {
+            let Some(pick) = job.next(&mut tried) else {
                 return job.give_up(&tried, failed);
             };
-            let reply = match job.attempt(&target, None).await {
+            let reply = match job.attempt(&pick, None).await {
                 Ok(reply) => reply,
                 Err(miss) => {
                     job.count(&mut tried, &miss);
@@ -203,21 +224,19 @@
     }
 
     /// Returns the next target, if another attempt is allowed and there is one.
-    pub fn next(&self, tried: &mut Tried) -> Option<Arc<Target>> {
+    pub fn next(&self, tried: &mut Tried) -> Option<Pick> {
         let now = self.shared.clock.now();
         let may_run =
             tried.runs == 0 || (self.rule.class.is_repeatable() && tried.runs < self.rule.attempts);
         if !may_run || now >= self.deadline || tried.targets.len() >= MOST_SENDS {
             return None;
         }
-        let (target, choice) = self.choose(now, tried)?;
+        let (pick, choice) = self.choose(now, tried)?;
+        let target = &pick.target;
         if tried.targets.is_empty() {
             self.shared.repeats().first(now, &self.service);
         } else {
-            let routers = self
-                .shared
-                .routers
-                .load(std::sync::atomic::Ordering::Relaxed);
+            let routers = self.shared.routers.load(Ordering::Relaxed);
             if !self.shared.repeats().repeat(now, &self.service, routers) {
                 tracing::info!(event = "repeat_denied", id = %self.call.attempt, service = %self.service);
                 return None;
@@ -231,45 +250,49 @@
             target = %target.row.id,
             reason = %choice.reason,
             cost_us = choice.micros,
+            missing = pick.missing,
+            source = pick.source.map(tracing::field::display),
             attempt = tried.targets.len() + 1,
             left = %self.deadline.since(now),
         );
         tried.targets.push(target.row.id.clone());
-        Some(target)
+        Some(pick)
     }
 
-    fn choose(&self, now: time::Mono, tried: &Tried) -> Option<(Arc<Target>, cost::Choice)> {
+    fn choose(&self, now: time::Mono, tried: &Tried) -> Option<(Pick, cost::Choice)> {
         let fleet = self.shared.fleet.load();
-        let targets = fleet.as_ref()?.get(&self.service)?;
+        let targets = fleet.as_ref()?.service(&self.service);
         let centre = &self.shared.settings.centre;
-        let mut candidates: Vec<_> = targets
-            .iter()
-            .map(|target| cost::Candidate {
-                open: true,
-                ..target.candidate(now, &self.chain, centre)
-            })
-            .collect();
-        let open = targets
-            .iter()
-            .map(|target| target.candidate(now, &self.chain, centre).open);
-        let open: Vec<_> = open.collect();
-        // When all targets are set aside, the least bad one is tried.
-        let any = open.iter().any(|open| *open);
-        for ((candidate, open), target) in candidates.iter_mut().zip(open).zip(targets) {
-            candidate.open = (open || !any) && !tried.targets.contains(&target.row.id);
+        let mut candidates = Vec::with_capacity(targets.len());
+        for target in targets {
+            let mut candidate = target.candidate(now, &self.chain, centre);
+            candidate.open &= !tried.targets.contains(&target.row.id);
+            candidates.push(candidate);
         }
+        let prompt = cost::Prompt {
+            part: self.chain.shared().last().map(|part| part.0),
+            own: self.chain.own(),
+            fetches: self.fetches,
+        };
         let seed = hash::bytes(self.call.attempt.as_str().as_bytes());
-        let choice = cost::choose(&candidates, self.chain.shared(), seed)?;
-        Some((targets[choice.index].clone(), choice))
+        let choice = cost::choose(&candidates, prompt, seed)?;
+        let pick = Pick {
+            target: targets[choice.index].clone(),
+            source: choice.source.map(|source| targets[source].row.address),
+            missing: candidates[choice.index].missing,
+        };
+        Some((pick, choice))
     }
 
     /// Sends the request to a target and waits for the head of the response;
     /// `seen` is the last event that was delivered.
-    async fn attempt(&self, target: &Arc<Target>, seen: Option<u64>) -> Result<Reply, Miss> {
+    async fn attempt(&self, pick: &Pick, seen: Option<u64>) -> Result<Reply, Miss> {
+        let target = &pick.target;
         let now = self.shared.clock.now();
         let left = self.deadline.since(now);
-        let flight = target.begin(now, &self.chain);
-        let request = self.request(target, left, seen);
+        let flight = target.begin(now, &self.chain, pick.missing);
+        self.shared.hold(target, &self.chain);
+        let request = self.request(pick, left, seen);
         let sent = target.pool.send(request);
         let (response, lease) = match timer::timeout(left.duration(), sent).await {
             Ok(Ok(sent)) => sent,
@@ -293,8 +316,8 @@
     /// Resumes a stream at another target.
     pub async fn resume(&self, tried: &mut Tried, seen: Option<u64>) -> Option<Reply> {
         loop {
-            let target = self.next(tried)?;
-            match self.attempt(&target, seen).await {
+            let pick = self.next(tried)?;
+            match self.attempt(&pick, seen).await {
                 Ok(reply) if reply.answer.events && reply.answer.status.is_success() => {
                     tried.runs += 1;
                     return Some(reply);
@@ -305,18 +328,14 @@
         }
     }
 
-    fn request(
-        &self,
-        target: &Target,
-        left: span::Span,
-        seen: Option<u64>,
-    ) -> Request<Full<Bytes>> {
+    fn request(&self, pick: &Pick, left: span::Span, seen: Option<u64>) -> Request<Full<Bytes>> {
         let team = self.team.as_ref();
         let priority = team
             .and_then(|team| team.priority)
             .unwrap_or(self.rule.priority);
         let send = call::Send {
-            target: &target.row.id,
+            target: &pick.target.row.id,
+            source: pick.source,
             team: team.map(|team| &team.id),
             left,
             priority: self.rule.class.is_stream().then_some(priority),
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -7,10 +7,14 @@
 
 use admit::repeat::Repeats;
 use arc_swap::ArcSwapOption;
-use base::time;
+use base::{id, time};
 use platform::settings::Settings;
 
-use crate::{fleet::Fleet, routes::Routes};
+use crate::{
+    fleet::{Chain, Fleet, Target},
+    news::Hold,
+    routes::Routes,
+};
 
 /// Snapshots for traffic, and the state of decisions that span requests.
 #[derive(Debug)]
@@ -28,6 +32,7 @@
     /// Routers that share the budget of repeats, this one included.
     pub routers: AtomicU32,
     repeats: Mutex<Repeats>,
+    holds: Mutex<Vec<Hold>>,
 }
 
 impl Shared {
@@ -46,6 +51,7 @@
             stopping: AtomicBool::new(false),
             routers: AtomicU32::new(FIRST_ROUTERS),
             repeats: Mutex::new(Repeats::new(rule)),
+            holds: Mutex::default(),
             settings,
         })
     }
@@ -55,6 +61,30 @@
         self.repeats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the version of the configuration in force, 0 before any.
+    pub fn version(&self) -> id::Version {
+        let routes = self.routes.load();
+        routes
+            .as_ref()
+            .map_or(id::Version(0), |routes| routes.config.version)
+    }
+
+    /// Notes that the shared parts of a prompt are sent to a target, for the
+    /// other routers.
+    pub fn hold(&self, target: &Target, chain: &Chain) {
+        let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        if holds.len() < MOST_HOLDS {
+            holds.extend(chain.shared().map(|part| Hold::new(target.hash, part)));
+        }
+    }
+
+    /// Takes the oldest of what [`Shared::hold`] noted.
+    pub fn take_holds(&self, most: usize) -> Vec<Hold> {
+        let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = holds.len().min(most);
+        holds.drain(..count).collect()
+    }
+
     /// Returns whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let knows = self.routes.load().is_some() && self.fleet.load().is_some();
@@ -62,5 +92,9 @@
     }
 }
 
+/// Prompt parts that wait to be told at most; more are not told, and read
+/// again at worst.
+const MOST_HOLDS: usize = 1_024;
+
 /// Routers that are assumed to share the budget of repeats before any is known.
 const FIRST_ROUTERS: u32 = 8;
--- /dev/null
+++ b/crates/edge/src/view.rs
@@ -0,0 +1,175 @@
+//! What a router believes about configuration and targets, from the table and
+//! from other routers.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::id;
+use bytes::Bytes;
+use platform::{config::Config, rows::Row, target as row};
+use tokio::sync::Notify;
+
+use crate::{
+    fleet::Fleet,
+    leaving::{Leave, Listed},
+    news::{Snapshot, TargetRow},
+    routes::Routes,
+    shared::Shared,
+};
+
+/// The beliefs of one process; traffic sees them through [`Shared`].
+#[derive(Debug)]
+pub struct View {
+    shared: Arc<Shared>,
+    listed: Mutex<Listed>,
+    /// The configuration in force, as the table holds it.
+    config: Mutex<Bytes>,
+    /// Told when something changed that other routers should know at once.
+    pub changed: Notify,
+}
+
+impl View {
+    /// Starts with nothing known.
+    pub fn new(shared: Arc<Shared>) -> Arc<Self> {
+        Arc::new(Self {
+            shared,
+            listed: Mutex::default(),
+            config: Mutex::default(),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Returns the rows of the targets.
+    pub fn listed(&self) -> MutexGuard<'_, Listed> {
+        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts a configuration in force unless one as new is.
+    pub fn adopt(&self, value: &Bytes, source: &'static str) {
+        let config = match Config::decode(value) {
+            Ok(config) => config,
+            Err(error) => {
+                tracing::error!(event = "config_unreadable", source, %error);
+                return;
+            }
+        };
+        let version = config.version;
+        let previous = self.shared.version();
+        if previous >= version {
+            return;
+        }
+        let rules = config.rules.len();
+        *self.config.lock().unwrap_or_else(PoisonError::into_inner) = value.clone();
+        self.shared
+            .routes
+            .store(Some(Arc::new(Routes::new(config))));
+        tracing::info!(event = "config", %version, %previous, rules, source);
+        self.changed.notify_one();
+    }
+
+    /// Takes in a leave that other routers tell.
+    pub fn told(&self, leaves: impl Iterator<Item = Leave>) {
+        let mut listed = self.listed();
+        let mut any = false;
+        for leave in leaves {
+            listed.told(&leave);
+            any = true;
+        }
+        drop(listed);
+        if any {
+            self.publish("peer");
+        }
+    }
+
+    /// Takes in the snapshot of another router.
+    pub fn adopt_snapshot(&self, snapshot: &Snapshot) {
+        if !snapshot.config.is_empty() {
+            self.adopt(&snapshot.config, "peer");
+        }
+        let now = self.shared.clock.now();
+        for row in &snapshot.targets {
+            match row.target() {
+                Ok((position, target)) => self.listed().put(now, position, target),
+                Err(error) => tracing::info!(event = "row_unusable", key = row.id, %error),
+            }
+        }
+        if !snapshot.targets.is_empty() {
+            self.publish("peer");
+        }
+    }
+
+    /// Returns what another router needs that cannot read the table.
+    pub fn snapshot(&self) -> Snapshot {
+        let config = self
+            .config
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let listed = self.listed();
+        let targets = listed
+            .rows()
+            .map(|(position, target)| TargetRow::new(position, target));
+        Snapshot {
+            config,
+            targets: targets.collect(),
+        }
+    }
+
+    /// Replaces the fleet that traffic sees, if a target changed.
+    pub fn publish(&self, source: &'static str) {
+        let now = self.shared.clock.now();
+        let old = self.shared.fleet.load_full();
+        let mut listed = self.listed();
+        let rows = listed.targets(now);
+        if let Some(old) = &old
+            && is_same(old, &rows)
+        {
+            return;
+        }
+        let fleet = Fleet::new(&rows, old.as_deref());
+        drop(listed);
+        log_changes(old.as_deref(), &fleet, source);
+        self.shared.fleet.store(Some(Arc::new(fleet)));
+        self.changed.notify_one();
+    }
+}
+
+/// Decodes the row of a target; other rows are logged and name none.
+pub fn target(row: &Row) -> Option<row::Target> {
+    let value = row.value.as_ref()?;
+    match row::Target::decode(&row.key, value) {
+        Ok(target) => Some(target),
+        Err(error) => {
+            tracing::info!(event = "row_unusable", key = row.key, position = row.position.0, %error);
+            None
+        }
+    }
+}
+
+fn is_same(fleet: &Fleet, rows: &[&row::Target]) -> bool {
+    let mut count = 0;
+    let known = fleet.targets().all(|target| {
+        count += 1;
+        rows.contains(&&target.row)
+    });
+    known && count == rows.len()
+}
+
+fn log_changes(old: Option<&Fleet>, new: &Fleet, source: &'static str) {
+    let state = |fleet: &Fleet, id: &id::TargetId| {
+        let found = fleet.targets().find(|target| target.row.id == *id);
+        found.map(|target| target.row.leaving)
+    };
+    for target in new.targets() {
+        let row = &target.row;
+        let before = old.and_then(|old| state(old, &row.id));
+        if before != Some(row.leaving) {
+            let (id, service, address) = (&row.id, &row.service, row.address);
+            tracing::info!(event = "target", target = %id, %service, %address, leaving = row.leaving, source);
+        }
+    }
+    for target in old.iter().flat_map(|old| old.targets()) {
+        if state(new, &target.row.id).is_none() {
+            tracing::info!(event = "target_gone", target = %target.row.id, source);
+        }
+    }
+}
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -1,16 +1,25 @@
 //! Chooses the target with the least expected cost for a prompt.
 //!
 //! Load pattern: returning chats share long prompt parts, which an engine reads
-//! again unless it holds them. All routers rank the same target first for the
-//! same part, so a part is read once for the fleet and not once for each
-//! router; a burst on one part spills to other targets, at the price of
-//! reading it again there. See [the design page](../../../docs/design.md),
+//! again unless it holds them. Routers tell one another who holds what; a part
+//! that nobody holds goes to the target that all routers rank first for it, so
+//! that it is read once for the fleet and not once for each router. A burst on
+//! one part spills to other targets, which fetch the part from a holder instead
+//! of reading it again. See [the design page](../../../docs/design.md),
 //! section 5.4.
 
 use base::hash;
 
-/// Microseconds in which an engine reads a prompt token, until it is learned.
-pub const TOKEN_MICROS: u64 = 21;
+/// Microseconds in which an engine reads a prompt token.
+const READ_MICROS: u64 = 21;
+
+/// Microseconds that a token is taken to cost when it is fetched from another
+/// engine. The transfer takes far less; the rest keeps chats where they are.
+const FETCH_MICROS: u64 = 5;
+
+/// Prompt tokens from which fetching is cheaper than reading: setting up a
+/// transfer takes the time of reading some hundred tokens.
+const FETCH_LEAST: u32 = 400;
 
 /// Microseconds by which a running request delays the next one at an engine:
 /// its share of a batch step and of the prompts read between steps.
@@ -22,7 +31,7 @@
 
 /// Factor on the mean load above which a target is passed over, in hundredths.
 /// Below the bound, because other routers choose at the same moment.
-const SPILL_PERCENT: u64 = 140;
+const SPILL_PERCENT: u64 = 150;
 
 /// Requests beyond the factor that a target may have, so that a mean near zero
 /// does not spread every request.
@@ -43,27 +52,47 @@
     pub penalty: u64,
     /// Whether the target is in the router's own data centre.
     pub near: bool,
-    /// Whether the target may be tried at all.
+    /// Whether the target takes new work. One that leaves may still be fetched
+    /// from.
     pub open: bool,
+    /// Whether the target answered lately.
+    pub trusted: bool,
+}
+
+/// A prompt as the choice sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Hash of the longest part that other requests share.
+    pub part: Option<u64>,
+    /// Tokens of the part that is the request's own.
+    pub own: u32,
+    /// Whether targets can fetch parts from one another.
+    pub fetches: bool,
 }
 
 /// Why a target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// First in the ranking of the prompt's shared part.
+    /// It holds the shared parts.
+    Holder,
+    /// Nobody holds them, and it is first in their ranking.
     Home,
-    /// It holds the prompt or is least loaded.
+    /// It is the cheapest of the others.
     Cheapest,
     /// Every target is above the spill level.
     Saturated,
+    /// No target that takes new work answered lately.
+    Untrusted,
 }
 
 impl std::fmt::Display for Reason {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.pad(match self {
+            Self::Holder => "holder",
             Self::Home => "home",
             Self::Cheapest => "cheapest",
             Self::Saturated => "saturated",
+            Self::Untrusted => "untrusted",
         })
     }
 }
@@ -77,50 +106,84 @@
     pub reason: Reason,
     /// Expected cost in microseconds.
     pub micros: u64,
+    /// Position of a candidate from which the target can fetch what it lacks.
+    pub source: Option<usize>,
 }
 
-/// Chooses a target for a prompt whose longest shared part has the hash `part`;
-/// `seed` breaks ties.
-pub fn choose(candidates: &[Candidate], part: Option<u64>, seed: u64) -> Option<Choice> {
-    let open = || candidates.iter().enumerate().filter(|(_, c)| c.open);
-    let home = part.and_then(|part| {
-        open()
-            .max_by_key(|(_, candidate)| hash::mix(candidate.hash, part))
-            .map(|(index, _)| index)
+/// Chooses a target; `seed` breaks ties.
+pub fn choose(candidates: &[Candidate], prompt: Prompt, seed: u64) -> Option<Choice> {
+    let trusts = candidates.iter().any(|c| c.open && c.trusted);
+    let eligible = |c: &Candidate| c.open && (c.trusted || !trusts);
+    let open = || candidates.iter().enumerate().filter(|(_, c)| eligible(c));
+    let level = spill_level(open().map(|(_, c)| c));
+    let full = |c: &Candidate| u64::from(c.load) >= level;
+    let holder = prompt
+        .part
+        .and_then(|_| best_holder(candidates, prompt.own));
+    let home = prompt.part.filter(|_| holder.is_none()).and_then(|part| {
+        let ranked = open().max_by_key(|(_, c)| (!full(c), hash::mix(c.hash, part)));
+        ranked.map(|(index, _)| index)
     });
-    let level = spill_level(candidates);
-    let key = |(index, candidate): (usize, &Candidate)| {
-        let full = u64::from(candidate.load) >= level;
-        let micros = micros(candidate, home == Some(index));
-        (full, micros, hash::mix(candidate.hash, seed), index)
+    let least = holder.map(|index| candidates[index].missing);
+    let cost = |index: usize, c: &Candidate| {
+        let read = match (home == Some(index), least) {
+            // Other routers send the part there too.
+            (true, _) => u64::from(prompt.own) * READ_MICROS,
+            (false, Some(least)) if prompt.fetches && c.missing > least => {
+                let fetched = u64::from(c.missing - least) * FETCH_MICROS;
+                u64::from(least) * READ_MICROS + fetched
+            }
+            _ => u64::from(c.missing) * READ_MICROS,
+        };
+        read + delay(c)
     };
-    let (full, micros, _, index) = open().map(key).min()?;
-    let reason = match (full, home) {
-        (true, _) => Reason::Saturated,
-        (_, Some(home)) if home == index => Reason::Home,
-        _ => Reason::Cheapest,
+    let key =
+        |(index, c): (usize, &Candidate)| (full(c), cost(index, c), hash::mix(c.hash, seed), index);
+    let (is_full, micros, _, index) = open().map(key).min()?;
+    let chosen = &candidates[index];
+    let source = holder.filter(|holder| {
+        let gain = chosen.missing.saturating_sub(candidates[*holder].missing);
+        prompt.fetches && *holder != index && gain >= FETCH_LEAST
+    });
+    let reason = if !trusts {
+        Reason::Untrusted
+    } else if is_full {
+        Reason::Saturated
+    } else if home == Some(index) {
+        Reason::Home
+    } else if prompt.part.is_some() && Some(chosen.missing) == least {
+        Reason::Holder
+    } else {
+        Reason::Cheapest
     };
     Some(Choice {
         index,
         reason,
         micros,
+        source,
     })
 }
 
-fn micros(candidate: &Candidate, home: bool) -> u64 {
-    // The first target of the ranking got the part from other routers.
-    let missing = if home { 0 } else { candidate.missing };
-    let tokens = u64::from(missing) + u64::from(candidate.pending);
+/// Returns a candidate that holds all shared parts, whether it takes new work or
+/// not.
+fn best_holder(candidates: &[Candidate], own: u32) -> Option<usize> {
+    let holders = candidates.iter().enumerate().filter(|(_, c)| c.trusted);
+    let (index, best) = holders.min_by_key(|(_, c)| (c.missing, !c.open, c.load))?;
+    (best.missing <= own).then_some(index)
+}
+
+/// Returns the delay that does not come from the prompt, in microseconds.
+fn delay(candidate: &Candidate) -> u64 {
     let far = if candidate.near { 0 } else { FAR_MICROS };
-    tokens * TOKEN_MICROS + u64::from(candidate.load) * REQUEST_MICROS + far + candidate.penalty
+    u64::from(candidate.pending) * READ_MICROS
+        + u64::from(candidate.load) * REQUEST_MICROS
+        + far
+        + candidate.penalty
 }
 
-fn spill_level(candidates: &[Candidate]) -> u64 {
-    let (count, total) = candidates
-        .iter()
-        .filter(|candidate| candidate.open)
-        .fold((0, 0), |(count, total), candidate| {
-            (count + 1, total + u64::from(candidate.load))
-        });
+fn spill_level<'a>(open: impl Iterator<Item = &'a Candidate>) -> u64 {
+    let (count, total) = open.fold((0, 0), |(count, total), candidate| {
+        (count + 1, total + u64::from(candidate.load))
+    });
     total * SPILL_PERCENT / (100 * u64::max(count, 1)) + SPILL_MARGIN
 }
--- a/crates/place/src/trust.rs
+++ b/crates/place/src/trust.rs
@@ -67,6 +67,17 @@
         }
     }
 
+    /// Returns for how long the target gets no request.
+    pub fn aside(&self, now: time::Mono) -> Option<span::Span> {
+        (self.until > now).then(|| self.until.since(now))
+    }
+
+    /// Notes that another router set the target aside: this one does not send
+    /// a trial of its own at once.
+    pub fn told(&mut self, now: time::Mono, aside: span::Span) {
+        self.until = self.until.max(now + aside.min(FIRST_PAUSE));
+    }
+
     /// Returns the delay to expect from failures, in microseconds.
     pub fn penalty(&self) -> u64 {
         (self.rate * FAILURE_MICROS) as u64
