--- /dev/null
+++ b/crates/edge/tests/leaving.rs
@@ -0,0 +1,128 @@
+//! Targets that leave, lapse and come back.
+
+use base::{span::Span, time::Mono};
+use edge::leaving::{Leave, Listed};
+use platform::{rows::Position, target::Target};
+
+fn target(id: &str, leaving: bool) -> Target {
+    Target {
+        id: id.parse().expect("an id"),
+        address: ([127, 0, 0, 1], 80).into(),
+        service: "s".parse().expect("an id"),
+        centre: "c".parse().expect("an id"),
+        slots: 1,
+        leaving,
+        born: 1,
+    }
+}
+
+fn at(millis: u64) -> Mono {
+    Mono(millis * 1_000)
+}
+
+fn open(listed: &mut Listed, now: Mono) -> Vec<String> {
+    let targets = listed.targets(now).into_iter();
+    targets
+        .filter(|target| !target.leaving)
+        .map(|target| target.id.to_string())
+        .collect()
+}
+
+#[test]
+fn removed_at_once() {
+    let mut listed = Listed::default();
+    listed.put(at(0), Position(1), target("a", false));
+    listed.put(at(0), Position(2), target("b", false));
+    listed.remove(at(10), Position(3), "a");
+    assert_eq!(open(&mut listed, at(10)), ["b"]);
+}
+
+/// A heartbeat that was written before the leave must not reopen the target.
+#[test]
+fn leave_is_final() {
+    let mut listed = Listed::default();
+    listed.put(at(0), Position(1), target("a", true));
+    listed.put(at(1), Position(2), target("a", false));
+    assert!(open(&mut listed, at(2)).is_empty());
+    let mut again = target("a", false);
+    again.born = 2;
+    listed.put(at(3), Position(3), again);
+    assert_eq!(open(&mut listed, at(3)), ["a"]);
+}
+
+/// Rows lapse while the table is away; they are back within two seconds of its
+/// return, and one that stays away is gone then.
+#[test]
+fn lapsed_rows() {
+    let mut listed = Listed::default();
+    listed.put(at(0), Position(1), target("a", false));
+    listed.put(at(0), Position(2), target("b", false));
+    listed.failed();
+    listed.answered(at(5_000));
+    listed.remove(at(5_000), Position(3), "a");
+    listed.remove(at(5_000), Position(4), "b");
+    assert_eq!(open(&mut listed, at(6_900)), ["a", "b"]);
+    listed.put(at(6_900), Position(5), target("a", false));
+    assert_eq!(open(&mut listed, at(7_200)), ["a"]);
+}
+
+/// Two seconds after the table's return a removal counts at once: hunted days
+/// sent work to a target 2.1 s after its row was removed.
+#[test]
+fn removed_after_outage() {
+    let mut listed = Listed::default();
+    listed.put(at(0), Position(1), target("a", false));
+    listed.failed();
+    listed.answered(at(5_000));
+    listed.remove(at(7_500), Position(2), "a");
+    assert!(open(&mut listed, at(7_500)).is_empty());
+}
+
+/// A router that reads the table late gets a leave from its peers, and the rows
+/// that it reads afterwards from before the leave change nothing.
+#[test]
+fn told_by_peer() {
+    let mut listed = Listed::default();
+    listed.put(at(0), Position(1), target("a", false));
+    listed.put(at(0), Position(1), target("b", false));
+    let mut other = listed.clone();
+    other.remove(at(1), Position(7), "a");
+    other.put(at(1), Position(8), target("b", true));
+    open(&mut other, at(1));
+    let leaves = other.leaves(at(2));
+    assert_eq!(leaves.len(), 2);
+    for leave in &leaves {
+        listed.told(leave);
+    }
+    assert!(open(&mut listed, at(2)).is_empty());
+    listed.put(at(3), Position(6), target("a", false));
+    listed.put(at(3), Position(6), target("b", false));
+    assert!(open(&mut listed, at(3)).is_empty());
+    listed.put(at(4), Position(9), target("a", false));
+    assert_eq!(open(&mut listed, at(4)), ["a"]);
+    assert!(other.leaves(at(10_000)).is_empty());
+}
+
+/// A leave that is older than the row says nothing about it.
+#[test]
+fn old_leave() {
+    let mut listed = Listed::default();
+    listed.put(at(0), Position(5), target("a", false));
+    let leave = Leave {
+        target: "a".parse().expect("an id"),
+        position: Position(4),
+        gone: true,
+    };
+    listed.told(&leave);
+    assert_eq!(open(&mut listed, at(0)), ["a"]);
+}
+
+#[test]
+fn missed_changes() {
+    let mut listed = Listed::default();
+    listed.put(at(0), Position(1), target("a", false));
+    listed.replace(at(1), Position(9), vec![(Position(8), target("b", false))]);
+    assert_eq!(open(&mut listed, at(1)), ["b"]);
+    let later = at(1) + Span::from_secs(1);
+    assert_eq!(open(&mut listed, later), ["b"]);
+}
--- /dev/null
+++ b/crates/place/tests/cost.rs
@@ -0,0 +1,145 @@
+//! The choice of a target for a prompt with shared parts.
+
+use place::cost::{self, Candidate, Prompt, Reason};
+
+const SHARED: u32 = 10_000;
+const OWN: u32 = 1_000;
+
+fn prompt() -> Prompt {
+    Prompt {
+        part: Some(7),
+        own: OWN,
+        fetches: true,
+    }
+}
+
+fn targets(count: u64) -> Vec<Candidate> {
+    let target = |hash| Candidate {
+        hash,
+        missing: SHARED + OWN,
+        near: true,
+        open: true,
+        trusted: true,
+        ..Candidate::default()
+    };
+    (1..=count).map(target).collect()
+}
+
+/// Routers that know nothing yet send one part to the same target.
+#[test]
+fn one_home() {
+    let targets = targets(18);
+    let first = cost::choose(&targets, prompt(), 1).expect("a target");
+    assert_eq!(first.reason, Reason::Home);
+    for seed in 2..100 {
+        let other = cost::choose(&targets, prompt(), seed).expect("a target");
+        assert_eq!(other.index, first.index);
+    }
+}
+
+#[test]
+fn holder_first() {
+    let mut targets = targets(18);
+    targets[5].missing = OWN;
+    targets[5].load = 1;
+    let choice = cost::choose(&targets, prompt(), 1).expect("a target");
+    assert_eq!((choice.index, choice.reason), (5, Reason::Holder));
+    assert_eq!(choice.source, None);
+}
+
+/// A burst on one part spills over, and the part is fetched, not read again.
+#[test]
+fn burst_spills() {
+    let mut targets = targets(18);
+    targets[5].missing = OWN;
+    targets[5].load = 30;
+    let choice = cost::choose(&targets, prompt(), 1).expect("a target");
+    assert_ne!(choice.index, 5);
+    assert_eq!(choice.source, Some(5));
+}
+
+/// A target that leaves takes no work, but its cache is still of use.
+#[test]
+fn leaving_source() {
+    let mut targets = targets(18);
+    targets[5].missing = OWN;
+    targets[5].open = false;
+    let choice = cost::choose(&targets, prompt(), 1).expect("a target");
+    assert_ne!(choice.index, 5);
+    assert_eq!(choice.source, Some(5));
+}
+
+#[test]
+fn silent_source() {
+    let mut targets = targets(18);
+    targets[5].missing = OWN;
+    targets[5].trusted = false;
+    let choice = cost::choose(&targets, prompt(), 1).expect("a target");
+    assert_ne!(choice.index, 5);
+    assert_eq!(choice.source, None);
+}
+
+#[test]
+fn no_fetching() {
+    let mut targets = targets(18);
+    targets[5].missing = OWN;
+    targets[5].load = 30;
+    let plain = Prompt {
+        fetches: false,
+        ..prompt()
+    };
+    let choice = cost::choose(&targets, plain, 1).expect("a target");
+    assert_eq!(choice.source, None);
+}
+
+/// When no target answered lately, one is tried all the same.
+#[test]
+fn none_trusted() {
+    let mut targets = targets(3);
+    for target in &mut targets {
+        target.trusted = false;
+    }
+    let choice = cost::choose(&targets, prompt(), 1).expect("a target");
+    assert_eq!(choice.reason, Reason::Untrusted);
+    for target in &mut targets {
+        target.open = false;
+    }
+    assert_eq!(cost::choose(&targets, prompt(), 1), None);
+}
+
+/// Requests of six routers that hear one another's loads stay below twice the
+/// mean plus three, also when a third of them are about one part.
+#[test]
+fn bound_under_hot_part() {
+    let mut targets = targets(18);
+    let mut held = vec![Vec::new(); 18];
+    let mut running: Vec<(usize, u32)> = Vec::new();
+    let mut over = 0;
+    for number in 0..2_000_u64 {
+        running.retain_mut(|(index, left)| {
+            *left -= 1;
+            if *left == 0 {
+                targets[*index].load -= 1;
+            }
+            *left > 0
+        });
+        let part = if number % 3 == 0 { 0 } else { number % 80 };
+        for (target, held) in targets.iter_mut().zip(&held) {
+            let holds = held.contains(&part);
+            target.missing = if holds { OWN } else { SHARED + OWN };
+        }
+        let prompt = Prompt {
+            part: Some(part),
+            ..prompt()
+        };
+        let choice = cost::choose(&targets, prompt, number).expect("a target");
+        held[choice.index].push(part);
+        let total: u32 = targets.iter().map(|target| target.load).sum();
+        if f64::from(targets[choice.index].load) > 2.0 * f64::from(total) / 18.0 + 3.0 {
+            over += 1;
+        }
+        targets[choice.index].load += 1;
+        running.push((choice.index, 72));
+    }
+    assert_eq!(over, 0);
+}
