--- a/crates/admit/src/repeat.rs
+++ b/crates/admit/src/repeat.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Changes the bound; what was counted stays.
+    pub fn set_rule(&mut self, rule: Rule) {
+        self.rule = rule;
+    }
+
     /// Notes the first arrival of a request.
     pub fn first(&mut self, now: time::Mono, service: &id::ServiceId) {
         self.slice(now, service).firsts += 1;
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,6 +1,9 @@
 //! Reads the platform's table: the configuration and the targets.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use base::{
     fault::{At, Fault},
@@ -14,29 +17,31 @@
 
 use crate::{
     leaving::Listed,
+    metrics::Counter,
     peers::Peers,
     shared::Shared,
     view::{self, View},
 };
 
-/// Time for one call, the wait of a feed included. Above the longest wait of a
-/// feed by the time that a slow table takes.
-const CALL_TIMEOUT: span::Span = span::Span::from_millis(2_200);
+/// Time for one call that does not wait; a slow table takes half a second.
+const CALL_TIMEOUT: span::Span = span::Span::from_millis(1_800);
 
-/// Time that the feed of the configuration waits for a change. Short, because a
-/// connection that has gone silent is noticed only by its end.
-const CONFIG_WAIT: span::Span = span::Span::from_millis(1_200);
+/// Time that the feed of the configuration waits for a change. Peers tell a new
+/// version too, should the connection have gone silent.
+const CONFIG_WAIT: span::Span = span::Span::from_millis(4_000);
 
-/// Pause between two reads of the targets' changes. They write several times a
-/// second, so that a feed that waits for the first change returns at once.
-const TARGET_PAUSE: Duration = Duration::from_millis(700);
+/// Pause between two reads of the targets' changes by a router that reads
+/// often. Targets write several times a second, so that a feed that waits for
+/// the first change returns at once.
+const OFTEN_PAUSE: Duration = Duration::from_millis(600);
 
-/// Time that the feed of the routers' rows waits for a change. Routers hear of
-/// one another by news too.
-const MEMBER_WAIT: span::Span = span::Span::from_millis(1_500);
+/// The same for other routers. A read takes part of the two seconds in which
+/// new work must stop reaching a target that leaves.
+const TARGET_PAUSE: Duration = Duration::from_millis(1_400);
 
-/// Pause between two reads of the routers' rows.
-const MEMBER_PAUSE: Duration = Duration::from_secs(6);
+/// Pause between two reads of the routers' rows; routers hear of one another by
+/// news too.
+const MEMBER_PAUSE: Duration = Duration::from_secs(12);
 
 /// Pause after this router's row could not be written or the others not read.
 const REGISTER_PAUSE: Duration = Duration::from_millis(700);
@@ -54,17 +59,19 @@
 
 /// Follows the table and speaks with the other routers until the runtime ends.
 pub async fn run(shared: Arc<Shared>) {
-    let service = Arc::new(client(&shared));
+    let service = Arc::new(client(&shared, CALL_TIMEOUT));
+    let waiting = Arc::new(client(&shared, plus(CONFIG_WAIT, CALL_TIMEOUT)));
     let view = View::new(shared.clone());
     let peers = Peers::new(shared.clone(), view.clone());
-    tokio::spawn(follow_config(view.clone(), service.clone()));
+    tokio::spawn(follow_config(shared.clone(), view.clone(), waiting));
     tokio::spawn(follow_targets(
+        peers.clone(),
         shared.clone(),
         view.clone(),
         service.clone(),
     ));
-    tokio::spawn(register(shared, service.clone()));
-    tokio::spawn(follow_members(peers.clone(), service));
+    tokio::spawn(register(shared.clone(), service.clone()));
+    tokio::spawn(follow_members(shared, peers.clone(), service));
     tokio::spawn(wake(view, peers.clone()));
     if let Err(fault) = peers.serve().await {
         tracing::error!(event = "peers_failed", %fault);
@@ -81,7 +88,11 @@
     }
 }
 
-fn client(shared: &Shared) -> Service {
+fn plus(a: span::Span, b: span::Span) -> span::Span {
+    span::Span::from_micros(a.as_micros() + b.as_micros())
+}
+
+fn client(shared: &Shared, timeout: span::Span) -> Service {
     let store = shared.settings.store;
     let rates = Rates {
         reads: store.reads,
@@ -103,11 +114,12 @@
         climb: RAMP_TIME,
         ..Policy::default()
     };
-    Service::new(store.address, CALL_TIMEOUT, policy)
+    Service::new(store.address, timeout, policy)
 }
 
 /// Where a follower stands in the history of a table.
 struct Follower {
+    shared: Arc<Shared>,
     service: Arc<Service>,
     table: Table,
     position: Option<Position>,
@@ -123,8 +135,9 @@
 }
 
 impl Follower {
-    fn new(service: Arc<Service>, table: Table) -> Self {
+    fn new(shared: Arc<Shared>, service: Arc<Service>, table: Table) -> Self {
         Self {
+            shared,
             service,
             table,
             position: None,
@@ -134,6 +147,7 @@
 
     /// Reads all rows at first, then the changes.
     async fn next(&mut self, wait: span::Span) -> Result<Change, Fault> {
+        self.shared.metrics.count(Counter::TableCalls);
         let change = match self.position {
             None => self.read().await.map(Change::All),
             Some(after) => self.feed(after, wait).await,
@@ -144,6 +158,9 @@
             Err(fault) if !self.lost => tracing::warn!(event = "table_lost", ?table, %peer, %fault),
             _ => {}
         }
+        if change.is_err() {
+            self.shared.metrics.count(Counter::TableFailures);
+        }
         self.lost = change.is_err();
         change
     }
@@ -190,8 +207,8 @@
     }
 }
 
-async fn follow_config(view: Arc<View>, service: Arc<Service>) {
-    let mut follower = Follower::new(service, Table::Operator);
+async fn follow_config(shared: Arc<Shared>, view: Arc<View>, service: Arc<Service>) {
+    let mut follower = Follower::new(shared, service, Table::Operator);
     loop {
         match follower.next(CONFIG_WAIT).await {
             Ok(Change::All(rows) | Change::Some(rows)) => {
@@ -205,10 +222,16 @@
     }
 }
 
-async fn follow_targets(shared: Arc<Shared>, view: Arc<View>, service: Arc<Service>) {
-    let mut follower = Follower::new(service, Table::Targets);
+async fn follow_targets(
+    peers: Arc<Peers>,
+    shared: Arc<Shared>,
+    view: Arc<View>,
+    service: Arc<Service>,
+) {
+    let mut follower = Follower::new(shared.clone(), service, Table::Targets);
     loop {
         let change = follower.next(span::Span::ZERO).await;
+        shared.reads.store(change.is_ok(), Ordering::Relaxed);
         take_in(
             &mut view.listed(),
             shared.clock.now(),
@@ -218,7 +241,12 @@
         if follower.position.is_some() {
             view.publish("table");
         }
-        timer::sleep(TARGET_PAUSE).await;
+        let pause = if peers.is_reader() {
+            OFTEN_PAUSE
+        } else {
+            TARGET_PAUSE
+        };
+        timer::sleep(pause).await;
     }
 }
 
@@ -287,10 +315,10 @@
     Ok(())
 }
 
-async fn follow_members(peers: Arc<Peers>, service: Arc<Service>) {
-    let mut follower = Follower::new(service, Table::Members);
+async fn follow_members(shared: Arc<Shared>, peers: Arc<Peers>, service: Arc<Service>) {
+    let mut follower = Follower::new(shared, service, Table::Members);
     loop {
-        match follower.next(MEMBER_WAIT).await {
+        match follower.next(span::Span::ZERO).await {
             Ok(Change::All(rows) | Change::Some(rows)) => {
                 for row in &rows {
                     list(&peers, row);
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -56,6 +56,9 @@
     /// Whether the sender stops and sends nothing more.
     #[prost(bool, tag = "9")]
     pub stopping: bool,
+    /// Whether the table answers the sender.
+    #[prost(bool, tag = "10")]
+    pub reads: bool,
 }
 
 /// Requests at a target.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -27,9 +27,11 @@
 use crate::{
     fleet::{PartHash, TargetHash},
     leaving::Leave,
+    metrics::Counter,
     news::{
         Aside, Left, LoadAt, MAX_DATAGRAM, MOST_ASIDE, MOST_HOLDS, MOST_LEAVES, News, Snapshot,
     },
+    readers::{self, Router},
     shared::Shared,
     view::View,
 };
@@ -77,6 +79,8 @@
     /// Whether the peer has a row in the table or is a seed.
     listed: bool,
     heard: Option<time::Mono>,
+    /// Whether the table answers the peer.
+    reads: bool,
     run: u64,
     sequence: u64,
 }
@@ -106,6 +110,21 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether this router is among those that read the table often.
+    pub fn is_reader(&self) -> bool {
+        let now = self.shared.clock.now();
+        let known = self.known();
+        let speaking = known.iter().filter(|(_, peer)| {
+            peer.heard
+                .is_some_and(|heard| now.since(heard) < SILENT_TIME)
+        });
+        let routers = speaking.map(|(address, peer)| Router {
+            address: *address,
+            reads: peer.reads,
+        });
+        readers::is_reader(self.shared.settings.peers, routers)
+    }
+
     /// Takes in the row of a router.
     pub fn list(&self, address: SocketAddr) {
         if address != self.shared.settings.peers {
@@ -169,7 +188,7 @@
         self.shared.routers.store(routers, Ordering::Relaxed);
         known
             .iter()
-            .filter(|(_, peer)| speaks(peer) || round % SILENT_ROUNDS == 0)
+            .filter(|(_, peer)| speaks(peer) || round.is_multiple_of(SILENT_ROUNDS))
             .map(|(address, _)| *address)
             .collect()
     }
@@ -199,6 +218,7 @@
                 .collect(),
             aside: aside.take(MOST_ASIDE).collect(),
             stopping: self.shared.stopping.load(Ordering::Relaxed),
+            reads: self.shared.reads.load(Ordering::Relaxed),
         }
     }
 
@@ -220,6 +240,7 @@
 
     fn take_in(self: &Arc<Self>, address: SocketAddr, news: &News) {
         let now = self.shared.clock.now();
+        self.shared.metrics.count(Counter::News);
         if !self.is_next(now, address, news) {
             return;
         }
@@ -268,6 +289,7 @@
         *peer = Peer {
             listed: peer.listed,
             heard: Some(now),
+            reads: news.reads,
             run: news.run,
             sequence: news.sequence,
         };
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -17,7 +17,7 @@
     time::{Instant, sleep},
 };
 
-use crate::{control, front::Front, logs, ready, shared::Shared};
+use crate::{control, front::Front, logs, metrics, ready, shared::Shared};
 
 /// Time after SIGTERM in which the platform may still send new callers: two
 /// missed answers, one a second, and their way here.
@@ -26,6 +26,10 @@
 /// Time before SIGKILL at which the process ends by itself.
 const GRACE_MARGIN: span::Span = span::Span::from_millis(200);
 
+/// Time between two reads of the settings file, which may change without a
+/// signal.
+const REREAD_PAUSE: Duration = Duration::from_secs(2);
+
 /// Time between two looks at whether requests remain.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -50,6 +54,27 @@
     runtime()?.block_on(traffic(shared))
 }
 
+/// Puts changed bounds in force; addresses cannot change while the process
+/// runs.
+fn reread(shared: &Shared) {
+    let path = settings::path();
+    let text = match fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(error) => {
+            tracing::warn!(event = "settings_unreadable", path = %path.display(), %error);
+            return;
+        }
+    };
+    match Settings::decode(&text) {
+        Ok(settings) if settings.bounds != **shared.bounds.load() => {
+            tracing::info!(event = "reload", bounds = ?settings.bounds);
+            shared.set_bounds(settings.bounds);
+        }
+        Ok(_) => {}
+        Err(fault) => tracing::warn!(event = "settings_unreadable", %fault),
+    }
+}
+
 fn runtime() -> anyhow::Result<Runtime> {
     Builder::new_current_thread()
         .enable_all()
@@ -61,12 +86,14 @@
     let (close, closing) = watch::channel(false);
     let front = Front::serve(shared.clone(), closing).await?;
     ready::serve(shared.clone()).await?;
+    metrics::serve(shared.clone()).await?;
     let mut reload = signal(SignalKind::hangup()).context("listen for SIGHUP")?;
     let mut terminate = signal(SignalKind::terminate()).context("listen for SIGTERM")?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => tracing::info!(event = "reload"),
+            _ = reload.recv() => reread(&shared),
+            () = sleep(REREAD_PAUSE) => reread(&shared),
         }
     }
     let stopped = Instant::now();
@@ -77,7 +104,7 @@
     shared.stopping.store(true, Ordering::Relaxed);
     sleep(ROTATION_TIME).await;
     close.send_replace(true);
-    let grace = shared.settings.bounds.grace.as_micros() - GRACE_MARGIN.as_micros();
+    let grace = shared.bounds.load().grace.as_micros() - GRACE_MARGIN.as_micros();
     let end = stopped + Duration::from_micros(grace);
     while front.connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
         sleep(LOOK).await;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -23,6 +23,7 @@
     body::{self, Body},
     fleet::{Chain, Flight, Target},
     front::Active,
+    metrics::Counter,
     refuse::{self, Reason},
     routes::{self, Denied},
     shared::Shared,
@@ -107,7 +108,7 @@
     /// The time is over; it may have run.
     Timeout,
     /// The target ran it and failed.
-    Failed(Response<Body>),
+    Failed(Box<Response<Body>>),
 }
 
 /// Answers a request.
@@ -117,9 +118,11 @@
     active: Active,
 ) -> Response<Body> {
     let started = shared.clock.now();
+    shared.metrics.count(Counter::Requests);
     match Job::read(shared, started, request).await {
         Ok(job) => job.run(active).await,
         Err((attempt, reason)) => {
+            shared.metrics.count(Counter::Refused);
             tracing::info!(event = "refused", id = attempt, %reason);
             refuse::answer(reason)
         }
@@ -192,7 +195,7 @@
                 Err(miss) => {
                     job.count(&mut tried, &miss);
                     if let Miss::Failed(response) = miss {
-                        failed = Some(response);
+                        failed = Some(*response);
                     }
                     continue;
                 }
@@ -209,7 +212,7 @@
                 Err(miss) => {
                     job.count(&mut tried, &miss);
                     if let Miss::Failed(response) = miss {
-                        failed = Some(response);
+                        failed = Some(*response);
                     }
                 }
             }
@@ -217,10 +220,13 @@
     }
 
     fn count(&self, tried: &mut Tried, miss: &Miss) {
-        match miss {
-            Miss::NotRun => {}
-            Miss::Lost | Miss::Timeout | Miss::Failed(_) => tried.runs += 1,
-        }
+        let counter = match miss {
+            Miss::NotRun => return self.shared.metrics.count(Counter::NotRun),
+            Miss::Lost | Miss::Failed(_) => Counter::Lost,
+            Miss::Timeout => Counter::Timeouts,
+        };
+        self.shared.metrics.count(counter);
+        tried.runs += 1;
     }
 
     /// Returns the next target, if another attempt is allowed and there is one.
@@ -238,6 +244,7 @@
         } else {
             let routers = self.shared.routers.load(Ordering::Relaxed);
             if !self.shared.repeats().repeat(now, &self.service, routers) {
+                self.shared.metrics.count(Counter::Denied);
                 tracing::info!(event = "repeat_denied", id = %self.call.attempt, service = %self.service);
                 return None;
             }
@@ -255,6 +262,7 @@
             attempt = tried.targets.len() + 1,
             left = %self.deadline.since(now),
         );
+        self.shared.metrics.count(Counter::Sends);
         tried.targets.push(target.row.id.clone());
         Some(pick)
     }
@@ -310,6 +318,7 @@
             lease,
             flight,
         };
+        self.shared.metrics.first.add(self.took());
         self.check(target, reply)
     }
 
@@ -320,6 +329,7 @@
             match self.attempt(&pick, seen).await {
                 Ok(reply) if reply.answer.events && reply.answer.status.is_success() => {
                     tried.runs += 1;
+                    self.shared.metrics.count(Counter::Resumed);
                     return Some(reply);
                 }
                 Ok(_) => tried.runs += 1,
@@ -442,7 +452,7 @@
         *response.status_mut() = answer.status;
         *response.headers_mut() = answer.headers;
         if failed && self.rule.class.is_repeatable() {
-            return Err(Miss::Failed(response));
+            return Err(Miss::Failed(Box::new(response)));
         }
         Ok(response)
     }
@@ -462,6 +472,7 @@
             (_, false) => Reason::Lost,
         };
         let response = refuse::answer(reason);
+        self.shared.metrics.count(Counter::Refused);
         tracing::info!(
             event = "refused",
             id = %self.call.attempt,
@@ -481,6 +492,13 @@
 
     /// Logs how the request ended.
     pub fn done(&self, outcome: &'static str, status: Option<StatusCode>, tried: &Tried) {
+        let counter = match (outcome, status) {
+            ("streamed", _) => Counter::Streamed,
+            (_, Some(_)) => Counter::Answered,
+            (_, None) => Counter::Aborted,
+        };
+        self.shared.metrics.count(counter);
+        self.shared.metrics.whole.add(self.took());
         tracing::info!(
             event = "done",
             id = %self.call.attempt,
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -5,13 +5,14 @@
     atomic::{AtomicBool, AtomicU32, Ordering},
 };
 
-use admit::repeat::Repeats;
-use arc_swap::ArcSwapOption;
+use admit::repeat::{self, Repeats};
+use arc_swap::{ArcSwap, ArcSwapOption};
 use base::{id, time};
-use platform::settings::Settings;
+use platform::settings::{Bounds, Settings};
 
 use crate::{
     fleet::{Chain, Fleet, Target},
+    metrics::Metrics,
     news::Hold,
     routes::Routes,
 };
@@ -29,8 +30,14 @@
     pub fleet: ArcSwapOption<Fleet>,
     /// Whether the process has been told to stop.
     pub stopping: AtomicBool,
+    /// Whether the table answers this process.
+    pub reads: AtomicBool,
     /// Routers that share the budget of repeats, this one included.
     pub routers: AtomicU32,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Bounds, which may change while the process runs.
+    pub bounds: ArcSwap<Bounds>,
     repeats: Mutex<Repeats>,
     holds: Mutex<Vec<Hold>>,
 }
@@ -39,23 +46,27 @@
     /// Starts with nothing known.
     pub fn new(settings: Settings) -> Arc<Self> {
         let bounds = settings.bounds;
-        let rule = admit::repeat::Rule {
-            ratio: bounds.ratio,
-            allowance: bounds.allowance,
-            window: bounds.window,
-        };
         Arc::new(Self {
             clock: time::Clock::start(),
             routes: ArcSwapOption::empty(),
             fleet: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
+            reads: AtomicBool::new(false),
             routers: AtomicU32::new(FIRST_ROUTERS),
-            repeats: Mutex::new(Repeats::new(rule)),
+            repeats: Mutex::new(Repeats::new(rule(&bounds))),
+            metrics: Metrics::default(),
+            bounds: ArcSwap::from_pointee(bounds),
             holds: Mutex::default(),
             settings,
         })
     }
 
+    /// Puts other bounds in force.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        self.repeats().set_rule(rule(&bounds));
+        self.bounds.store(Arc::new(bounds));
+    }
+
     /// Returns the budget of repeats.
     pub fn repeats(&self) -> MutexGuard<'_, Repeats> {
         self.repeats.lock().unwrap_or_else(PoisonError::into_inner)
@@ -92,6 +103,14 @@
     }
 }
 
+fn rule(bounds: &Bounds) -> repeat::Rule {
+    repeat::Rule {
+        ratio: bounds.ratio,
+        allowance: bounds.allowance,
+        window: bounds.window,
+    }
+}
+
 /// Prompt parts that wait to be told at most; more are not told, and read
 /// again at worst.
 const MOST_HOLDS: usize = 1_024;
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    task: Task,
+    _task: Task,
 }
 
 /// Closes the connection when it is dropped, which cancels the request on it.
@@ -168,7 +168,7 @@
         });
         Ok(Connection {
             sender,
-            task: Task(task.abort_handle()),
+            _task: Task(task.abort_handle()),
         })
     }
 }
--- /dev/null
+++ b/crates/edge/tests/readers.rs
@@ -0,0 +1,53 @@
+//! Routers that read the table often.
+
+use std::net::SocketAddr;
+
+use edge::readers::{self, Router};
+
+fn routers(count: u8) -> Vec<Router> {
+    let router = |number| Router {
+        address: SocketAddr::from(([10, 0, 0, number], 7_340)),
+        reads: true,
+    };
+    (1..=count).map(router).collect()
+}
+
+fn readers(routers: &[Router]) -> Vec<SocketAddr> {
+    let reads = |router: &&Router| {
+        let others = routers.iter().copied();
+        readers::is_reader(
+            router.address,
+            others.filter(|other| other.address != router.address),
+        )
+    };
+    routers
+        .iter()
+        .filter(reads)
+        .map(|router| router.address)
+        .collect()
+}
+
+#[test]
+fn few_readers() {
+    assert_eq!(readers(&routers(29)).len(), 3);
+    assert_eq!(readers(&routers(2)).len(), 2);
+    assert_eq!(readers(&routers(1)).len(), 1);
+}
+
+/// When the table serves some routers only, others take the place of the rest.
+#[test]
+fn refused_readers() {
+    let mut routers = routers(6);
+    let first = readers(&routers);
+    for router in &mut routers {
+        router.reads = !first.contains(&router.address);
+    }
+    let serving: Vec<_> = routers
+        .iter()
+        .filter(|router| router.reads)
+        .copied()
+        .collect();
+    assert_eq!(readers(&serving).len(), 3);
+    let now = readers(&routers);
+    assert!(serving.iter().all(|router| now.contains(&router.address)));
+}
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -31,11 +31,11 @@
 
 /// Factor on the mean load above which a target is passed over, in hundredths.
 /// Below the bound, because other routers choose at the same moment.
-const SPILL_PERCENT: u64 = 150;
+const SPILL_PERCENT: u64 = 160;
 
 /// Requests beyond the factor that a target may have, so that a mean near zero
 /// does not spread every request.
-const SPILL_MARGIN: u64 = 2;
+const SPILL_MARGIN: u64 = 3;
 
 /// A target as the choice sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,6 +1,6 @@
 //! One HTTP/1.1 exchange with a service of the platform.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use base::span;
 use bytes::Bytes;
@@ -19,6 +19,13 @@
 /// Time to come back when the service names none.
 const DEFAULT_AFTER: span::Span = span::Span::from_secs(1);
 
+/// Time after which an idle connection is probed, and between probes: a
+/// connection may go silent without a reset while a call waits for a change.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+
+/// Unanswered probes that close a connection.
+const KEEPALIVE_RETRIES: u32 = 2;
+
 /// A whole reply with a status that the protocol allows.
 #[derive(Clone, Debug)]
 pub struct Reply {
@@ -43,6 +50,9 @@
     pub fn new(peer: SocketAddr, timeout: span::Span) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(KEEPALIVE_TIME));
+        connector.set_keepalive_interval(Some(KEEPALIVE_TIME));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         // Shorter than the whole timeout, so that a connection that is not made
         // is reported as such and not as a lost reply.
         connector.set_connect_timeout(Some(timeout.duration() / 2));
