Test the router against stand-ins of the platform's table and targets

fakes::rows speaks the table's calls (rows, feed, transactions, outages, forgotten history); fakes::runner is a target that loses, sheds, crosses, cuts and resumes on demand. The tests show what callers and targets see: at most once, a true not-run, whole responses, resumed and aborted streams, cancellation, time limits, a graceful stop, leaves and versions in bound, and a router that only its peers inform. stream_truncated guards against taking a closed connection for the end of a chunked stream.

--- /dev/null
+++ b/crates/edge/tests/path.rs
@@ -0,0 +1,301 @@
+//! Requests from callers to targets, with targets that fail.
+
+mod site;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fakes::{
+    rows::Rows,
+    runner::{Behaviour, EVENTS, Runner},
+};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use site::Router;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+struct Site {
+    router: Router,
+    first: Runner,
+    second: Runner,
+    _table: Rows,
+}
+
+async fn start(usual: Behaviour) -> Site {
+    let table = Rows::start().expect("a table");
+    let first = Runner::start("i-1", usual).expect("a target");
+    let second = Runner::start("i-2", usual).expect("a target");
+    site::configure(&table, 1, &[site::KEY]);
+    site::list(&table, &first, "ready");
+    site::list(&table, &second, "ready");
+    let router = site::router(site::settings(table.address(), &[])).await;
+    router.ready().await;
+    Site {
+        router,
+        first,
+        second,
+        _table: table,
+    }
+}
+
+impl Site {
+    fn runs(&self) -> usize {
+        self.first.runs().len() + self.second.runs().len()
+    }
+
+    fn next(&self, behaviour: Behaviour) {
+        self.first.next(behaviour);
+        self.second.next(behaviour);
+    }
+}
+
+#[tokio::test]
+async fn forwarded() {
+    let site = start(Behaviour::Echo).await;
+    let response = site.router.call("/once/a?x=%2F", "a1").await;
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(response.body, "the body");
+    assert!(response.headers.contains_key("x-response-signature"));
+    let runs = [site.first.runs(), site.second.runs()].concat();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].path, "/once/a?x=%2F");
+    assert_eq!(runs[0].headers["x-tenant"], "team");
+    assert!(!runs[0].headers.contains_key("api-key"));
+    let left = runs[0].headers["x-deadline-ms"].to_str().expect("text");
+    let left: u64 = left.parse().expect("a number");
+    assert!((1_000..=1_500).contains(&left), "{left}");
+}
+
+/// A request that may have run is not sent again, and its caller is not told
+/// that it did not run.
+#[tokio::test]
+async fn lost_once() {
+    let site = start(Behaviour::Lose).await;
+    let response = site.router.call("/once/a", "a1").await;
+    assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(site.runs(), 1);
+}
+
+#[tokio::test]
+async fn lost_again() {
+    let site = start(Behaviour::Echo).await;
+    site.next(Behaviour::Lose);
+    let response = site.router.call("/again/a", "a1").await;
+    assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(site.runs(), 2, "two targets at most");
+    let response = site.router.call("/again/a", "a2").await;
+    assert_eq!(response.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn shed_by_one() {
+    let site = start(Behaviour::Echo).await;
+    site.first.set(Behaviour::Shed);
+    for number in 0..4 {
+        let response = site.router.call("/once/a", &format!("a{number}")).await;
+        assert_eq!(response.status, StatusCode::OK);
+    }
+    assert_eq!(site.runs(), 4);
+}
+
+#[tokio::test]
+async fn shed_by_all() {
+    let site = start(Behaviour::Shed).await;
+    let response = site.router.call("/once/a", "a1").await;
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers.contains_key("retry-after"));
+    assert_eq!(site.runs(), 0);
+}
+
+/// A target's 503 says nothing about whether the request ran, so the caller
+/// must not get a 503.
+#[tokio::test]
+async fn busy_unproven() {
+    let site = start(Behaviour::Busy).await;
+    let response = site.router.call("/once/a", "a1").await;
+    assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+    assert!(!response.headers.contains_key("x-response-signature"));
+    assert_eq!(site.runs(), 1);
+}
+
+#[tokio::test]
+async fn unusable_responses() {
+    for behaviour in [Behaviour::Cross, Behaviour::Unsigned, Behaviour::Cut] {
+        let site = start(behaviour).await;
+        let response = site.router.call("/once/a", "a1").await;
+        assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{behaviour:?}");
+        assert_eq!(site.runs(), 1);
+    }
+}
+
+#[tokio::test]
+async fn failure_passed_on() {
+    let site = start(Behaviour::Fail).await;
+    let response = site.router.call("/once/a", "a1").await;
+    assert_eq!(response.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert!(response.headers.contains_key("x-response-signature"));
+    assert_eq!(site.runs(), 1);
+    let response = site.router.call("/again/a", "a2").await;
+    assert_eq!(response.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(site.runs(), 3);
+}
+
+/// At the rule's time limit the caller gets its answer.
+#[tokio::test]
+async fn time_limit() {
+    let site = start(Behaviour::Hang).await;
+    let before = time::Instant::now();
+    let response = site.router.call("/once/a", "a1").await;
+    assert_eq!(response.status, StatusCode::GATEWAY_TIMEOUT);
+    let took = before.elapsed();
+    let bound = Duration::from_millis(1_500)..Duration::from_millis(2_000);
+    assert!(bound.contains(&took), "{took:?}");
+}
+
+#[tokio::test]
+async fn denied() {
+    let site = start(Behaviour::Echo).await;
+    let unknown = site.router.call("/nowhere/a", "a1").await;
+    assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+    let mut other = site::request("/once/a", "a2");
+    other
+        .headers_mut()
+        .insert("api-key", "other".parse().expect("valid"));
+    let refused = site.router.send(other).await;
+    assert_eq!(refused.status, StatusCode::UNAUTHORIZED);
+    let large = Request::post("/once/a")
+        .header("host", "h.example")
+        .header("x-attempt-id", "a3")
+        .header("api-key", site::KEY)
+        .body(Full::new(Bytes::from(vec![b'x'; 2_000])))
+        .expect("valid");
+    let large = site.router.send(large).await;
+    assert_eq!(large.status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(site.runs(), 0);
+}
+
+fn events(from: u64, to: u64) -> String {
+    (from..=to)
+        .map(|id| format!("id: {id}\ndata: event {id}\n\n"))
+        .collect()
+}
+
+#[tokio::test]
+async fn streamed() {
+    let site = start(Behaviour::Stream).await;
+    let response = site.router.call("/stream/a", "a1").await;
+    assert!(response.whole);
+    assert_eq!(response.body, events(1, EVENTS));
+}
+
+/// A stream that breaks within an event goes on at another target after the
+/// last whole event, under the head of the first.
+#[tokio::test]
+async fn stream_resumed() {
+    let site = start(Behaviour::Stream).await;
+    site.first.set(Behaviour::Break(2));
+    for number in 0..4 {
+        let response = site.router.call("/resume/a", &format!("a{number}")).await;
+        assert!(response.whole);
+        assert_eq!(response.body, events(1, EVENTS));
+        let first = response.headers["x-response-signature"]
+            .to_str()
+            .expect("text");
+        assert!(first.starts_with("signed-by-i-"));
+    }
+    let resumed: Vec<_> = site.second.runs().into_iter().collect();
+    let resumed = resumed
+        .iter()
+        .filter(|run| run.headers.contains_key("last-event-id"));
+    assert!(
+        resumed
+            .clone()
+            .all(|run| run.headers["last-event-id"] == "2")
+    );
+    assert!(resumed.count() > 0);
+}
+
+/// A stream that cannot go on is aborted, and does not look complete.
+#[tokio::test]
+async fn stream_aborted() {
+    let site = start(Behaviour::Break(2)).await;
+    let response = site.router.call("/stream/a", "a1").await;
+    assert!(!response.whole);
+    assert_eq!(response.body, events(1, 2));
+    assert_eq!(site.runs(), 1);
+}
+
+/// A target that closes the connection within a chunked stream has not ended
+/// the stream.
+#[tokio::test]
+async fn stream_truncated() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n\
+        Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let table = Rows::start().expect("a table");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    site::configure(&table, 1, &[site::KEY]);
+    site::list_at(
+        &table,
+        "i-1",
+        listener.local_addr().expect("bound"),
+        "ready",
+    );
+    let router = site::router(site::settings(table.address(), &[])).await;
+    router.ready().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accepts");
+        let mut request = vec![0; 4_096];
+        let read = stream.read(&mut request).await.expect("reads");
+        assert!(read > 0);
+        let event = events(1, 1);
+        let chunk = format!("{HEAD}{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes()).await.expect("writes");
+        stream.shutdown().await.expect("closes");
+    });
+    let response = router.call("/stream/a", "a1").await;
+    assert_eq!(response.body, events(1, 1));
+    assert!(!response.whole);
+}
+
+/// The target's work ends soon after its caller has left.
+#[tokio::test]
+async fn caller_left() {
+    let site = start(Behaviour::Endless).await;
+    let mut caller = TcpStream::connect(site.router.shared.settings.callers)
+        .await
+        .expect("connects");
+    let head = format!(
+        "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nApi-Key: {}\r\nContent-Length: 0\r\n\r\n",
+        site::KEY
+    );
+    caller.write_all(head.as_bytes()).await.expect("sends");
+    let streams = || site.first.streams() + site.second.streams();
+    site::until("the stream begins", || streams() == 1).await;
+    drop(caller);
+    let left = time::Instant::now();
+    site::until("the stream ends", || streams() == 0).await;
+    assert!(left.elapsed() < Duration::from_millis(500));
+}
+
+/// A request whose response is on its way ends whole while the router stops,
+/// and no further caller is accepted.
+#[tokio::test]
+async fn graceful_stop() {
+    let site = start(Behaviour::Echo).await;
+    site.first.set(Behaviour::Hang);
+    site.second.set(Behaviour::Hang);
+    let waiting = site.router.call("/once/a", "a1");
+    let close = async {
+        site::until("the request runs", || site.runs() == 1).await;
+        site.router.close();
+    };
+    let (response, ()) = tokio::join!(waiting, close);
+    assert_eq!(response.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(response.headers["connection"], "close");
+    let refused = TcpStream::connect(site.router.shared.settings.callers).await;
+    assert!(refused.is_err());
+}
--- /dev/null
+++ b/crates/edge/tests/table.rs
@@ -0,0 +1,144 @@
+//! Configuration and targets from the table and from other routers.
+
+mod site;
+
+use std::time::Duration;
+
+use fakes::{
+    rows::Rows,
+    runner::{Behaviour, Runner},
+};
+use http::StatusCode;
+use site::Router;
+use tokio::time;
+
+/// Bound on the time in which changes of the table take effect.
+const BOUND: Duration = Duration::from_secs(2);
+
+async fn start(table: &Rows) -> Router {
+    let router = site::router(site::settings(table.address(), &[])).await;
+    router.ready().await;
+    router
+}
+
+fn targets(table: &Rows) -> [Runner; 2] {
+    ["i-1", "i-2"].map(|id| {
+        let runner = Runner::start(id, Behaviour::Echo).expect("a target");
+        site::list(table, &runner, "ready");
+        runner
+    })
+}
+
+fn open(router: &Router) -> usize {
+    let fleet = router.shared.fleet.load();
+    let targets = fleet.iter().flat_map(|fleet| fleet.targets());
+    targets.filter(|target| !target.row.leaving).count()
+}
+
+#[tokio::test]
+async fn unready() {
+    let table = Rows::start().expect("a table");
+    let router = site::router(site::settings(table.address(), &[])).await;
+    time::sleep(Duration::from_millis(300)).await;
+    assert!(!router.shared.is_ready());
+    let response = router.call("/once/a", "a1").await;
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers.contains_key("retry-after"));
+}
+
+/// A leave takes effect within its bound, and a removal too.
+#[tokio::test]
+async fn leaving_targets() {
+    let table = Rows::start().expect("a table");
+    site::configure(&table, 1, &[site::KEY]);
+    let [first, second] = targets(&table);
+    let router = start(&table).await;
+    assert_eq!(open(&router), 2);
+    let changed = time::Instant::now();
+    site::list(&table, &first, "draining");
+    site::until("one target left", || open(&router) == 1).await;
+    assert!(changed.elapsed() < BOUND);
+    let changed = time::Instant::now();
+    table.remove("servers", second.id());
+    site::until("no target left", || open(&router) == 0).await;
+    assert!(changed.elapsed() < BOUND);
+    let response = router.call("/once/a", "a1").await;
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// A newer version takes effect within its bound, also when the history is
+/// gone; an older one changes nothing.
+#[tokio::test]
+async fn versions() {
+    let table = Rows::start().expect("a table");
+    site::configure(&table, 3, &[site::KEY]);
+    let [_first, _second] = targets(&table);
+    let router = start(&table).await;
+    assert_eq!(router.call("/once/a", "a1").await.status, StatusCode::OK);
+    let changed = time::Instant::now();
+    table.forget();
+    site::configure(&table, 8, &["other"]);
+    site::until("the version is in force", || router.shared.version().0 == 8).await;
+    assert!(changed.elapsed() < BOUND);
+    let response = router.call("/once/a", "a2").await;
+    assert_eq!(response.status, StatusCode::UNAUTHORIZED);
+    site::configure(&table, 7, &[site::KEY]);
+    time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(router.shared.version().0, 8);
+}
+
+/// Rows of other writers name no target, and the others hold.
+#[tokio::test]
+async fn foreign_rows() {
+    let table = Rows::start().expect("a table");
+    site::configure(&table, 1, &[site::KEY]);
+    let [_first, _second] = targets(&table);
+    table.put("servers", "i-3", "bm90IGpzb24=".to_owned());
+    table.put("servers", "i 4", "!!".to_owned());
+    let router = start(&table).await;
+    assert_eq!(open(&router), 2);
+    assert_eq!(router.call("/once/a", "a1").await.status, StatusCode::OK);
+}
+
+/// A router that the table refuses gets configuration and targets from a peer.
+#[tokio::test]
+async fn from_peer() {
+    let table = Rows::start().expect("a table");
+    let refusing = Rows::start().expect("a table");
+    refusing.down(true);
+    site::configure(&table, 1, &[site::KEY]);
+    let [first, _second] = targets(&table);
+    let router = start(&table).await;
+    let seeds = [router.shared.settings.peers];
+    let cut = site::router(site::settings(refusing.address(), &seeds)).await;
+    cut.ready().await;
+    assert_eq!(cut.call("/once/a", "a1").await.status, StatusCode::OK);
+    let changed = time::Instant::now();
+    site::configure(&table, 2, &["other"]);
+    site::list(&table, &first, "draining");
+    site::until("the version is in force", || cut.shared.version().0 == 2).await;
+    site::until("one target left", || open(&cut) == 1).await;
+    assert!(changed.elapsed() < BOUND);
+}
+
+/// Routers find one another by their rows, and one of them reads rarely when
+/// there are many.
+#[tokio::test]
+async fn registered() {
+    let table = Rows::start().expect("a table");
+    site::configure(&table, 1, &[site::KEY]);
+    let [_first, _second] = targets(&table);
+    let first = start(&table).await;
+    site::until("a row", || table.keys("members").len() == 1).await;
+    let second = start(&table).await;
+    let routers = |router: &Router| {
+        router
+            .shared
+            .routers
+            .load(std::sync::atomic::Ordering::Relaxed)
+    };
+    site::until("both know both", || {
+        routers(&first) == 2 && routers(&second) == 2
+    })
+    .await;
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod platform;
 pub mod prompt;
 pub mod record;
+pub mod rows;
+pub mod runner;
 pub mod serve;
 pub mod server;
 pub mod service;
--- /dev/null
+++ b/crates/fakes/src/rows.rs
@@ -0,0 +1,273 @@
+//! The table of the users' platform: rows with versions, a feed of changes, and
+//! transactions.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::{sync::Notify, time};
+
+use crate::{
+    body::{self, Body},
+    server::{Dropped, Handler, Port, Power, Server},
+};
+
+/// A row as the protocol shows it; the value is base64.
+#[derive(Clone, Debug, Serialize)]
+struct Row {
+    table_name: String,
+    part: String,
+    key: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
+    row_version: u64,
+    deleted: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<(String, String), Row>,
+    changes: Vec<Row>,
+    version: u64,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    down: bool,
+    calls: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+/// A running table; it stops when this handle is dropped.
+#[derive(Debug)]
+pub struct Rows {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    write: Vec<Op>,
+    #[serde(default)]
+    remove: Vec<Op>,
+}
+
+#[derive(Deserialize)]
+struct Op {
+    table_name: String,
+    key: String,
+    value: Option<String>,
+}
+
+impl Rows {
+    /// Starts an empty table on a free port.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub fn start() -> io::Result<Self> {
+        let port = Port::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let shared = Arc::new(Shared::default());
+        let server = port.serve(shared.clone());
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the switch that drops all connections.
+    pub fn power(&self) -> &Power {
+        self.server.power()
+    }
+
+    /// Writes a row; the value is base64.
+    pub fn put(&self, table: &str, key: &str, value: String) {
+        self.shared.state().change(table, key, Some(value));
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.shared.state().change(table, key, None);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Answers 503 to every call, or serves again.
+    pub fn down(&self, down: bool) {
+        self.shared.state().down = down;
+    }
+
+    /// Forgets the history, so that followers must read all rows again.
+    pub fn forget(&self) {
+        let mut state = self.shared.state();
+        state.forgotten = state.version;
+        state.changes.clear();
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.state().calls
+    }
+
+    /// Returns the keys of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.shared.state();
+        let keys = state.rows.keys().filter(|(name, _)| name == table);
+        keys.map(|(_, key)| key.clone()).collect()
+    }
+}
+
+impl State {
+    fn change(&mut self, table: &str, key: &str, value: Option<String>) {
+        self.version += 1;
+        let row = Row {
+            table_name: table.to_owned(),
+            part: String::new(),
+            key: key.to_owned(),
+            deleted: value.is_none(),
+            value,
+            row_version: self.version,
+        };
+        let place = (table.to_owned(), key.to_owned());
+        if row.deleted {
+            self.rows.remove(&place);
+        } else {
+            self.rows.insert(place, row.clone());
+        }
+        self.changes.push(row);
+    }
+
+    fn reply(&self, rows: Vec<Row>) -> Value {
+        json!({"rows": rows, "has_more": false, "row_version": self.version, "now_ms": 0})
+    }
+
+    /// Returns the latest change of each row of a table after a version.
+    fn since(&self, table: &str, after: u64) -> Vec<Row> {
+        let changes = self.changes.iter();
+        let changes = changes.filter(|row| row.table_name == table && row.row_version > after);
+        let latest: BTreeMap<_, _> = changes.map(|row| (&row.key, row)).collect();
+        let mut rows: Vec<_> = latest.into_values().cloned().collect();
+        rows.sort_by_key(|row| row.row_version);
+        rows
+    }
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn read(&self, query: &BTreeMap<String, String>) -> Response<Body> {
+        let table = text(query, "table_name");
+        let source = text(query, "source");
+        let state = self.state();
+        let rows = state.rows.values();
+        let rows = rows.filter(|row| row.table_name == table && row.key.as_str() >= source);
+        body::json(StatusCode::OK, &state.reply(rows.cloned().collect()))
+    }
+
+    async fn feed(&self, query: &BTreeMap<String, String>) -> Response<Body> {
+        let table = text(query, "table_name").to_owned();
+        let after: u64 = text(query, "after").parse().unwrap_or(0);
+        let wait: u64 = text(query, "wait_ms").parse().unwrap_or(0);
+        let end = time::Instant::now() + Duration::from_millis(wait);
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.state();
+                if after < state.forgotten {
+                    return body::error(StatusCode::GONE, "the history is gone");
+                }
+                let rows = state.since(&table, after);
+                if !rows.is_empty() || time::Instant::now() >= end {
+                    return body::json(StatusCode::OK, &state.reply(rows));
+                }
+            }
+            // A change between the look and the wait is seen at the next turn.
+            let turn = time::Instant::now() + Duration::from_millis(20);
+            tokio::select! {
+                () = changed => {}
+                () = time::sleep_until(turn.min(end)) => {}
+            }
+        }
+    }
+
+    async fn transact(&self, request: Request<Incoming>) -> Response<Body> {
+        let Ok(body) = request.into_body().collect().await else {
+            return body::error(StatusCode::BAD_REQUEST, "the body broke off");
+        };
+        let Ok(transaction) = serde_json::from_slice::<Transaction>(&body.to_bytes()) else {
+            return body::error(StatusCode::BAD_REQUEST, "not a transaction");
+        };
+        let mut state = self.state();
+        for op in &transaction.write {
+            state.change(
+                &op.table_name,
+                &op.key,
+                Some(op.value.clone().unwrap_or_default()),
+            );
+        }
+        for op in &transaction.remove {
+            state.change(&op.table_name, &op.key, None);
+        }
+        let version = json!({"row_version": state.version, "now_ms": 0});
+        drop(state);
+        self.changed.notify_waiters();
+        body::json(StatusCode::OK, &version)
+    }
+}
+
+impl Handler for Shared {
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Dropped> {
+        {
+            let mut state = self.state();
+            state.calls += 1;
+            if state.down {
+                return Ok(body::error(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "down on demand",
+                ));
+            }
+        }
+        let query = parse(request.uri().query().unwrap_or_default());
+        Ok(match (request.method(), request.uri().path()) {
+            (&Method::GET, "/rows-get") => self.read(&query),
+            (&Method::GET, "/rows-feed") => self.feed(&query).await,
+            (&Method::POST, "/rows-tx") => self.transact(request).await,
+            _ => body::error(StatusCode::NOT_FOUND, "no such path"),
+        })
+    }
+}
+
+fn text<'a>(query: &'a BTreeMap<String, String>, name: &str) -> &'a str {
+    query.get(name).map_or("", String::as_str)
+}
+
+fn parse(query: &str) -> BTreeMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let decode = |text: &str| {
+        let decoded = percent_encoding::percent_decode_str(text);
+        decoded.decode_utf8_lossy().into_owned()
+    };
+    pairs
+        .map(|(name, value)| (name.to_owned(), decode(value)))
+        .collect()
+}
--- /dev/null
+++ b/crates/fakes/src/runner.rs
@@ -0,0 +1,260 @@
+//! A target of the users' platform: it answers plain requests and streams,
+//! records what it ran, and fails on demand.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time;
+
+use crate::{
+    body::{self, Body},
+    server::{Dropped, Handler, Port, Power, Server},
+};
+
+/// What the target does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Answers with the request's body.
+    Echo,
+    /// Runs the request and closes the connection without an answer.
+    Lose,
+    /// States that it did not run the request.
+    Shed,
+    /// Answers 503 without stating that it did not run the request.
+    Busy,
+    /// Runs the request and answers 500.
+    Fail,
+    /// Answers with the id of another attempt.
+    Cross,
+    /// Answers without a signature.
+    Unsigned,
+    /// Announces more bytes than it sends.
+    Cut,
+    /// Never answers.
+    Hang,
+    /// Streams all events.
+    Stream,
+    /// Breaks off within the event after so many whole ones.
+    Break(u64),
+    /// Streams slowly and without an end.
+    Endless,
+}
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 5;
+
+/// Pause between two events of an endless stream.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A request that reached the target and was run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The path and the query.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    behaviours: Mutex<VecDeque<Behaviour>>,
+    usual: Mutex<Behaviour>,
+    runs: Mutex<Vec<Run>>,
+    streams: Arc<AtomicUsize>,
+}
+
+/// A running target; it stops when this handle is dropped.
+#[derive(Debug)]
+pub struct Runner {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Runner {
+    /// Starts a target with an id on a free port.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub fn start(id: &str, usual: Behaviour) -> io::Result<Self> {
+        let port = Port::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            behaviours: Mutex::default(),
+            usual: Mutex::new(usual),
+            runs: Mutex::default(),
+            streams: Arc::default(),
+        });
+        let server = port.serve(shared.clone());
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the id.
+    pub fn id(&self) -> &str {
+        &self.shared.id
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the switch that drops all connections.
+    pub fn power(&self) -> &Power {
+        self.server.power()
+    }
+
+    /// Changes what the target does with every request.
+    pub fn set(&self, usual: Behaviour) {
+        *lock(&self.shared.usual) = usual;
+    }
+
+    /// Changes what the target does with the next request only.
+    pub fn next(&self, behaviour: Behaviour) {
+        lock(&self.shared.behaviours).push_back(behaviour);
+    }
+
+    /// Returns the requests that were run.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.shared.runs).clone()
+    }
+
+    /// Returns the number of streams that are being sent.
+    pub fn streams(&self) -> usize {
+        self.shared.streams.load(Ordering::Relaxed)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a stream until its body is dropped.
+struct Open(Arc<AtomicUsize>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Shared {
+    fn respond(&self, behaviour: Behaviour, run: &Run) -> Result<Response<Body>, Dropped> {
+        let text = |name| run.headers.get(name).and_then(|value| value.to_str().ok());
+        let attempt = text("x-attempt-id").unwrap_or_default();
+        let seen = text("last-event-id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
+        let mut response = Response::new(match behaviour {
+            Behaviour::Lose => return Err(Dropped),
+            Behaviour::Cut => body::cut(run.body.clone()),
+            Behaviour::Stream => self.stream(seen, EVENTS, false),
+            Behaviour::Break(events) => self.stream(seen, events, true),
+            Behaviour::Endless => self.stream(seen, u64::MAX, false),
+            _ => body::full(run.body.clone()),
+        });
+        *response.status_mut() = match behaviour {
+            Behaviour::Busy => StatusCode::SERVICE_UNAVAILABLE,
+            Behaviour::Fail => StatusCode::INTERNAL_SERVER_ERROR,
+            _ => StatusCode::OK,
+        };
+        let attempt = match behaviour {
+            Behaviour::Cross => "another-attempt",
+            _ => attempt,
+        };
+        let mut set = |name: &'static str, value: &str| {
+            if let Ok(value) = value.parse() {
+                response.headers_mut().insert(name, value);
+            }
+        };
+        set("x-attempt-id", attempt);
+        if behaviour != Behaviour::Unsigned {
+            set("x-response-signature", &format!("signed-by-{}", self.id));
+        }
+        if matches!(
+            behaviour,
+            Behaviour::Stream | Behaviour::Break(_) | Behaviour::Endless
+        ) {
+            set("content-type", "text/event-stream");
+        }
+        Ok(response)
+    }
+
+    /// Streams the events after `seen` up to `last`; a broken stream ends with
+    /// part of the next one.
+    fn stream(&self, seen: u64, last: u64, broken: bool) -> Body {
+        self.streams.fetch_add(1, Ordering::Relaxed);
+        let open = Open(self.streams.clone());
+        body::chunks(stream::unfold(
+            (seen, open),
+            move |(sent, open)| async move {
+                if sent == u64::MAX {
+                    return Some((body::broken("stream cut on demand").await, (sent, open)));
+                }
+                let next = sent + 1;
+                if next > last {
+                    let part = Bytes::from(format!("id: {next}\nda"));
+                    return broken.then_some((Ok(part), (u64::MAX, open)));
+                }
+                if last == u64::MAX {
+                    time::sleep(PAUSE).await;
+                }
+                let event = format!("id: {next}\ndata: event {next}\n\n");
+                Some((Ok(Bytes::from(event)), (next, open)))
+            },
+        ))
+    }
+}
+
+impl Handler for Shared {
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Dropped> {
+        let (head, incoming) = request.into_parts();
+        let expected = head.headers.get("x-target-instance");
+        if expected.is_some_and(|expected| expected.as_bytes() != self.id.as_bytes()) {
+            return Ok(body::error(
+                StatusCode::MISDIRECTED_REQUEST,
+                "another target",
+            ));
+        }
+        let body = incoming.collect().await.map_err(|_| Dropped)?.to_bytes();
+        let usual = *lock(&self.usual);
+        let behaviour = lock(&self.behaviours).pop_front().unwrap_or(usual);
+        if behaviour == Behaviour::Shed {
+            let mut response = body::error(StatusCode::SERVICE_UNAVAILABLE, "no room");
+            if let Ok(value) = "1".parse() {
+                response.headers_mut().insert("x-not-executed", value);
+            }
+            return Ok(response);
+        }
+        let path = head.uri.path_and_query().map(ToString::to_string);
+        let run = Run {
+            headers: head.headers,
+            path: path.unwrap_or_default(),
+            body,
+        };
+        lock(&self.runs).push(run.clone());
+        if behaviour == Behaviour::Hang {
+            std::future::pending::<()>().await;
+        }
+        self.respond(behaviour, &run)
+    }
+}
