Correct counted loads by targets' reports; keep trust after a reset; add a fault soak

Requests whose answer was lost counted as running until their time was over, which raised the mean; and each reset of a connection set its target aside, so that few targets got all work.

Change: a report of the target that is at most 0.5 s old bounds the counted load; a closed connection counts as a failure and not as silence; when fewer than a third of the targets answered lately, all are tried.

The soak runs three routers as processes behind loopback proxies, with signals, and checks what callers and targets see.

--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,23 @@
+//! A short run of the fault soak, and the seeds that ever broke a promise.
+
+use std::{path::Path, time::Duration};
+
+/// Seeds that are always run; a seed that breaks a promise is added here with
+/// its cause.
+const SEEDS: [u64; 2] = [1, 2];
+
+/// Time of faults for each seed.
+const CHAOS: Duration = Duration::from_secs(5);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seeded_soak() {
+    let program = Path::new(env!("CARGO_BIN_EXE_ebonywalld"));
+    for seed in SEEDS {
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        let report = soak::run::run(program, &dir, seed, CHAOS)
+            .await
+            .expect("the soak runs");
+        assert!(report.served > 100, "seed {seed}: {report:?}");
+        assert!(report.violations.is_empty(), "seed {seed}: {report:#?}");
+    }
+}
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -17,6 +17,13 @@
 /// Time after which the load that a target reported counts for nothing.
 const REPORT_LIFE: span::Span = span::Span::from_secs(2);
 
+/// Time in which the load that a target reported is nearer to the truth than a
+/// higher count of routers.
+const FRESH_TIME: span::Span = span::Span::from_millis(500);
+
+/// Requests that other routers may have sent since a fresh report.
+const REPORT_MARGIN: u32 = 1;
+
 /// Time after which what a peer told of its requests counts for nothing.
 const PEER_LIFE: span::Span = span::Span::from_millis(1_500);
 
@@ -51,8 +58,13 @@
 struct Live {
     own: u32,
     pending: u32,
+    /// Requests of others at the time of the latest report.
     others: u32,
+    /// All requests at that time.
+    total: u32,
     reported: time::Mono,
+    /// Requests that this router sent since then.
+    since: u32,
     peers: BTreeMap<u64, Told>,
     trust: Trust,
     parts: BTreeMap<PartHash, time::Mono>,
@@ -169,7 +181,7 @@
         let live = self.live();
         cost::Candidate {
             hash: self.hash.0,
-            load: live.own + live.others(now),
+            load: live.load(now),
             pending: live.pending,
             missing: live.missing(chain),
             penalty: live.trust.penalty(),
@@ -184,6 +196,7 @@
     pub fn begin(self: &Arc<Self>, now: time::Mono, chain: &Chain, missing: u32) -> Flight {
         let mut live = self.live();
         live.own += 1;
+        live.since += 1;
         live.pending = live.pending.saturating_add(missing);
         live.trust.sent(now);
         for link in &chain.0 {
@@ -222,15 +235,19 @@
     /// Notes the load that the target reported.
     pub fn report(&self, now: time::Mono, load: report::Load) {
         let mut live = self.live();
-        live.others = (load.running + load.waiting).saturating_sub(live.own);
+        live.total = load.running + load.waiting;
+        live.others = live.total.saturating_sub(live.own);
         live.reported = now;
+        live.since = 0;
     }
 
     /// Notes that the target had no room.
     pub fn full(&self, now: time::Mono) {
         let mut live = self.live();
+        live.total = live.total.max(self.row.slots);
         live.others = live.others.max(self.row.slots);
         live.reported = now;
+        live.since = 0;
     }
 
     /// Notes an outcome.
@@ -245,6 +262,21 @@
 }
 
 impl Live {
+    /// Returns the requests believed to be at the target.
+    ///
+    /// A request whose answer was lost counts here until its time is over,
+    /// though the target has long ended it; the target's own report corrects
+    /// that.
+    fn load(&self, now: time::Mono) -> u32 {
+        let counted = self.own + self.others(now);
+        let is_fresh = self.reported > time::Mono(0) && now.since(self.reported) < FRESH_TIME;
+        if is_fresh {
+            counted.min(self.total + self.since + REPORT_MARGIN)
+        } else {
+            counted
+        }
+    }
+
     /// Returns the requests of others: what peers told, or the target's own
     /// report where no peer tells anything.
     fn others(&self, now: time::Mono) -> u32 {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use place::cost;
+use place::{cost, trust::Trust};
 use platform::{
     answer::Answer,
     call::{self, Call},
@@ -360,13 +360,19 @@
 
     fn missed(&self, target: &Target, failure: Failure) -> Miss {
         let now = self.shared.clock.now();
-        target.outcome(|trust| trust.unanswered(now));
+        match &failure {
+            // A closed connection shows that the target's host is there.
+            Failure::Lost(_) => target.outcome(Trust::failed),
+            Failure::NotSent(_) | Failure::Silent(_) => {
+                target.outcome(|trust| trust.unanswered(now));
+            }
+        }
         match failure {
             Failure::NotSent(fault) => {
                 tracing::info!(event = "not_sent", id = %self.call.attempt, target = %target.row.id, %fault);
                 Miss::NotRun
             }
-            Failure::Lost(fault) => {
+            Failure::Lost(fault) | Failure::Silent(fault) => {
                 tracing::info!(event = "lost", id = %self.call.attempt, target = %target.row.id, %fault);
                 Miss::Lost
             }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -1,6 +1,8 @@
 //! Connections to one target.
 
 use std::{
+    error::Error,
+    io,
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -43,8 +45,10 @@
 pub enum Failure {
     /// No byte of it was sent.
     NotSent(Fault),
-    /// It may have run.
+    /// It may have run; the connection was closed.
     Lost(Fault),
+    /// It may have run; the target's host acknowledges nothing.
+    Silent(Fault),
 }
 
 /// Kept connections to one target.
@@ -121,15 +125,21 @@
                         let fault = Fault::new("send request", self.address, error.into_error());
                         return Err(Failure::NotSent(fault));
                     }
-                    None => {
-                        let fault = Fault::new("read response", self.address, error.into_error());
-                        return Err(Failure::Lost(fault));
-                    }
+                    None => return Err(self.lost(error.into_error())),
                 },
             }
         }
     }
 
+    fn lost(&self, error: hyper::Error) -> Failure {
+        let silent = is_timeout(&error);
+        let fault = Fault::new("read response", self.address, error);
+        match silent {
+            true => Failure::Silent(fault),
+            false => Failure::Lost(fault),
+        }
+    }
+
     /// Keeps a connection whose response was read to its end.
     pub fn keep(&self, lease: Lease, idle: Option<span::Span>) {
         let named = idle.map(|idle| idle.as_micros().saturating_sub(IDLE_MARGIN.as_micros()));
@@ -173,12 +183,24 @@
     }
 }
 
+/// Returns whether an error comes from a time-out of the connection.
+fn is_timeout(error: &hyper::Error) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        if let Some(io) = cause.downcast_ref::<io::Error>() {
+            return io.kind() == io::ErrorKind::TimedOut;
+        }
+        source = cause.source();
+    }
+    false
+}
+
 /// Breaks a connection whose peer acknowledges nothing for a time.
 ///
 /// # Errors
 ///
 /// When the system refuses an option.
-pub fn guard(stream: &TcpStream, silence: Duration) -> std::io::Result<()> {
+pub fn guard(stream: &TcpStream, silence: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(silence))
--- /dev/null
+++ b/crates/edge/tests/fleet.rs
@@ -0,0 +1,117 @@
+//! What a router believes of its targets.
+
+use std::sync::Arc;
+
+use base::{id::DataCentre, time::Mono};
+use edge::fleet::{Chain, Fleet, Target};
+use platform::{call::Part, report::Load, target as row};
+
+fn target() -> Arc<Target> {
+    let row = row::Target {
+        id: "a".parse().expect("an id"),
+        address: ([127, 0, 0, 1], 80).into(),
+        service: "s".parse().expect("an id"),
+        centre: "c".parse().expect("an id"),
+        slots: 64,
+        leaving: false,
+        born: 1,
+    };
+    let fleet = Fleet::new(&[&row], None);
+    fleet.targets().next().expect("one target").clone()
+}
+
+fn at(millis: u64) -> Mono {
+    Mono(millis * 1_000)
+}
+
+fn load(target: &Target, now: Mono) -> u32 {
+    let centre: DataCentre = "c".parse().expect("an id");
+    target.candidate(now, &Chain::default(), &centre).load
+}
+
+#[test]
+fn own_and_peers() {
+    let target = target();
+    let flight = target.begin(at(1), &Chain::default(), 0);
+    target.told(at(1), 7, 3);
+    target.told(at(1), 8, 2);
+    assert_eq!(load(&target, at(2)), 6);
+    target.told(at(3), 8, 0);
+    drop(flight);
+    assert_eq!(load(&target, at(4)), 3);
+    assert_eq!(
+        load(&target, at(5_000)),
+        0,
+        "a silent peer counts for nothing"
+    );
+}
+
+/// When answers are lost, requests that the target has ended keep counting; on
+/// a day with lost answers a router then took the mean for so high that it
+/// sent work to targets above the bound.
+#[test]
+fn lost_answers() {
+    let target = target();
+    let flights: Vec<_> = (0..20)
+        .map(|_| target.begin(at(1), &Chain::default(), 0))
+        .collect();
+    assert_eq!(load(&target, at(100)), 20);
+    let report = Load {
+        running: 2,
+        waiting: 0,
+        slots: 64,
+    };
+    target.report(at(200), report);
+    assert_eq!(load(&target, at(210)), 3);
+    let more = target.begin(at(220), &Chain::default(), 0);
+    assert_eq!(load(&target, at(230)), 4);
+    assert_eq!(
+        load(&target, at(2_000)),
+        21,
+        "an old report corrects nothing"
+    );
+    drop((flights, more));
+}
+
+#[test]
+fn held_parts() {
+    let target = target();
+    let parts = [("x", 500), ("y", 9_000), ("own", 300)].map(|(id, tokens)| Part {
+        id: id.to_owned(),
+        tokens,
+    });
+    let chain = Chain::new(&parts);
+    let centre: DataCentre = "c".parse().expect("an id");
+    let missing = |now| target.candidate(now, &chain, &centre).missing;
+    assert_eq!(missing(at(0)), 9_800);
+    for part in chain.shared() {
+        target.holds(at(1), part);
+    }
+    assert_eq!(missing(at(2)), 300);
+    let other = Chain::new(&parts[1..]);
+    assert_eq!(
+        target.candidate(at(3), &other, &centre).missing,
+        9_300,
+        "other parts before it"
+    );
+}
+
+/// A target that restarts under its id holds nothing of before.
+#[test]
+fn born_again() {
+    let first = target();
+    let flight = first.begin(at(1), &Chain::default(), 0);
+    let fleet = Fleet::new(&[&first.row], None);
+    let mut row = first.row.clone();
+    row.leaving = true;
+    let same = Fleet::new(&[&row], Some(&fleet));
+    let kept = same.targets().next().expect("one target");
+    assert!(Arc::ptr_eq(
+        &kept.pool,
+        &fleet.targets().next().expect("one target").pool
+    ));
+    row.born = 2;
+    let other = Fleet::new(&[&row], Some(&same));
+    assert_eq!(load(other.targets().next().expect("one target"), at(2)), 0);
+    drop(flight);
+}
--- a/crates/fakes/src/runner.rs
+++ b/crates/fakes/src/runner.rs
@@ -45,6 +45,9 @@
     Cut,
     /// Never answers.
     Hang,
+    /// Streams where the path begins with `/stream/` or `/resume/`, and echoes
+    /// elsewhere.
+    ByPath,
     /// Streams all events.
     Stream,
     /// Breaks off within the event after so many whole ones.
@@ -56,6 +59,15 @@
 /// Events of a whole stream.
 pub const EVENTS: u64 = 5;
 
+/// Returns the body of a whole stream.
+pub fn whole_stream() -> String {
+    (1..=EVENTS).map(event).collect()
+}
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: event {id}\n\n")
+}
+
 /// Pause between two events of an endless stream.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -215,8 +227,7 @@
                 if last == u64::MAX {
                     time::sleep(PAUSE).await;
                 }
-                let event = format!("id: {next}\ndata: event {next}\n\n");
-                Some((Ok(Bytes::from(event)), (next, open)))
+                Some((Ok(Bytes::from(event(next))), (next, open)))
             },
         ))
     }
@@ -238,6 +249,13 @@
         let body = incoming.collect().await.map_err(|_| Dropped)?.to_bytes();
         let usual = *lock(&self.usual);
         let behaviour = lock(&self.behaviours).pop_front().unwrap_or(usual);
+        let streams = ["/stream/", "/resume/"]
+            .iter()
+            .any(|prefix| head.uri.path().starts_with(prefix));
+        let behaviour = match behaviour {
+            Behaviour::ByPath if streams => Behaviour::Stream,
+            behaviour => behaviour,
+        };
         if behaviour == Behaviour::Shed {
             let mut response = body::error(StatusCode::SERVICE_UNAVAILABLE, "no room");
             if let Ok(value) = "1".parse() {
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -37,6 +37,10 @@
 /// does not spread every request.
 const SPILL_MARGIN: u64 = 3;
 
+/// One in so many of the targets must have answered lately for the others to
+/// be passed over.
+const LEAST_TRUSTED: usize = 3;
+
 /// A target as the choice sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Candidate {
@@ -81,7 +85,7 @@
     Cheapest,
     /// Every target is above the spill level.
     Saturated,
-    /// No target that takes new work answered lately.
+    /// Too few of the targets that take new work answered lately.
     Untrusted,
 }
 
@@ -112,7 +116,7 @@
 
 /// Chooses a target; `seed` breaks ties.
 pub fn choose(candidates: &[Candidate], prompt: Prompt, seed: u64) -> Option<Choice> {
-    let trusts = candidates.iter().any(|c| c.open && c.trusted);
+    let trusts = trusts(candidates);
     let eligible = |c: &Candidate| c.open && (c.trusted || !trusts);
     let open = || candidates.iter().enumerate().filter(|(_, c)| eligible(c));
     let level = spill_level(open().map(|(_, c)| c));
@@ -164,6 +168,14 @@
     })
 }
 
+/// Returns whether enough targets answered lately to do without the others:
+/// those that remain would otherwise get all the work.
+fn trusts(candidates: &[Candidate]) -> bool {
+    let open = candidates.iter().filter(|c| c.open);
+    let trusted = open.clone().filter(|c| c.trusted).count();
+    trusted * LEAST_TRUSTED >= open.count() && trusted > 0
+}
+
 /// Returns a candidate that holds all shared parts, whether it takes new work or
 /// not.
 fn best_holder(candidates: &[Candidate], own: u32) -> Option<usize> {
--- a/crates/place/tests/cost.rs
+++ b/crates/place/tests/cost.rs
@@ -107,6 +107,22 @@
     assert_eq!(cost::choose(&targets, prompt(), 1), None);
 }
 
+/// When most targets did not answer lately, the few others do not get all the
+/// work.
+#[test]
+fn few_trusted() {
+    let mut targets = targets(18);
+    for target in &mut targets[5..] {
+        target.trusted = false;
+    }
+    targets[..5].iter_mut().for_each(|target| target.load = 6);
+    let choice = cost::choose(&targets, Prompt::default(), 1).expect("a target");
+    assert!(choice.index >= 5);
+    targets[5].trusted = true;
+    let choice = cost::choose(&targets, Prompt::default(), 1).expect("a target");
+    assert!(choice.index <= 5);
+}
+
 /// Requests of six routers that hear one another's loads stay below twice the
 /// mean plus three, also when a third of them are about one part.
 #[test]
--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,75 @@
+//! The promises, checked from what callers and targets saw.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use crate::{
+    caller::{Outcome, RULES, Seen},
+    site::{MOST_RUNS, Site},
+};
+
+/// Violations of promises, in words.
+pub type Violations = Vec<String>;
+
+/// Returns how often each attempt was run.
+fn runs(site: &Site) -> BTreeMap<String, usize> {
+    let mut runs = BTreeMap::new();
+    for run in site.targets.iter().flat_map(|target| target.runner.runs()) {
+        let attempt = run
+            .headers
+            .get("x-attempt-id")
+            .and_then(|id| id.to_str().ok());
+        *runs
+            .entry(attempt.unwrap_or_default().to_owned())
+            .or_insert(0) += 1;
+    }
+    runs
+}
+
+/// Checks each request for itself.
+pub fn requests(site: &Site, seen: &[Seen]) -> Violations {
+    let runs = runs(site);
+    let mut violations = Vec::new();
+    for request in seen {
+        let (name, once) = RULES[request.rule];
+        let count = runs.get(&request.attempt).copied().unwrap_or(0);
+        let attempt = &request.attempt;
+        let most = if once { 1 } else { MOST_RUNS };
+        if count > most {
+            violations.push(format!(
+                "{name} {attempt} ran {count} times, {most} at most"
+            ));
+        }
+        match &request.outcome {
+            Outcome::Whole(status)
+                if matches!(status.as_u16(), 408 | 421 | 429 | 503) && count > 0 =>
+            {
+                violations.push(format!("{name} {attempt} was answered {status} and ran"));
+            }
+            Outcome::Wrong(body) => {
+                violations.push(format!("{name} {attempt} got another body: {body:?}"));
+            }
+            Outcome::Silent => {
+                violations.push(format!("{name} {attempt} got no answer in its time"));
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+/// Checks that a planned stop broke nothing off: the requests of one router
+/// from a moment on, while nothing else is wrong.
+pub fn graceful(seen: &[Seen], router: usize, from: Instant) -> Violations {
+    let broken = seen.iter().filter(|request| {
+        request.router == router
+            && request.end >= from
+            && matches!(request.outcome, Outcome::Cut | Outcome::Closed)
+    });
+    let text = |request: &Seen| {
+        format!(
+            "{} {} was broken off by a planned stop",
+            RULES[request.rule].0, request.attempt
+        )
+    };
+    broken.map(text).collect()
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,435 @@
+//! One soak: faults in overlapping series, then a calm end in which all must be
+//! well again.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use fakes::runner::Behaviour;
+use rand::{RngExt, SeedableRng, rngs::ChaCha8Rng, seq::IndexedRandom};
+use tokio::{task::JoinSet, time};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    caller::{Caller, Outcome, RULES, Seen},
+    checks::{self, Violations},
+    process::{Ports, Router},
+    proxy::{Link, Proxy},
+    site::{KEY, Site},
+};
+
+/// Routers of a soak.
+const ROUTERS: usize = 3;
+
+/// Targets of a soak.
+const TARGETS: usize = 4;
+
+/// Callers of a soak.
+const CALLERS: usize = 12;
+
+/// Time in which routers recover after the last fault.
+const RECOVERY: Duration = Duration::from_secs(6);
+
+/// Bound on the time in which a change of the table takes effect, and a small
+/// allowance for this machine.
+const BOUND: Duration = Duration::from_millis(2_200);
+
+/// Time from SIGTERM to the end of a process.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Key that the calm end takes away.
+const REVOKED: &str = "revoked";
+
+/// What a soak did and found.
+#[derive(Debug)]
+pub struct Report {
+    /// Requests that callers sent.
+    pub requests: usize,
+    /// Requests that were served.
+    pub served: usize,
+    /// The faults, in words.
+    pub faults: Vec<String>,
+    /// Promises that were broken.
+    pub violations: Violations,
+}
+
+struct Soak {
+    site: Site,
+    routers: Vec<Router>,
+    tables: Vec<Proxy>,
+    rng: ChaCha8Rng,
+    faults: Vec<String>,
+    /// Faults that end later.
+    ends: Vec<(Instant, End)>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    start: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Target(usize),
+    Table(usize),
+    Behaviour(usize),
+    Row(usize),
+    Continue(usize),
+    Start(usize),
+    Store,
+}
+
+/// Runs one seed; `dir` gets settings and logs.
+///
+/// # Errors
+///
+/// When the soak itself cannot run.
+pub async fn run(program: &Path, dir: &Path, seed: u64, chaos: Duration) -> anyhow::Result<Report> {
+    std::fs::create_dir_all(dir).with_context(|| format!("create {}", dir.display()))?;
+    let mut soak = Soak::start(program, dir, seed).await?;
+    let stop = CancellationToken::new();
+    let callers = soak.callers(seed, &stop);
+    soak.ready().await?;
+    soak.chaos(chaos).await?;
+    soak.heal().await?;
+    let mut violations = soak.calm().await?;
+    stop.cancel();
+    callers.join_all().await;
+    let seen = soak
+        .seen
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    violations.extend(checks::requests(&soak.site, &seen));
+    let served = seen
+        .iter()
+        .filter(|seen| matches!(&seen.outcome, Outcome::Whole(status) if status.is_success()));
+    Ok(Report {
+        requests: seen.len(),
+        served: served.count(),
+        faults: soak.faults.clone(),
+        violations,
+    })
+}
+
+impl Soak {
+    async fn start(program: &Path, dir: &Path, seed: u64) -> anyhow::Result<Self> {
+        let mut site = Site::start(TARGETS).await?;
+        site.configure(&[KEY, REVOKED]);
+        let mut routers = Vec::new();
+        let mut tables = Vec::new();
+        for number in 0..ROUTERS {
+            let table = Proxy::start(site.table.address()).await?;
+            let name = format!("router-{number}");
+            let ports = Ports::free()?;
+            routers.push(Router::start(program, dir, &name, ports, table.address())?);
+            tables.push(table);
+        }
+        Ok(Self {
+            site,
+            routers,
+            tables,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            faults: Vec::new(),
+            ends: Vec::new(),
+            seen: Arc::default(),
+            start: Instant::now(),
+        })
+    }
+
+    fn callers(&self, seed: u64, stop: &CancellationToken) -> JoinSet<()> {
+        let ports: Vec<u16> = self
+            .routers
+            .iter()
+            .map(|router| router.ports.callers)
+            .collect();
+        let mut callers = JoinSet::new();
+        for number in 0..CALLERS {
+            let rng = ChaCha8Rng::seed_from_u64(seed ^ ((number as u64 + 1) << 32));
+            let task = call(number, ports.clone(), rng, self.seen.clone(), stop.clone());
+            callers.spawn(task);
+        }
+        callers
+    }
+
+    async fn ready(&self) -> anyhow::Result<()> {
+        let end = Instant::now() + RECOVERY;
+        for router in &self.routers {
+            while !is_ready(router.ports.ready).await {
+                anyhow::ensure!(Instant::now() < end, "{} is not ready", router.name);
+                time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn chaos(&mut self, length: Duration) -> anyhow::Result<()> {
+        let end = Instant::now() + length;
+        while Instant::now() < end {
+            self.strike()?;
+            let pause = Duration::from_millis(self.rng.random_range(30..500));
+            time::sleep(pause).await;
+            let now = Instant::now();
+            self.finish(|at| at <= now)?;
+        }
+        Ok(())
+    }
+
+    /// Begins one fault.
+    fn strike(&mut self) -> anyhow::Result<()> {
+        let length = Duration::from_millis(self.rng.random_range(100..2_500));
+        let target = self.rng.random_range(0..TARGETS);
+        let router = self.rng.random_range(0..ROUTERS);
+        let link = match self.rng.random_range(0..4) {
+            0 => Link::Delayed(Duration::from_millis(self.rng.random_range(20..300))),
+            1 => Link::Reset,
+            2 => Link::OneWay,
+            _ => Link::Silent,
+        };
+        let (text, end) = match self.rng.random_range(0..12) {
+            0 | 1 => {
+                self.site.targets[target].proxy.set(link);
+                (
+                    format!("target {target} {link:?}"),
+                    Some(End::Target(target)),
+                )
+            }
+            2 => {
+                self.tables[router].set(link);
+                (
+                    format!("table of router {router} {link:?}"),
+                    Some(End::Table(router)),
+                )
+            }
+            3 | 4 => {
+                const FAULTS: [Behaviour; 9] = [
+                    Behaviour::Lose,
+                    Behaviour::Shed,
+                    Behaviour::Busy,
+                    Behaviour::Fail,
+                    Behaviour::Cross,
+                    Behaviour::Unsigned,
+                    Behaviour::Cut,
+                    Behaviour::Hang,
+                    Behaviour::Break(2),
+                ];
+                let fault = *FAULTS.choose(&mut self.rng).context("there are faults")?;
+                self.site.targets[target].runner.set(fault);
+                (
+                    format!("target {target} {fault:?}"),
+                    Some(End::Behaviour(target)),
+                )
+            }
+            5 => {
+                self.site.list(target, "draining");
+                (format!("target {target} leaves"), Some(End::Row(target)))
+            }
+            6 => {
+                self.site
+                    .table
+                    .remove("servers", &format!("target-{target}"));
+                (
+                    format!("row of target {target} is gone"),
+                    Some(End::Row(target)),
+                )
+            }
+            7 => {
+                self.routers[router].kill();
+                (
+                    format!("router {router} is killed"),
+                    Some(End::Start(router)),
+                )
+            }
+            8 => {
+                self.routers[router].signal("STOP")?;
+                (
+                    format!("router {router} stands still"),
+                    Some(End::Continue(router)),
+                )
+            }
+            9 => {
+                self.routers[router].signal("TERM")?;
+                (
+                    format!("router {router} gets SIGTERM"),
+                    Some(End::Start(router)),
+                )
+            }
+            10 => {
+                self.site.table.down(true);
+                ("table is down".to_owned(), Some(End::Store))
+            }
+            _ => {
+                self.routers[router].signal("HUP")?;
+                self.site.table.forget();
+                self.site.configure(&[KEY, REVOKED]);
+                (
+                    "a new version, a forgotten history and SIGHUP".to_owned(),
+                    None,
+                )
+            }
+        };
+        let at = self.start.elapsed().as_millis();
+        self.faults
+            .push(format!("{at} ms: {text} for {} ms", length.as_millis()));
+        if let Some(end) = end {
+            self.ends.push((Instant::now() + length, end));
+        }
+        Ok(())
+    }
+
+    /// Ends the faults whose end is chosen by `is_due`.
+    fn finish(&mut self, is_due: impl Fn(Instant) -> bool) -> anyhow::Result<()> {
+        let (due, later): (Vec<_>, Vec<_>) = self.ends.drain(..).partition(|(at, _)| is_due(*at));
+        self.ends = later;
+        for (_, end) in due {
+            match end {
+                End::Target(target) => self.site.targets[target].proxy.set(Link::Sound),
+                End::Table(router) => self.tables[router].set(Link::Sound),
+                End::Behaviour(target) => self.site.targets[target].runner.set(Behaviour::ByPath),
+                End::Row(target) => self.site.relist(target),
+                End::Continue(router) => self.routers[router].signal("CONT")?,
+                End::Start(router) => {
+                    self.routers[router].kill();
+                    self.routers[router].spawn()?;
+                }
+                End::Store => self.site.table.down(false),
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all faults and waits until the routers are well.
+    async fn heal(&mut self) -> anyhow::Result<()> {
+        self.finish(|_| true)?;
+        for target in 0..TARGETS {
+            self.site.relist(target);
+        }
+        self.site.configure(&[KEY, REVOKED]);
+        self.ready().await?;
+        time::sleep(RECOVERY / 2).await;
+        Ok(())
+    }
+
+    /// Checks the promises that hold while nothing is wrong.
+    async fn calm(&mut self) -> anyhow::Result<Violations> {
+        let mut violations = self.served().await;
+        violations.extend(self.drained().await);
+        violations.extend(self.revoked().await);
+        violations.extend(self.stopped().await?);
+        Ok(violations)
+    }
+
+    /// Each router serves each kind of request.
+    async fn served(&self) -> Violations {
+        let mut violations = Vec::new();
+        for router in &self.routers {
+            for (rule, (name, _)) in RULES.iter().enumerate() {
+                let attempt = format!("calm-{}-{name}", router.name);
+                let outcome = Caller::default()
+                    .call(router.ports.callers, rule, &attempt, KEY)
+                    .await;
+                if outcome != Outcome::Whole(http::StatusCode::OK) {
+                    violations.push(format!("{name} {attempt} after recovery: {outcome:?}"));
+                }
+            }
+        }
+        violations
+    }
+
+    /// A target that leaves gets no new work after the bound.
+    async fn drained(&self) -> Violations {
+        self.site.list(0, "draining");
+        time::sleep(BOUND).await;
+        let before = self.site.targets[0].runner.runs().len();
+        time::sleep(Duration::from_secs(1)).await;
+        let late = self.site.targets[0].runner.runs().len() - before;
+        match late {
+            0 => Vec::new(),
+            _ => vec![format!("{late} requests reached a target after it left")],
+        }
+    }
+
+    /// A key that is taken away is refused everywhere after the bound.
+    async fn revoked(&mut self) -> Violations {
+        self.site.configure(&[KEY]);
+        time::sleep(BOUND).await;
+        let mut violations = Vec::new();
+        for router in &self.routers {
+            let attempt = format!("revoked-{}", router.name);
+            let outcome = Caller::default()
+                .call(router.ports.callers, 1, &attempt, REVOKED)
+                .await;
+            if outcome != Outcome::Whole(http::StatusCode::UNAUTHORIZED) {
+                violations.push(format!("a revoked key at {}: {outcome:?}", router.name));
+            }
+        }
+        violations
+    }
+
+    /// A planned stop breaks no request off and ends in time with status 0.
+    async fn stopped(&mut self) -> anyhow::Result<Violations> {
+        let from = Instant::now();
+        self.routers[0].signal("TERM")?;
+        let mut violations = Vec::new();
+        if !self.routers[0].ended(GRACE).await {
+            violations.push("a router did not end by itself within its grace time".to_owned());
+        }
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        violations.extend(checks::graceful(&seen, 0, from));
+        Ok(violations)
+    }
+}
+
+/// Sends requests until it is told to stop.
+async fn call(
+    number: usize,
+    ports: Vec<u16>,
+    mut rng: ChaCha8Rng,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    stop: CancellationToken,
+) {
+    let router = number % ports.len();
+    let mut caller = Caller::default();
+    let mut count = 0;
+    while !stop.is_cancelled() {
+        count += 1;
+        let attempt = format!("attempt-{number}-{count}");
+        let rule = rng.random_range(0..RULES.len());
+        let start = Instant::now();
+        let outcome = caller.call(ports[router], rule, &attempt, KEY).await;
+        let request = Seen {
+            attempt,
+            rule,
+            router,
+            start,
+            end: Instant::now(),
+            outcome,
+        };
+        seen.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(request);
+        if rng.random_bool(0.05) {
+            caller.leave();
+        }
+        time::sleep(Duration::from_millis(rng.random_range(5..40))).await;
+    }
+}
+
+async fn is_ready(port: u16) -> bool {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    let ask = async {
+        let mut stream = tokio::net::TcpStream::connect(address).await?;
+        stream
+            .write_all(b"GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            .await?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await?;
+        Ok::<_, std::io::Error>(answer.starts_with("HTTP/1.1 200"))
+    };
+    matches!(
+        time::timeout(Duration::from_secs(1), ask).await,
+        Ok(Ok(true))
+    )
+}
