--- a/crates/edge/src/lag.rs
+++ b/crates/edge/src/lag.rs
@@ -13,6 +13,9 @@
 /// The same while the feed fails; a call may be under way.
 const FAILED_TIME: span::Span = span::Span::from_millis(100);
 
+/// Time over which the fetches of many routers are spread.
+const SPREAD: span::Span = span::Span::from_millis(500);
+
 /// Shortest time between two fetches; a large snapshot takes most of it on a
 /// slow link.
 const FETCH_PAUSE: span::Span = span::Span::from_millis(500);
@@ -21,6 +24,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Lag {
     since: Option<time::Mono>,
+    spread: span::Span,
     fetched: Option<time::Mono>,
 }
 
@@ -28,15 +32,19 @@
     /// Returns whether a snapshot is to be fetched now, and notes that it is.
     /// `behind` says whether a peer tells something newer, `follows` whether
     /// the table's feed works.
-    pub fn is_due(&mut self, now: time::Mono, behind: bool, follows: bool) -> bool {
+    /// `random` from 0 to 1 spreads the fetches of many routers.
+    pub fn is_due(&mut self, now: time::Mono, behind: bool, follows: bool, random: f64) -> bool {
         if !behind {
             self.since = None;
             return false;
         }
-        let since = *self.since.get_or_insert(now);
+        let since = *self.since.get_or_insert_with(|| {
+            self.spread = span::Span::from_micros((SPREAD.as_micros() as f64 * random) as u64);
+            now
+        });
         let wait = if follows { TABLE_TIME } else { FAILED_TIME };
         let recent = self.fetched.is_some_and(|at| now.since(at) < FETCH_PAUSE);
-        let due = now.since(since) >= wait && !recent;
+        let due = now.since(since + self.spread) >= wait && !recent;
         if due {
             self.fetched = Some(now);
         }
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -4,7 +4,10 @@
 //! second. It repeats absolute values, so that a lost one does no harm. What
 //! must arrive whole is fetched by a [`Snapshot`].
 
+use std::io::{self, Read, Write};
+
 use base::{id, span};
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use platform::{rows::Position, target as row};
 use prost::Message;
 
@@ -111,7 +114,7 @@
 /// What a router needs that cannot read the table.
 #[derive(Clone, PartialEq, Message)]
 pub struct Snapshot {
-    /// The configuration as the table holds it; empty before any.
+    /// The configuration as the table holds it, deflated; empty before any.
     #[prost(bytes = "bytes", tag = "1")]
     pub config: bytes::Bytes,
     /// The targets.
@@ -148,6 +151,34 @@
     pub position: u64,
 }
 
+/// Longest configuration that is inflated, in bytes.
+const MAX_CONFIG: u64 = 64 * 1024 * 1024;
+
+/// Deflates a configuration: its rules repeat the same words, and a tenth of
+/// the bytes goes over links of 10 Mbit/s.
+///
+/// # Errors
+///
+/// Never in practice: writing to memory does not fail.
+pub fn deflate(config: &[u8]) -> io::Result<bytes::Bytes> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(config)?;
+    Ok(encoder.finish()?.into())
+}
+
+/// Inflates what [`deflate`] made.
+///
+/// # Errors
+///
+/// When the bytes are malformed.
+pub fn inflate(bytes: &[u8]) -> io::Result<bytes::Bytes> {
+    let mut config = Vec::new();
+    DeflateDecoder::new(bytes)
+        .take(MAX_CONFIG)
+        .read_to_end(&mut config)?;
+    Ok(config.into())
+}
+
 impl Hold {
     /// Makes an entry.
     pub fn new(target: TargetHash, part: PartHash) -> Self {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
+use rand::RngExt;
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
     sync::Notify,
@@ -300,7 +301,7 @@
         let behind = self.shared.version().0 < version || self.shared.fleet.load().is_none();
         let follows = self.shared.follows.load(Ordering::Relaxed);
         let mut lag = self.lag.lock().unwrap_or_else(PoisonError::into_inner);
-        if version == 0 || !lag.is_due(now, behind, follows) {
+        if version == 0 || !lag.is_due(now, behind, follows, rand::rng().random()) {
             return;
         }
         let peers = self.clone();
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -11,7 +11,7 @@
 use crate::{
     fleet::Fleet,
     leaving::{Leave, Listed},
-    news::{Snapshot, TargetRow},
+    news::{self, Snapshot, TargetRow},
     routes::Routes,
     shared::Shared,
 };
@@ -21,8 +21,8 @@
 pub struct View {
     shared: Arc<Shared>,
     listed: Mutex<Listed>,
-    /// The configuration in force, as the table holds it.
-    config: Mutex<Bytes>,
+    /// The configuration in force.
+    config: Mutex<Held>,
     /// Told when something changed that other routers should know at once.
     pub changed: Notify,
 }
@@ -58,7 +58,10 @@
             return;
         }
         let rules = config.rules.len();
-        *self.config.lock().unwrap_or_else(PoisonError::into_inner) = value.clone();
+        *self.config.lock().unwrap_or_else(PoisonError::into_inner) = Held {
+            config: value.clone(),
+            deflated: None,
+        };
         self.shared
             .routes
             .store(Some(Arc::new(Routes::new(config))));
@@ -83,7 +86,10 @@
     /// Takes in the snapshot of another router.
     pub fn adopt_snapshot(&self, snapshot: &Snapshot) {
         if !snapshot.config.is_empty() {
-            self.adopt(&snapshot.config, "peer");
+            match news::inflate(&snapshot.config) {
+                Ok(config) => self.adopt(&config, "peer"),
+                Err(error) => tracing::info!(event = "config_unreadable", %error),
+            }
         }
         let now = self.shared.clock.now();
         for row in &snapshot.targets {
@@ -99,11 +105,7 @@
 
     /// Returns what another router needs that cannot read the table.
     pub fn snapshot(&self) -> Snapshot {
-        let config = self
-            .config
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
+        let config = self.deflated();
         let listed = self.listed();
         let targets = listed
             .rows()
@@ -114,6 +116,18 @@
         }
     }
 
+    /// Returns the configuration in force, deflated once for each version.
+    fn deflated(&self) -> Bytes {
+        let mut held = self.config.lock().unwrap_or_else(PoisonError::into_inner);
+        if held.deflated.is_none() && !held.config.is_empty() {
+            match news::deflate(&held.config) {
+                Ok(deflated) => held.deflated = Some(deflated),
+                Err(error) => tracing::error!(event = "config_not_deflated", %error),
+            }
+        }
+        held.deflated.clone().unwrap_or_default()
+    }
+
     /// Replaces the fleet that traffic sees, if a target changed.
     pub fn publish(&self, source: &'static str) {
         let now = self.shared.clock.now();
@@ -133,6 +147,13 @@
     }
 }
 
+/// A configuration as the table holds it, and as peers get it.
+#[derive(Debug, Default)]
+struct Held {
+    config: Bytes,
+    deflated: Option<Bytes>,
+}
+
 /// Decodes the row of a target; other rows are logged and name none.
 pub fn target(row: &Row) -> Option<row::Target> {
     let value = row.value.as_ref()?;
