Contain requests that crash the targets that run them, fleet-wide

Cause: a request that crashes each target comes again, at any router; only the rule's attempts bounded it.

Change: a router that loses a request by a closed connection tries a new connection; if there is none, the target has crashed and the request's content is suspect. Routers tell one another. After crashes of two targets (three for content that routers repeat) the content is refused as not run for 60 s.

Ruled out: the quarantine that agents use, which needs one place that sees all requests of a target; refusing after lost answers without a look at the target (a fifth of all answers may be lost by healthy targets).

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gate;
 pub mod group;
 mod jitter;
+pub mod poison;
 pub mod quarantine;
 pub mod repeat;
 pub mod ticket;
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -6,6 +6,7 @@
 
 use std::io::{self, Read, Write};
 
+use admit::poison::Fall;
 use base::{id, span};
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use platform::{rows::Position, target as row};
@@ -26,6 +27,9 @@
 /// Leaves told in one datagram at most.
 pub const MOST_LEAVES: usize = 10;
 
+/// Crashes told in one datagram at most.
+pub const MOST_FALLS: usize = 10;
+
 /// Targets set aside that are told in one datagram at most.
 pub const MOST_ASIDE: usize = 10;
 
@@ -62,6 +66,9 @@
     /// Whether the table answers the sender.
     #[prost(bool, tag = "10")]
     pub reads: bool,
+    /// Contents that were at crashes of targets.
+    #[prost(message, repeated, tag = "11")]
+    pub falls: Vec<FallAt>,
 }
 
 /// Requests at a target.
@@ -86,6 +93,17 @@
     pub part: u64,
 }
 
+/// Content that was at a target when it crashed.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct FallAt {
+    /// Hash of the content.
+    #[prost(fixed64, tag = "1")]
+    pub content: u64,
+    /// Hash of the target's id.
+    #[prost(fixed64, tag = "2")]
+    pub target: u64,
+}
+
 /// A target that leaves.
 #[derive(Clone, PartialEq, Message)]
 pub struct Left {
@@ -179,6 +197,24 @@
     Ok(config.into())
 }
 
+impl From<Fall> for FallAt {
+    fn from(fall: Fall) -> Self {
+        Self {
+            content: fall.fingerprint.0,
+            target: fall.target,
+        }
+    }
+}
+
+impl From<FallAt> for Fall {
+    fn from(fall: FallAt) -> Self {
+        Self {
+            fingerprint: id::Fingerprint(fall.content),
+            target: fall.target,
+        }
+    }
+}
+
 impl Hold {
     /// Makes an entry.
     pub fn new(target: TargetHash, part: PartHash) -> Self {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -31,7 +31,8 @@
     leaving::Leave,
     metrics::Counter,
     news::{
-        Aside, Left, LoadAt, MAX_DATAGRAM, MOST_ASIDE, MOST_HOLDS, MOST_LEAVES, News, Snapshot,
+        Aside, FallAt, Left, LoadAt, MAX_DATAGRAM, MOST_ASIDE, MOST_FALLS, MOST_HOLDS, MOST_LEAVES,
+        News, Snapshot,
     },
     readers::{self, Router},
     shared::Shared,
@@ -202,6 +203,7 @@
         let aside =
             targets().filter_map(|target| Some(Aside::new(target.hash, target.aside(now)?)));
         let leaves = self.view.listed().leaves(now);
+        let falls = self.shared.poison().falls(now);
         News {
             process: self.shared.settings.process.to_string(),
             run: self.run,
@@ -218,6 +220,12 @@
             aside: aside.take(MOST_ASIDE).collect(),
             stopping: self.shared.stopping.load(Ordering::Relaxed),
             reads: self.shared.reads.load(Ordering::Relaxed),
+            falls: falls
+                .into_iter()
+                .rev()
+                .take(MOST_FALLS)
+                .map(FallAt::from)
+                .collect(),
         }
     }
 
@@ -264,6 +272,9 @@
                 }
             }
         }
+        for fall in &news.falls {
+            self.shared.poison().fall(now, (*fall).into());
+        }
         self.view.told(
             news.leaves
                 .iter()
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -21,6 +21,8 @@
     Large,
     /// No configuration or no targets are known yet.
     Unready,
+    /// Its content was at crashes of several targets; it did not run.
+    Poison,
     /// No target takes the request now; it did not run.
     Busy,
     /// Its time is over and it did not run.
@@ -38,7 +40,9 @@
             Self::Rule => StatusCode::NOT_FOUND,
             Self::Key => StatusCode::UNAUTHORIZED,
             Self::Large => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Unready | Self::Busy | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unready | Self::Poison | Self::Busy | Self::Expired => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
         }
@@ -48,6 +52,7 @@
     fn after(self) -> Option<span::Span> {
         match self {
             Self::Unready => Some(UNREADY_AFTER),
+            Self::Poison => Some(POISON_AFTER),
             Self::Busy | Self::Expired => Some(BUSY_AFTER),
             _ => None,
         }
@@ -62,6 +67,7 @@
             Self::Key => "unknown-key",
             Self::Large => "body-too-large",
             Self::Unready => "not-ready",
+            Self::Poison => "crashes-targets",
             Self::Busy => "busy",
             Self::Expired => "expired-unsent",
             Self::Timeout => "timeout",
@@ -74,6 +80,10 @@
 /// to the table.
 const UNREADY_AFTER: span::Span = span::Span::from_millis(700);
 
+/// Time to come back with content that crashes targets: no sooner than it may
+/// run again.
+const POISON_AFTER: span::Span = span::Span::from_secs(60);
+
 /// Time to come back when targets have no room: a few requests end meanwhile.
 const BUSY_AFTER: span::Span = span::Span::from_millis(500);
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -6,6 +6,7 @@
     sync::{Arc, atomic::Ordering},
 };
 
+use admit::poison::Fall;
 use base::{hash, id, span, time};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -57,6 +58,8 @@
     pub deadline: time::Mono,
     team: Option<Team>,
     service: id::ServiceId,
+    /// Identifies the content: team, path and body.
+    fingerprint: id::Fingerprint,
     /// Whether the service's engines fetch prompt parts from one another.
     fetches: bool,
     chain: Chain,
@@ -180,6 +183,17 @@
             Err(_) => return Err(fail(Reason::Expired)),
         };
         let (rule, team) = (rule.clone(), team.cloned());
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let key = call.key.as_deref().unwrap_or_default();
+        let parts = [key.as_bytes(), path.as_bytes(), &body];
+        let fingerprint = id::Fingerprint(hash::parts(parts));
+        let now = shared.clock.now();
+        if shared
+            .poison()
+            .is_refused(now, fingerprint, rule.class.is_repeatable())
+        {
+            return Err(fail(Reason::Poison));
+        }
         let fetches = routes
             .config
             .services
@@ -197,6 +211,7 @@
             deadline,
             team,
             service,
+            fingerprint,
             fetches,
             body,
         })
@@ -372,11 +387,14 @@
         request
     }
 
-    fn missed(&self, target: &Target, failure: Failure) -> Miss {
+    fn missed(&self, target: &Arc<Target>, failure: Failure) -> Miss {
         let now = self.shared.clock.now();
         match &failure {
             // A closed connection shows that the target's host is there.
-            Failure::Lost(_) => target.outcome(Trust::failed),
+            Failure::Lost(_) => {
+                target.outcome(Trust::failed);
+                self.broken_off(target);
+            }
             Failure::NotSent(_) | Failure::Silent(_) => {
                 target.outcome(|trust| trust.unanswered(now));
             }
@@ -393,6 +411,29 @@
         }
     }
 
+    /// Looks whether a target that broke the request off has crashed; then the
+    /// request's content may be the cause.
+    pub fn broken_off(&self, target: &Arc<Target>) {
+        let (shared, target) = (self.shared.clone(), target.clone());
+        let attempt = self.call.attempt.clone();
+        let fingerprint = self.fingerprint;
+        tokio::spawn(async move {
+            if target.pool.is_reachable().await {
+                return;
+            }
+            let now = shared.clock.now();
+            target.outcome(|trust| trust.unanswered(now));
+            let fall = Fall {
+                fingerprint,
+                target: target.hash.0,
+            };
+            if shared.poison().fall(now, fall) {
+                let target = &target.row.id;
+                tracing::info!(event = "target_crashed", id = %attempt, %target, content = %fingerprint);
+            }
+        });
+    }
+
     fn note(&self, target: &Target, outcome: &'static str) {
         tracing::info!(event = "missed", id = %self.call.attempt, target = %target.row.id, outcome);
     }
@@ -449,6 +490,7 @@
             Ok(Ok(whole)) => whole.to_bytes(),
             Ok(Err(error)) => {
                 target.outcome(|trust| trust.failed());
+                self.broken_off(&target);
                 tracing::info!(event = "lost", id = %self.call.attempt, target = %target.row.id, %error);
                 return Err(Miss::Lost);
             }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -5,7 +5,10 @@
     atomic::{AtomicBool, AtomicU32, Ordering},
 };
 
-use admit::repeat::{self, Repeats};
+use admit::{
+    poison::Poison,
+    repeat::{self, Repeats},
+};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use base::{id, time};
 use platform::settings::{Bounds, Settings};
@@ -41,6 +44,7 @@
     /// Bounds, which may change while the process runs.
     pub bounds: ArcSwap<Bounds>,
     repeats: Mutex<Repeats>,
+    poison: Mutex<Poison>,
     holds: Mutex<Vec<Hold>>,
 }
 
@@ -59,6 +63,7 @@
             repeats: Mutex::new(Repeats::new(rule(&bounds))),
             metrics: Metrics::default(),
             bounds: ArcSwap::from_pointee(bounds),
+            poison: Mutex::default(),
             holds: Mutex::default(),
             settings,
         })
@@ -75,6 +80,11 @@
         self.repeats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the contents that were at crashes of targets.
+    pub fn poison(&self) -> MutexGuard<'_, Poison> {
+        self.poison.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the version of the configuration in force, 0 before any.
     pub fn version(&self) -> id::Version {
         let routes = self.routes.load();
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -69,6 +69,7 @@
                 Read::Broken(fault) => {
                     let target = self.reply.flight.target().clone();
                     target.outcome(|trust| trust.failed());
+                    self.job.broken_off(&target);
                     let id = &self.job.call.attempt;
                     let last = self.aligner.last();
                     tracing::info!(event = "stream_broken", %id, target = %target.row.id, last, %fault);
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -140,6 +140,20 @@
         }
     }
 
+    /// Returns whether a new connection can be made.
+    pub async fn is_reachable(&self) -> bool {
+        match self.connect().await {
+            Ok(connection) => {
+                self.keep(Lease(connection), None);
+                true
+            }
+            Err(fault) => {
+                tracing::debug!(event = "target_unreachable", %fault);
+                false
+            }
+        }
+    }
+
     /// Keeps a connection whose response was read to its end.
     pub fn keep(&self, lease: Lease, idle: Option<span::Span>) {
         let named = idle.map(|idle| idle.as_micros().saturating_sub(IDLE_MARGIN.as_micros()));
--- a/crates/edge/tests/path.rs
+++ b/crates/edge/tests/path.rs
@@ -299,3 +299,26 @@
     let refused = TcpStream::connect(site.router.shared.settings.callers).await;
     assert!(refused.is_err());
 }
+
+/// A request whose content was at the crashes of two targets runs no more, also
+/// when it comes as another attempt; other content goes on.
+#[tokio::test]
+async fn crashing_request() {
+    let site = start(Behaviour::Crash).await;
+    for number in 0..2 {
+        let response = site.router.call("/once/a", &format!("a{number}")).await;
+        assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(site.runs(), 2);
+    time::sleep(Duration::from_millis(2_500)).await;
+    for number in 2..6 {
+        let response = site.router.call("/once/a", &format!("a{number}")).await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!(site.runs(), 2);
+    site.first.set(Behaviour::Echo);
+    site.second.set(Behaviour::Echo);
+    let other = site.router.call("/once/b", "b1").await;
+    assert_eq!(other.status, StatusCode::OK);
+}
--- a/crates/fakes/src/runner.rs
+++ b/crates/fakes/src/runner.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use base::span;
 use bytes::Bytes;
 use futures_util::stream;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -45,6 +46,8 @@
     Cut,
     /// Never answers.
     Hang,
+    /// Runs the request and goes down for some seconds.
+    Crash,
     /// Streams where the path begins with `/stream/` or `/resume/`, and echoes
     /// elsewhere.
     ByPath,
@@ -68,6 +71,9 @@
     format!("id: {id}\ndata: event {id}\n\n")
 }
 
+/// Time for which a crashed target is down.
+const CRASH_TIME: span::Span = span::Span::from_secs(2);
+
 /// Pause between two events of an endless stream.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -89,6 +95,7 @@
     usual: Mutex<Behaviour>,
     runs: Mutex<Vec<Run>>,
     streams: Arc<AtomicUsize>,
+    power: Power,
 }
 
 /// A running target; it stops when this handle is dropped.
@@ -112,6 +119,7 @@
             usual: Mutex::new(usual),
             runs: Mutex::default(),
             streams: Arc::default(),
+            power: port.power(),
         });
         let server = port.serve(shared.clone());
         Ok(Self { shared, server })
@@ -270,6 +278,10 @@
             body,
         };
         lock(&self.runs).push(run.clone());
+        if behaviour == Behaviour::Crash {
+            self.power.down(Some(CRASH_TIME));
+            return Err(Dropped);
+        }
         if behaviour == Behaviour::Hang {
             std::future::pending::<()>().await;
         }
