Share one small server, and the platform's stand-in site, between their users

Cause: metrics and readiness repeated a server that gives one answer; the tests of edge and the soak repeated settings, configuration and rows.

Change: edge::listen and fakes::site hold each once.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, net::TcpStream, sync::watch, time as timer};
 
-use crate::{body::Body, relay, shared::Shared, upstream};
+use crate::{body::Body, listen::ACCEPT_PAUSE, relay, shared::Shared, upstream};
 
 /// Time between two looks at whether a connection is idle for too long.
 const LOOK: Duration = Duration::from_secs(1);
@@ -28,10 +28,6 @@
 /// a caller who keeps to the limit never meets the close.
 const IDLE_MARGIN: span::Span = span::Span::from_secs(3);
 
-/// Pause after a connection could not be accepted, such as for want of
-/// descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// Time after which unacknowledged bytes break a caller's connection.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod lag;
 pub mod leaving;
+pub mod listen;
 pub mod logs;
 pub mod metrics;
 pub mod news;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,7 +3,6 @@
 //! The names are listed in [the operators' page](../../../docs/OPERATIONS.md).
 
 use std::{
-    convert::Infallible,
     fmt::{self, Write},
     sync::{
         Arc,
@@ -11,16 +10,10 @@
     },
 };
 
-use base::{
-    fault::{At, Fault},
-    span,
-};
-use http::{HeaderValue, Request, Response, header};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use base::{fault::Fault, span};
+use http::{HeaderValue, Response, header};
 
-use crate::{body, logs, shared::Shared};
+use crate::{body, listen, logs, shared::Shared};
 
 /// Upper bounds of the histograms' buckets in milliseconds; a further bucket
 /// counts everything above. They reach from a plain service's answer to the
@@ -162,26 +155,7 @@
 ///
 /// When the address cannot be bound.
 pub async fn serve(shared: Arc<Shared>) -> Result<(), Fault> {
-    let address = shared.settings.metrics;
-    let listener = TcpListener::bind(address).await.at("listen", address)?;
-    tokio::spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let shared = shared.clone();
-                    let service = service_fn(move |_: Request<Incoming>| {
-                        let response = answer(&shared);
-                        async move { Ok::<_, Infallible>(response) }
-                    });
-                    let connection =
-                        http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                    tokio::spawn(connection);
-                }
-                Err(error) => tracing::warn!(event = "accept_failed", %address, %error),
-            }
-        }
-    });
-    Ok(())
+    listen::serve(shared.settings.metrics, move || answer(&shared)).await
 }
 
 fn answer(shared: &Shared) -> Response<body::Body> {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod serve;
 pub mod server;
 pub mod service;
+pub mod site;
 pub mod stand;
 pub mod state;
 pub mod stream;
--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use base64::{Engine, engine::general_purpose::STANDARD};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -95,8 +96,9 @@
         self.server.power()
     }
 
-    /// Writes a row; the value is base64.
-    pub fn put(&self, table: &str, key: &str, value: String) {
+    /// Writes a row.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        let value = STANDARD.encode(value);
         self.shared.state().change(table, key, Some(value));
         self.shared.changed.notify_waiters();
     }
--- /dev/null
+++ b/crates/fakes/src/site.rs
@@ -0,0 +1,131 @@
+//! What the users' platform gives a router: settings, a configuration with one
+//! rule of each class, and rows of targets.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+};
+
+use serde_json::{Value, json};
+
+use crate::{rows::Rows, runner::Runner};
+
+/// Time limit of every rule, in milliseconds.
+pub const RULE_MILLIS: u64 = 1_500;
+
+/// Longest body that the configuration allows, in bytes.
+pub const MAX_BODY: usize = 1_000;
+
+/// Targets that may run one attempt.
+pub const MOST_RUNS: usize = 2;
+
+/// The ports of a router.
+#[derive(Clone, Copy, Debug)]
+pub struct Ports {
+    /// For callers.
+    pub callers: u16,
+    /// For readiness.
+    pub ready: u16,
+    /// For peers.
+    pub peers: u16,
+    /// For metrics.
+    pub metrics: u16,
+}
+
+impl Ports {
+    /// Finds four free ports.
+    ///
+    /// # Errors
+    ///
+    /// When there are none.
+    pub fn free() -> io::Result<Self> {
+        Ok(Self {
+            callers: free_port()?,
+            ready: free_port()?,
+            peers: free_port()?,
+            metrics: free_port()?,
+        })
+    }
+
+    /// Returns the settings file of a router with these ports.
+    pub fn settings(&self, name: &str, table: SocketAddr) -> String {
+        let Self {
+            callers,
+            ready,
+            peers,
+            metrics,
+        } = self;
+        format!(
+            r#"node_name = "{name}"
+ip = "127.0.0.1"
+zone = "north"
+port_range = [{peers}, {metrics}]
+[listen]
+frontend = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+[bounds]
+drain_ms = 2000
+grace_s = 8
+retry_budget_ratio = 0.2
+retry_window_s = 10
+retry_allowance = 58
+cap_factor = 2
+[platform]
+address = "{table}"
+writes_per_s = 400
+reads_per_s = 2000
+"#
+        )
+    }
+}
+
+/// Returns a port that is free for TCP and UDP.
+fn free_port() -> io::Result<u16> {
+    loop {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let port = listener.local_addr()?.port();
+        if UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            return Ok(port);
+        }
+    }
+}
+
+/// Writes a configuration with the rules `once`, `again`, `stream` and `resume`
+/// for the host `h.example`, and one team with these keys.
+pub fn configure(table: &Rows, version: u64, keys: &[&str]) {
+    let rule = |name: &str, kind: &str, resumable: bool| {
+        json!({"name": name, "hostname": "h.example", "prefix": format!("/{name}/"), "type": kind,
+               "timeout_ms": RULE_MILLIS, "service": "service", "max_attempts": MOST_RUNS,
+               "resumable": resumable})
+    };
+    let config = json!({
+        "version": version,
+        "routes": [
+            rule("once", "non_idempotent", false),
+            rule("again", "idempotent", false),
+            rule("stream", "streaming", false),
+            rule("resume", "streaming", true),
+        ],
+        "services": [{"name": "service", "max_connections": 100}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": MAX_BODY,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "team", "api_keys": keys}],
+    });
+    put(table, "op", "config", &config);
+}
+
+/// Writes the row of a target; another `born` means another start.
+pub fn list(table: &Rows, id: &str, address: SocketAddr, state: &str, born: u64) {
+    let row = json!({"service": "service", "address": address.to_string(), "zone": "north",
+                     "batch_slots": 16, "state": state, "born": born});
+    put(table, "servers", id, &row);
+}
+
+/// Writes the row of a stand-in target at its own address.
+pub fn list_runner(table: &Rows, runner: &Runner, state: &str) {
+    list(table, runner.id(), runner.address(), state, 1);
+}
+
+fn put(table: &Rows, name: &str, key: &str, value: &Value) {
+    table.put(name, key, value.to_string().as_bytes());
+}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -2,9 +2,11 @@
 
 use std::{collections::BTreeMap, time::Instant};
 
+use fakes::site::MOST_RUNS;
+
 use crate::{
     caller::{Outcome, RULES, Seen},
-    site::{MOST_RUNS, Site},
+    site::Site,
 };
 
 /// Violations of promises, in words.
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -2,31 +2,19 @@
 
 use std::{
     fs::{self, File},
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
 };
 
 use anyhow::Context;
+use fakes::site::Ports;
 use tokio::time;
 
 /// Variable that names the settings file.
 const SETTINGS: &str = "EBONYWALL_NODE_FILE";
 
-/// The ports of a router.
-#[derive(Clone, Copy, Debug)]
-pub struct Ports {
-    /// For callers.
-    pub callers: u16,
-    /// For readiness.
-    pub ready: u16,
-    /// For peers.
-    pub peers: u16,
-    /// For metrics.
-    pub metrics: u16,
-}
-
 /// A router; its process is killed when this handle is dropped.
 #[derive(Debug)]
 pub struct Router {
@@ -40,32 +28,6 @@
     child: Option<Child>,
 }
 
-fn free_port() -> anyhow::Result<u16> {
-    loop {
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
-        let port = listener.local_addr()?.port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
-            return Ok(port);
-        }
-    }
-}
-
-impl Ports {
-    /// Finds four free ports.
-    ///
-    /// # Errors
-    ///
-    /// When there are none.
-    pub fn free() -> anyhow::Result<Self> {
-        Ok(Self {
-            callers: free_port()?,
-            ready: free_port()?,
-            peers: free_port()?,
-            metrics: free_port()?,
-        })
-    }
-}
-
 impl Router {
     /// Writes the settings of a router and starts its process.
     ///
@@ -80,33 +42,7 @@
         table: SocketAddr,
     ) -> anyhow::Result<Self> {
         let settings = dir.join(format!("{name}.toml"));
-        let Ports {
-            callers,
-            ready,
-            peers,
-            metrics,
-        } = ports;
-        let text = format!(
-            r#"node_name = "{name}"
-ip = "127.0.0.1"
-zone = "north"
-port_range = [{peers}, {metrics}]
-[listen]
-frontend = "127.0.0.1:{callers}"
-ready = "127.0.0.1:{ready}"
-[bounds]
-drain_ms = 2000
-grace_s = 8
-retry_budget_ratio = 0.2
-retry_window_s = 10
-retry_allowance = 58
-cap_factor = 2
-[platform]
-address = "{table}"
-writes_per_s = 400
-reads_per_s = 2000
-"#
-        );
+        let text = ports.settings(name, table);
         fs::write(&settings, text).with_context(|| format!("write {}", settings.display()))?;
         let mut router = Self {
             name: name.to_owned(),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,7 +9,7 @@
 };
 
 use anyhow::Context;
-use fakes::runner::Behaviour;
+use fakes::{runner::Behaviour, site::Ports};
 use rand::{RngExt, SeedableRng, rngs::ChaCha8Rng, seq::IndexedRandom};
 use tokio::{task::JoinSet, time};
 use tokio_util::sync::CancellationToken;
@@ -17,7 +17,7 @@
 use crate::{
     caller::{Caller, Outcome, RULES, Seen},
     checks::{self, Pause, Violations},
-    process::{Ports, Router},
+    process::Router,
     proxy::{Link, Proxy},
     site::{KEY, Site},
 };
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,22 +1,17 @@
-//! The stand-ins of a soak: a table, targets behind proxies, and what is
-//! written to the table.
+//! The stand-ins of a soak: a table, and targets behind proxies.
 
 use anyhow::Context;
-use base64::{Engine, engine::general_purpose::STANDARD};
 use fakes::{
     rows::Rows,
     runner::{Behaviour, Runner},
+    site,
 };
-use serde_json::{Value, json};
 
 use crate::proxy::Proxy;
 
 /// Key that is always valid.
 pub const KEY: &str = "key";
 
-/// Targets that may run one request of a rule.
-pub const MOST_RUNS: usize = 2;
-
 /// A target behind its proxy.
 #[derive(Debug)]
 pub struct Target {
@@ -66,9 +61,8 @@
     /// Writes the row of a target.
     pub fn list(&self, index: usize, state: &str) {
         let target = &self.targets[index];
-        let row = json!({"service": "service", "address": target.proxy.address().to_string(),
-                         "zone": "north", "batch_slots": 16, "state": state, "born": target.born});
-        put(&self.table, "servers", target.runner.id(), &row);
+        let address = target.proxy.address();
+        site::list(&self.table, target.runner.id(), address, state, target.born);
     }
 
     /// Writes the row of a target that has started again.
@@ -80,24 +74,6 @@
     /// Writes the next version of the configuration.
     pub fn configure(&mut self, keys: &[&str]) {
         self.version += 1;
-        let rule = |name: &str, kind: &str, resumable: bool| {
-            json!({"name": name, "hostname": "h.example", "prefix": format!("/{name}/"),
-                   "type": kind, "timeout_ms": 2000, "service": "service",
-                   "max_attempts": MOST_RUNS, "resumable": resumable})
-        };
-        let config = json!({
-            "version": self.version,
-            "routes": [rule("once", "non_idempotent", false), rule("again", "idempotent", false),
-                       rule("stream", "streaming", false), rule("resume", "streaming", true)],
-            "services": [{"name": "service", "max_connections": 100}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-            "tenants": [{"name": "team", "api_keys": keys}],
-        });
-        put(&self.table, "op", "config", &config);
+        site::configure(&self.table, self.version, keys);
     }
 }
-
-fn put(table: &Rows, name: &str, key: &str, value: &Value) {
-    table.put(name, key, STANDARD.encode(value.to_string()));
-}
