Keep a lag until it is over; use short calls to the table after a failure

A router that restarted in a silent outage read the configuration with the time limit of a waiting call (5.8 s), and the wait before a fetch from a peer, new in edge::lag, began anew whenever a peer that was behind too had spoken.

Ruled out: the table's rates and breaker (the targets were read 2 s earlier).

Change: the lag ends only when the newest version told is in force; reads, and calls after a failure, have a time limit of 1.5 s.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -24,7 +24,7 @@
 };
 
 /// Time for one call that does not wait; a slow table takes half a second.
-const CALL_TIMEOUT: span::Span = span::Span::from_millis(1_800);
+const CALL_TIMEOUT: span::Span = span::Span::from_millis(1_500);
 
 /// Time that the feed of the configuration waits for a change. Peers tell a new
 /// version too, should the connection have gone silent.
@@ -63,7 +63,12 @@
     let waiting = Arc::new(client(&shared, plus(CONFIG_WAIT, CALL_TIMEOUT)));
     let view = View::new(shared.clone());
     let peers = Peers::new(shared.clone(), view.clone());
-    tokio::spawn(follow_config(shared.clone(), view.clone(), waiting));
+    tokio::spawn(follow_config(
+        shared.clone(),
+        view.clone(),
+        service.clone(),
+        waiting,
+    ));
     tokio::spawn(follow_targets(
         peers.clone(),
         shared.clone(),
@@ -121,6 +126,8 @@
 struct Follower {
     shared: Arc<Shared>,
     service: Arc<Service>,
+    /// For calls that wait for a change.
+    waiting: Arc<Service>,
     table: Table,
     position: Option<Position>,
     lost: bool,
@@ -138,6 +145,7 @@
     fn new(shared: Arc<Shared>, service: Arc<Service>, table: Table) -> Self {
         Self {
             shared,
+            waiting: service.clone(),
             service,
             table,
             position: None,
@@ -150,6 +158,8 @@
         self.shared.metrics.count(Counter::TableCalls);
         let change = match self.position {
             None => self.read().await.map(Change::All),
+            // After a failure a short call tells soon whether the table is back.
+            Some(after) if self.lost => self.feed(after, span::Span::ZERO).await,
             Some(after) => self.feed(after, wait).await,
         };
         let (table, peer) = (self.table, self.service.peer());
@@ -190,7 +200,11 @@
 
     async fn feed(&mut self, after: Position, wait: span::Span) -> Result<Change, Fault> {
         let path = rows::feed(self.table, after, wait);
-        let reply = self.service.read(&path, &[StatusCode::GONE]).await;
+        let service = match wait {
+            span::Span::ZERO => &self.service,
+            _ => &self.waiting,
+        };
+        let reply = service.read(&path, &[StatusCode::GONE]).await;
         let reply = reply.at("follow rows", self.service.peer())?;
         if reply.status == StatusCode::GONE {
             tracing::info!(event = "history_gone", table = ?self.table, after = after.0);
@@ -207,8 +221,14 @@
     }
 }
 
-async fn follow_config(shared: Arc<Shared>, view: Arc<View>, service: Arc<Service>) {
+async fn follow_config(
+    shared: Arc<Shared>,
+    view: Arc<View>,
+    service: Arc<Service>,
+    waiting: Arc<Service>,
+) {
     let mut follower = Follower::new(shared.clone(), service, Table::Operator);
+    follower.waiting = waiting;
     loop {
         let change = follower.next(CONFIG_WAIT).await;
         shared.follows.store(change.is_ok(), Ordering::Relaxed);
--- a/crates/edge/src/lag.rs
+++ b/crates/edge/src/lag.rs
@@ -4,7 +4,7 @@
 //! same moment, from the table. The first that has it tells the others; if all
 //! of them fetched it from that one, its link would be busy for seconds.
 
-use base::{span, time};
+use base::{id, span, time};
 
 /// Time that the table has to deliver a version that a peer tells, while its
 /// feed works. Less than half of the time in which a version must be in force.
@@ -23,18 +23,34 @@
 /// Since when a router is behind its peers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Lag {
+    /// The newest version that a peer told.
+    told: id::Version,
     since: Option<time::Mono>,
     spread: span::Span,
     fetched: Option<time::Mono>,
 }
 
+/// What a router knows when a peer speaks.
+#[derive(Clone, Copy, Debug)]
+pub struct State {
+    /// Version in force here.
+    pub own: id::Version,
+    /// Version in force at the peer.
+    pub told: id::Version,
+    /// Whether no target is known here.
+    pub empty: bool,
+    /// Whether the table's feed works.
+    pub follows: bool,
+}
+
 impl Lag {
-    /// Returns whether a snapshot is to be fetched now, and notes that it is.
-    /// `behind` says whether a peer tells something newer, `follows` whether
-    /// the table's feed works.
-    /// `random` from 0 to 1 spreads the fetches of many routers.
-    pub fn is_due(&mut self, now: time::Mono, behind: bool, follows: bool, random: f64) -> bool {
-        if !behind {
+    /// Returns whether a snapshot is to be fetched from the peer now, and notes
+    /// that it is. `random` from 0 to 1 spreads the fetches of many routers.
+    ///
+    /// A peer that is behind too neither helps nor ends the lag.
+    pub fn is_due(&mut self, now: time::Mono, state: State, random: f64) -> bool {
+        self.told = self.told.max(state.told);
+        if state.own >= self.told && !state.empty {
             self.since = None;
             return false;
         }
@@ -42,9 +58,14 @@
             self.spread = span::Span::from_micros((SPREAD.as_micros() as f64 * random) as u64);
             now
         });
-        let wait = if follows { TABLE_TIME } else { FAILED_TIME };
+        let wait = if state.follows {
+            TABLE_TIME
+        } else {
+            FAILED_TIME
+        };
+        let helps = state.told > state.own || (state.empty && state.told > id::Version(0));
         let recent = self.fetched.is_some_and(|at| now.since(at) < FETCH_PAUSE);
-        let due = now.since(since + self.spread) >= wait && !recent;
+        let due = helps && now.since(since + self.spread) >= wait && !recent;
         if due {
             self.fetched = Some(now);
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     fleet::{PartHash, TargetHash},
-    lag::Lag,
+    lag::{Lag, State},
     leaving::Leave,
     metrics::Counter,
     news::{
@@ -309,10 +309,14 @@
     /// Fetches a snapshot from a peer that has a newer configuration, or while
     /// no target is known.
     fn catch_up(self: &Arc<Self>, now: time::Mono, address: SocketAddr, version: u64) {
-        let behind = self.shared.version().0 < version || self.shared.fleet.load().is_none();
-        let follows = self.shared.follows.load(Ordering::Relaxed);
+        let state = State {
+            own: self.shared.version(),
+            told: id::Version(version),
+            empty: self.shared.fleet.load().is_none(),
+            follows: self.shared.follows.load(Ordering::Relaxed),
+        };
         let mut lag = self.lag.lock().unwrap_or_else(PoisonError::into_inner);
-        if version == 0 || !lag.is_due(now, behind, follows, rand::rng().random()) {
+        if !lag.is_due(now, state, rand::rng().random()) {
             return;
         }
         let peers = self.clone();
