--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -78,6 +78,22 @@
         Ok(())
     }
 
+    /// Starts a process again that has ended by itself, as the platform does: a
+    /// signal may come before the program has begun to handle it (seed 423).
+    ///
+    /// # Errors
+    ///
+    /// When the program cannot be started.
+    pub fn revive(&mut self) -> anyhow::Result<()> {
+        if let Some(child) = &mut self.child
+            && child.try_wait()?.is_some()
+        {
+            self.child = None;
+            self.spawn()?;
+        }
+        Ok(())
+    }
+
     /// Sends a signal, such as `TERM`, to the process if one runs.
     ///
     /// # Errors
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -183,10 +183,15 @@
             time::sleep(pause).await;
             let now = Instant::now();
             self.finish(|at| at <= now)?;
+            self.revive()?;
         }
         Ok(())
     }
 
+    fn revive(&mut self) -> anyhow::Result<()> {
+        self.routers.iter_mut().try_for_each(Router::revive)
+    }
+
     /// Begins one fault.
     fn strike(&mut self) -> anyhow::Result<()> {
         let length = Duration::from_millis(self.rng.random_range(100..2_500));
@@ -319,6 +324,8 @@
     /// Ends all faults and waits until the routers are well.
     async fn heal(&mut self) -> anyhow::Result<Violations> {
         self.finish(|_| true)?;
+        time::sleep(MOST_DELAY).await;
+        self.revive()?;
         for target in 0..TARGETS {
             self.site.relist(target);
         }
