Count the seeds of the soak's test

Cause: the list of seeds grew to six and its length was left at five, so the test did not compile; only the soak's own crate had been checked.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -12,7 +12,7 @@
 /// - 207, 423: SIGHUP ended a process that had just been started. It handles
 ///   signals before anything else now; one that comes even sooner ends it, and
 ///   it is started again, as the platform does.
-const SEEDS: [u64; 5] = [1, 106, 134, 136, 207, 423];
+const SEEDS: [u64; 6] = [1, 106, 134, 136, 207, 423];
 
 /// Time of faults for each seed.
 const CHAOS: Duration = Duration::from_secs(5);
