Say once when a peer speaks, and find targets by their hash

Peers asked in four places whether a peer was heard lately; the log of changes searched all targets for each target, though the fleet is indexed by hash; News told that its sender stops, which no receiver read.

Behaviour is as before; clippy with all targets and the tests of edge pass.

--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -60,9 +60,6 @@
     /// Targets that did not answer the sender.
     #[prost(message, repeated, tag = "8")]
     pub aside: Vec<Aside>,
-    /// Whether the sender stops and sends nothing more.
-    #[prost(bool, tag = "9")]
-    pub stopping: bool,
     /// Whether the table answers the sender.
     #[prost(bool, tag = "10")]
     pub reads: bool,
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -85,6 +85,16 @@
     sequence: u64,
 }
 
+impl Peer {
+    fn speaks(&self, now: time::Mono) -> bool {
+        self.heard_within(now, SILENT_TIME)
+    }
+
+    fn heard_within(&self, now: time::Mono, time: span::Span) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < time)
+    }
+}
+
 impl Peers {
     /// Knows the seeds only.
     pub fn new(shared: Arc<Shared>, view: Arc<View>) -> Arc<Self> {
@@ -114,10 +124,7 @@
     pub fn is_reader(&self) -> bool {
         let now = self.shared.clock.now();
         let known = self.known();
-        let speaking = known.iter().filter(|(_, peer)| {
-            peer.heard
-                .is_some_and(|heard| now.since(heard) < SILENT_TIME)
-        });
+        let speaking = known.iter().filter(|(_, peer)| peer.speaks(now));
         let routers = speaking.map(|(address, peer)| Router {
             address: *address,
             reads: peer.reads,
@@ -173,22 +180,13 @@
     /// Returns the peers that get this round of news; silent ones get fewer.
     fn receivers(&self, now: time::Mono, round: u64) -> Vec<SocketAddr> {
         let mut known = self.known();
-        known.retain(|_, peer| {
-            peer.listed
-                || peer
-                    .heard
-                    .is_some_and(|heard| now.since(heard) < FORGET_TIME)
-        });
-        let speaks = |peer: &Peer| {
-            peer.heard
-                .is_some_and(|heard| now.since(heard) < SILENT_TIME)
-        };
-        let live = known.values().filter(|peer| speaks(peer)).count();
+        known.retain(|_, peer| peer.listed || peer.heard_within(now, FORGET_TIME));
+        let live = known.values().filter(|peer| peer.speaks(now)).count();
         let routers = u32::try_from(live).unwrap_or(u32::MAX).saturating_add(1);
         self.shared.routers.store(routers, Ordering::Relaxed);
         known
             .iter()
-            .filter(|(_, peer)| speaks(peer) || round.is_multiple_of(SILENT_ROUNDS))
+            .filter(|(_, peer)| peer.speaks(now) || round.is_multiple_of(SILENT_ROUNDS))
             .map(|(address, _)| *address)
             .collect()
     }
@@ -218,7 +216,6 @@
                 .map(Left::from)
                 .collect(),
             aside: aside.take(MOST_ASIDE).collect(),
-            stopping: self.shared.stopping.load(Ordering::Relaxed),
             reads: self.shared.reads.load(Ordering::Relaxed),
             falls: falls
                 .into_iter()
@@ -287,10 +284,7 @@
     fn is_next(&self, now: time::Mono, address: SocketAddr, news: &News) -> bool {
         let mut known = self.known();
         let peer = known.entry(address).or_default();
-        let silent = peer
-            .heard
-            .is_none_or(|heard| now.since(heard) >= SILENT_TIME);
-        if silent {
+        if !peer.speaks(now) {
             tracing::info!(event = "peer_heard", peer = news.process, %address);
         }
         if peer.run == news.run && peer.sequence >= news.sequence {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -3,7 +3,6 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use base::id;
 use bytes::Bytes;
 use platform::{config::Config, rows::Row, target as row};
 use tokio::sync::Notify;
@@ -176,20 +175,16 @@
 }
 
 fn log_changes(old: Option<&Fleet>, new: &Fleet, source: &'static str) {
-    let state = |fleet: &Fleet, id: &id::TargetId| {
-        let found = fleet.targets().find(|target| target.row.id == *id);
-        found.map(|target| target.row.leaving)
-    };
     for target in new.targets() {
         let row = &target.row;
-        let before = old.and_then(|old| state(old, &row.id));
-        if before != Some(row.leaving) {
+        let before = old.and_then(|old| old.target(target.hash));
+        if before.map(|before| before.row.leaving) != Some(row.leaving) {
             let (id, service, address) = (&row.id, &row.service, row.address);
             tracing::info!(event = "target", target = %id, %service, %address, leaving = row.leaving, source);
         }
     }
     for target in old.iter().flat_map(|old| old.targets()) {
-        if state(new, &target.row.id).is_none() {
+        if new.target(target.hash).is_none() {
             tracing::info!(event = "target_gone", target = %target.row.id, source);
         }
     }
