Drop the rest of a body that is refused before it was read

Cause: a request that was answered before its body had come (413, 401, 404, not ready) left unread bytes, hyper closed the connection, and the close became a reset: the caller's write failed, or the answer was lost with it.

Ruled out: load alone. early_refusal (router of the platform, and router of the own protocol) fails each time without the change: "Broken pipe" while the caller sends its body.

Bodies of callers are read in one place now, crate inlet, which drops the rest of a refused one for at most 2 s and 8 MiB. A caller that waits for 100 Continue has sent none.

The edge's relay.rs held four jobs: job (reads a request), attempt (sends it to one target), relay (decides what next) are modules of their own.

--- a/crates/daemon/tests/input.rs
+++ b/crates/daemon/tests/input.rs
@@ -222,3 +222,31 @@
     }
     panic!("the engine's stream was not cancelled");
 }
+
+/// A request that is refused before its body was read: a close with unread
+/// bytes would reset the connection, and the caller would miss the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_refusal() {
+    const PIECE: usize = 64 * 1024;
+    const LENGTH: usize = 32 * PIECE;
+    let (running, router) = start().await;
+    for (key, expected) in [
+        ("key-captains", "HTTP/1.1 413 Payload Too Large"),
+        ("nobody", "HTTP/1.1 401 Unauthorized"),
+    ] {
+        let mut stream = TcpStream::connect(router).await.unwrap();
+        let head = format!(
+            "POST /dispatch HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\ncontent-length: {LENGTH}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for _ in 0..LENGTH / PIECE {
+            stream.write_all(&[b'x'; PIECE]).await.unwrap();
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        let mut answer = [0; 1024];
+        let count = stream.read(&mut answer).await.unwrap();
+        let text = String::from_utf8_lossy(&answer[..count]);
+        assert_eq!(text.lines().next(), Some(expected));
+    }
+    running.stop().await;
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,11 +5,13 @@
 //! the other routers. They share immutable snapshots. See
 //! [the design page](../../../docs/design.md), section 6.
 
+pub mod attempt;
 pub mod body;
 pub mod control;
 pub mod events;
 pub mod fleet;
 pub mod front;
+pub mod job;
 pub mod lag;
 pub mod leaving;
 pub mod listen;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -11,12 +11,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use tokio::time as timer;
 
-use crate::{
-    body::Body,
-    events::Aligner,
-    front::Active,
-    relay::{Job, Reply, Tried},
-};
+use crate::{attempt::Reply, body::Body, events::Aligner, front::Active, job::Job, relay::Tried};
 
 /// A stream on its way to a caller.
 pub struct Stream {
--- a/crates/edge/tests/path.rs
+++ b/crates/edge/tests/path.rs
@@ -2,7 +2,7 @@
 
 mod site;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use fakes::{
@@ -318,3 +318,38 @@
     let other = site.router.call("/once/b", "b1").await;
     assert_eq!(other.status, StatusCode::OK);
 }
+
+/// Sends a request head and a long body in pieces, as a slow link does, and
+/// returns the first line of the answer.
+async fn long_body(router: SocketAddr, path: &str, key: &str, length: usize) -> String {
+    const PIECE: usize = 64 * 1024;
+    let mut stream = TcpStream::connect(router).await.expect("connects");
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: long\r\napi-key: {key}\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("a head");
+    for _ in 0..length / PIECE {
+        stream.write_all(&[b'x'; PIECE]).await.expect("a piece");
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut answer = [0; 1_024];
+    let count = stream.read(&mut answer).await.expect("an answer");
+    let text = String::from_utf8_lossy(&answer[..count]);
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+/// A request that is refused before its body was read: a close with unread
+/// bytes would reset the connection, and the caller would miss the answer.
+#[tokio::test]
+async fn early_refusal() {
+    const LENGTH: usize = 2 * 1024 * 1024;
+    let site = start(Behaviour::Echo).await;
+    let router = site.router.shared.settings.callers;
+    let large = long_body(router, "/once/a", site::KEY, LENGTH).await;
+    assert_eq!(large, "HTTP/1.1 413 Payload Too Large");
+    let unknown = long_body(router, "/once/a", "nobody", LENGTH).await;
+    assert_eq!(unknown, "HTTP/1.1 401 Unauthorized");
+    let elsewhere = long_body(router, "/elsewhere/", site::KEY, LENGTH).await;
+    assert_eq!(elsewhere, "HTTP/1.1 404 Not Found");
+    assert_eq!(site.runs(), 0);
+}
--- /dev/null
+++ b/crates/inlet/src/lib.rs
@@ -0,0 +1,96 @@
+//! Reads the bodies of callers' requests, for every router that accepts
+//! callers.
+//!
+//! A request may be answered before its body has come. Closing the connection
+//! then would reset it, because of the unread bytes, and the caller might lose
+//! the answer; so the rest of the body is read and dropped, within bounds.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, header};
+use http_body::Body;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time;
+
+/// Bytes of a refused request's body that are dropped at most, about what a
+/// caller sends in the time of the answer's way on a fast link.
+const MOST_DROPPED: usize = 8 * 1024 * 1024;
+
+/// Time for which bytes are dropped at most; the answer has long arrived.
+const DROP_TIME: Duration = Duration::from_secs(2);
+
+/// Reports a body that was not read whole.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    /// It has more bytes than are allowed.
+    #[error("the body has more than {0} bytes")]
+    Large(usize),
+    /// It did not arrive in time.
+    #[error("the body did not arrive within {0:?}")]
+    Late(Duration),
+    /// It was broken off or is malformed.
+    #[error("the body cannot be read: {0}")]
+    Broken(String),
+}
+
+/// Reads a whole body; the rest of one that is too large is dropped.
+///
+/// # Errors
+///
+/// When it is too large, too slow, malformed or broken off.
+pub async fn read(
+    headers: &HeaderMap,
+    mut body: Incoming,
+    limit: usize,
+    within: Duration,
+) -> Result<Bytes, ReadError> {
+    let whole = Limited::new(&mut body, limit).collect();
+    match time::timeout(within, whole).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            discard(headers, body);
+            Err(ReadError::Large(limit))
+        }
+        Ok(Err(error)) => Err(ReadError::Broken(error.to_string())),
+        Err(_) => {
+            discard(headers, body);
+            Err(ReadError::Late(within))
+        }
+    }
+}
+
+/// Drops the body of a request that is answered without it, in the background.
+///
+/// A caller who waits to be told to continue has sent none.
+pub fn discard(headers: &HeaderMap, mut body: Incoming) {
+    if body.is_end_stream() || headers.contains_key(header::EXPECT) {
+        return;
+    }
+    tokio::spawn(async move {
+        if time::timeout(DROP_TIME, drop_frames(&mut body))
+            .await
+            .is_err()
+        {
+            tracing::debug!(event = "body_not_dropped", reason = "late");
+        }
+    });
+}
+
+async fn drop_frames(body: &mut Incoming) {
+    let mut dropped = 0;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => dropped += frame.data_ref().map_or(0, Bytes::len),
+            Err(error) => {
+                tracing::debug!(event = "body_not_dropped", %error);
+                return;
+            }
+        }
+        if dropped > MOST_DROPPED {
+            tracing::debug!(event = "body_not_dropped", reason = "large");
+            return;
+        }
+    }
+}
--- a/crates/roles/src/front.rs
+++ b/crates/roles/src/front.rs
@@ -6,10 +6,9 @@
 use bytes::Bytes;
 use conf::{state, value};
 use http::{HeaderMap, HeaderName, Request, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use inlet::ReadError;
 use sha2::{Digest, Sha256};
-use tokio::time;
 use wire::{convert, msg};
 
 use crate::{
@@ -121,24 +120,21 @@
 /// # Errors
 ///
 /// When it is too large, too slow or broken off.
-pub async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Problem> {
-    let collect = Limited::new(body, limits.body).collect();
-    let collected = time::timeout(limits.body_time, collect)
-        .await
-        .map_err(|_| {
-            let detail = format!("the body did not arrive within {:?}", limits.body_time);
-            Problem::new(Code::BodyTimeout, detail)
-        })?;
-    match collected {
-        Ok(body) => Ok(body::own(body.to_bytes())),
-        Err(cause) if cause.is::<LengthLimitError>() => {
-            let detail = format!("the body has more than {} bytes", limits.body);
-            Err(Problem::new(Code::BodyTooLarge, detail))
+pub async fn read_body(
+    headers: &HeaderMap,
+    body: Incoming,
+    limits: &Limits,
+) -> Result<Bytes, Problem> {
+    match inlet::read(headers, body, limits.body, limits.body_time).await {
+        Ok(bytes) => Ok(body::own(bytes)),
+        Err(error) => {
+            let code = match error {
+                ReadError::Large(_) => Code::BodyTooLarge,
+                ReadError::Late(_) => Code::BodyTimeout,
+                ReadError::Broken(_) => Code::BadRequest,
+            };
+            Err(Problem::new(code, error.to_string()))
         }
-        Err(cause) => Err(Problem::new(
-            Code::BadRequest,
-            format!("the body cannot be read: {cause}"),
-        )),
     }
 }
 
--- a/crates/roles/src/router.rs
+++ b/crates/roles/src/router.rs
@@ -140,19 +140,19 @@
         request: Request<Incoming>,
     ) -> Result<Response<body::Body>, Problem> {
         let snapshot = self.snapshot.load_full();
-        let closed = match (snapshot.leaving, snapshot.ready) {
-            (true, _) => Some(Code::ShuttingDown),
-            (false, false) => Some(Code::NotReady),
-            (false, true) => None,
-        };
-        if let Some(code) = closed {
-            let detail = "another router serves this request";
-            return Err(Problem::new(code, detail).after(self.pause()));
-        }
         let conf = snapshot.conf.clone();
         let (parts, incoming) = front::split(request);
-        let team = front::authenticate(&conf, &parts.headers)?;
-        let body = front::read_body(incoming, &self.limits).await?;
+        let team = self
+            .open(&snapshot)
+            .and_then(|()| front::authenticate(&conf, &parts.headers));
+        let team = match team {
+            Ok(team) => team,
+            Err(problem) => {
+                inlet::discard(&parts.headers, incoming);
+                return Err(problem);
+            }
+        };
+        let body = front::read_body(&parts.headers, incoming, &self.limits).await?;
         let accepted = front::accept(id, &conf, team, &parts, body, &self.limits)?;
         let share = conf.share(&accepted.team, &accepted.service);
         let open = match &share {
@@ -178,6 +178,17 @@
         }
     }
 
+    /// Returns whether this router takes requests.
+    fn open(&self, snapshot: &Snapshot) -> Result<(), Problem> {
+        let code = match (snapshot.leaving, snapshot.ready) {
+            (true, _) => Code::ShuttingDown,
+            (false, false) => Code::NotReady,
+            (false, true) => return Ok(()),
+        };
+        let detail = "another router serves this request";
+        Err(Problem::new(code, detail).after(self.pause()))
+    }
+
     fn response(
         self: &Arc<Self>,
         chat: id::ChatHash,
