Bound callers' heads and idle connections by the configuration; read leaves by the settings' bound

Cause: limits that were decoded were not kept. A head that never ended held its connection for good: hyper's graceful shutdown waits for the first request of a connection (callers: endless_head fails without the change). A kept connection whose target had answered before it read a long body was waited for until the caller's time limit, and the request then counted as one that may have run (pool: unread_body fails without the change). Idle connections to a target were 16 for each router whatever the target accepts; they now share half of what it accepts. The pause between reads of the targets follows the bound on leaves where that is shorter than today's.

The soak's routers listen on a loopback address of their own process. On 127.0.0.1 a router of another soak, or an outgoing connection, could take the ports of one that had just been killed, and peers would then tell it their targets, which bear the same ids. The check names the attempts now.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -227,7 +227,7 @@
             }
         };
         if !answer.closes {
-            target.pool.keep(lease, answer.idle);
+            target.pool.keep(lease, answer.idle, self.most_idle());
         }
         let failed = answer.status.is_server_error();
         target.outcome(|trust| {
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -19,6 +19,7 @@
     leaving::Listed,
     metrics::Counter,
     peers::Peers,
+    readers,
     shared::Shared,
     view::{self, View},
 };
@@ -30,15 +31,6 @@
 /// version too, should the connection have gone silent.
 const CONFIG_WAIT: span::Span = span::Span::from_millis(4_000);
 
-/// Pause between two reads of the targets' changes by a router that reads
-/// often. Targets write several times a second, so that a feed that waits for
-/// the first change returns at once.
-const OFTEN_PAUSE: Duration = Duration::from_millis(600);
-
-/// The same for other routers. A read takes part of the two seconds in which
-/// new work must stop reaching a target that leaves.
-const TARGET_PAUSE: Duration = Duration::from_millis(1_400);
-
 /// Pause between two reads of the routers' rows; routers hear of one another by
 /// news too.
 const MEMBER_PAUSE: Duration = Duration::from_secs(12);
@@ -263,12 +255,8 @@
         if follower.position.is_some() {
             view.publish("table");
         }
-        let pause = if peers.is_reader() {
-            OFTEN_PAUSE
-        } else {
-            TARGET_PAUSE
-        };
-        timer::sleep(pause).await;
+        let drain = shared.bounds.load().drain;
+        timer::sleep(readers::pause(drain, peers.is_reader()).duration()).await;
     }
 }
 
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -17,6 +17,7 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
+use platform::config::Limits;
 use tokio::{net::TcpListener, net::TcpStream, sync::watch, time as timer};
 
 use crate::{body::Body, listen::ACCEPT_PAUSE, relay, shared::Shared, upstream};
@@ -28,6 +29,10 @@
 /// a caller who keeps to the limit never meets the close.
 const IDLE_MARGIN: span::Span = span::Span::from_secs(3);
 
+/// Longest request line, in bytes, beside the headers that the configuration
+/// limits.
+const REQUEST_LINE: usize = 8 * 1024;
+
 /// Time after which unacknowledged bytes break a caller's connection.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -49,6 +54,25 @@
     last: AtomicU64,
 }
 
+impl Usage {
+    fn is_active(&self) -> bool {
+        self.active.load(Ordering::Relaxed) > 0
+    }
+
+    /// Returns whether the connection is to be closed because it is idle.
+    fn is_stale(&self, idle: span::Span, limits: Limits) -> bool {
+        let limit = limits.idle.as_micros() + IDLE_MARGIN.as_micros();
+        !self.is_active() && idle.as_micros() > limit
+    }
+
+    /// Returns whether not even a head has come in the time for one, after the
+    /// connection was to be closed; a head that never ends would keep it open.
+    fn is_unused(&self, idle: span::Span, limits: Limits) -> bool {
+        let limit = limits.idle.as_micros() + IDLE_MARGIN.as_micros();
+        !self.is_active() && idle.as_micros() > limit + limits.arrival.as_micros()
+    }
+}
+
 impl Front {
     /// Listens for callers until the runtime ends.
     ///
@@ -106,9 +130,12 @@
             last: AtomicU64::new(self.shared.clock.now().0),
         });
         let service = service_fn(|request| self.clone().request(request, usage.clone()));
-        let connection = http1::Builder::new()
-            .half_close(false)
-            .serve_connection(TokioIo::new(stream), service);
+        let mut builder = http1::Builder::new();
+        builder.half_close(false);
+        if let Some(limits) = self.limits() {
+            builder.max_header_size(limits.head + REQUEST_LINE);
+        }
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut closing = self.closing.clone();
         let mut told = false;
@@ -124,26 +151,28 @@
                     told = true;
                     connection.as_mut().graceful_shutdown();
                 }
-                () = timer::sleep(LOOK), if !told => {
-                    if self.is_stale(&usage) {
+                () = timer::sleep(LOOK) => match self.limits() {
+                    Some(limits) if usage.is_unused(self.idle(&usage), limits) => break,
+                    Some(limits) if !told && usage.is_stale(self.idle(&usage), limits) => {
                         told = true;
                         connection.as_mut().graceful_shutdown();
                     }
-                }
+                    _ => {}
+                },
             }
         }
         self.connections.fetch_sub(1, Ordering::Relaxed);
     }
 
-    fn is_stale(&self, usage: &Usage) -> bool {
+    fn limits(&self) -> Option<Limits> {
         let routes = self.shared.routes.load();
-        let Some(routes) = routes.as_ref() else {
-            return false;
-        };
+        routes.as_ref().map(|routes| routes.config.limits)
+    }
+
+    /// Returns the time since the connection's latest request.
+    fn idle(&self, usage: &Usage) -> span::Span {
         let last = time::Mono(usage.last.load(Ordering::Relaxed));
-        let idle = self.shared.clock.now().since(last);
-        let limit = routes.config.limits.idle.as_micros() + IDLE_MARGIN.as_micros();
-        usage.active.load(Ordering::Relaxed) == 0 && idle.as_micros() > limit
+        self.shared.clock.now().since(last)
     }
 
     async fn request(
--- a/crates/edge/src/job.rs
+++ b/crates/edge/src/job.rs
@@ -1,6 +1,9 @@
 //! A caller's request, read whole and matched with its rule.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use base::{hash, id, span, time};
 use bytes::Bytes;
@@ -23,6 +26,12 @@
 /// answer still arrives.
 const ANSWER_MARGIN: span::Span = span::Span::from_millis(30);
 
+/// Idle connections that are kept to one target at most.
+const MOST_IDLE: usize = 16;
+
+/// One in so many of a target's connections may be idle ones.
+const IDLE_SHARE: usize = 2;
+
 /// A caller's request, read whole.
 #[derive(Debug)]
 pub struct Job {
@@ -135,6 +144,14 @@
         team.unwrap_or(self.rule.priority)
     }
 
+    /// Returns how many idle connections are kept to each target of the service:
+    /// a part of what the target accepts, shared among the routers.
+    pub fn most_idle(&self) -> usize {
+        let accepted = self.kind.map_or(0, |kind| kind.connections as usize);
+        let routers = self.shared.routers.load(Ordering::Relaxed).max(1) as usize;
+        (accepted / IDLE_SHARE / routers).clamp(1, MOST_IDLE)
+    }
+
     /// Returns the time since the request came.
     pub fn took(&self) -> span::Span {
         self.shared.clock.now().since(self.started)
--- a/crates/edge/src/readers.rs
+++ b/crates/edge/src/readers.rs
@@ -7,7 +7,19 @@
 
 use std::net::SocketAddr;
 
-use base::hash;
+use base::{hash, span};
+
+/// Pause between two reads of the targets' changes by a router that reads
+/// often. Targets write several times a second, so that a feed that waits for
+/// the first change returns at once.
+const OFTEN_PAUSE: span::Span = span::Span::from_millis(600);
+
+/// The same for other routers.
+const USUAL_PAUSE: span::Span = span::Span::from_millis(1_400);
+
+/// Longest pause as a part, in hundredths, of the time in which new work must
+/// stop reaching a target that leaves; a read takes some of that time too.
+const DRAIN_PERCENT: u64 = 70;
 
 /// Routers that read the table often. More than one, because a reader may
 /// stop, and the others notice after two seconds only.
@@ -22,6 +34,15 @@
     pub reads: bool,
 }
 
+/// Returns the pause between two reads of the targets' changes, given the time
+/// in which new work must stop reaching a target that leaves.
+pub fn pause(drain: span::Span, often: bool) -> span::Span {
+    let usual = if often { OFTEN_PAUSE } else { USUAL_PAUSE };
+    usual.min(span::Span::from_micros(
+        drain.as_micros() * DRAIN_PERCENT / 100,
+    ))
+}
+
 /// Returns whether a router is among those that read often, given the other
 /// routers that it hears.
 pub fn is_reader(own: SocketAddr, others: impl Iterator<Item = Router>) -> bool {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -142,6 +142,8 @@
             target = %target.row.id,
             reason = %choice.reason,
             cost_us = choice.micros,
+            input = self.call.input,
+            output = self.call.output,
             missing = pick.missing,
             source = pick.source.map(tracing::field::display),
             attempt = tried.targets.len() + 1,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -130,7 +130,7 @@
         let target = flight.target();
         target.outcome(|trust| trust.served());
         if !answer.closes {
-            target.pool.keep(lease, answer.idle);
+            target.pool.keep(lease, answer.idle, self.job.most_idle());
         }
         self.job.done("streamed", Some(answer.status), &self.tried);
         None
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -30,6 +30,10 @@
 /// the connection.
 const SILENCE_TIMEOUT: span::Span = span::Span::from_millis(900);
 
+/// Longest time until a kept connection takes a request; a new connection takes
+/// a few milliseconds.
+const READY_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Longest time that an idle connection is kept, where the target names none.
 const IDLE_TIMEOUT: span::Span = span::Span::from_secs(4);
 
@@ -37,9 +41,6 @@
 /// given up, because a request may cross its close.
 const IDLE_MARGIN: span::Span = span::Span::from_millis(700);
 
-/// Idle connections that are kept to one target at most.
-const MOST_IDLE: usize = 16;
-
 /// Why a request got no response.
 #[derive(Debug)]
 pub enum Failure {
@@ -114,7 +115,7 @@
                 Some(connection) => connection,
                 None => self.connect().await.map_err(Failure::NotSent)?,
             };
-            if connection.sender.ready().await.is_err() && !fresh {
+            if !fresh && !is_ready(&mut connection).await {
                 continue;
             }
             match connection.sender.try_send_request(request).await {
@@ -144,7 +145,7 @@
     pub async fn is_reachable(&self) -> bool {
         match self.connect().await {
             Ok(connection) => {
-                self.keep(Lease(connection), None);
+                self.keep(Lease(connection), None, 1);
                 true
             }
             Err(fault) => {
@@ -155,12 +156,14 @@
     }
 
     /// Keeps a connection whose response was read to its end.
-    pub fn keep(&self, lease: Lease, idle: Option<span::Span>) {
+    ///
+    /// `most` is the number of idle connections that may be kept.
+    pub fn keep(&self, lease: Lease, idle: Option<span::Span>, most: usize) {
         let named = idle.map(|idle| idle.as_micros().saturating_sub(IDLE_MARGIN.as_micros()));
         let limit = IDLE_TIMEOUT.as_micros();
         let time = span::Span::from_micros(named.unwrap_or(limit).min(limit));
         let mut kept = self.idle();
-        if time > span::Span::ZERO && kept.len() < MOST_IDLE {
+        if time > span::Span::ZERO && kept.len() < most {
             kept.push(Idle {
                 connection: lease.0,
                 until: Instant::now() + time.duration(),
@@ -197,6 +200,13 @@
     }
 }
 
+/// Returns whether a kept connection takes a request; one whose target still
+/// reads the body of the request before it does not.
+async fn is_ready(connection: &mut Connection) -> bool {
+    let ready = time::timeout(READY_TIMEOUT, connection.sender.ready());
+    matches!(ready.await, Ok(Ok(())))
+}
+
 /// Returns whether an error comes from a time-out of the connection.
 fn is_timeout(error: &hyper::Error) -> bool {
     let mut source = error.source();
--- /dev/null
+++ b/crates/edge/tests/callers.rs
@@ -0,0 +1,73 @@
+//! Callers that are slow, or that stay connected without a request.
+
+mod site;
+
+use std::time::Duration;
+
+use fakes::{
+    rows::Rows,
+    runner::{Behaviour, Runner},
+    site::Patience,
+};
+use site::Router;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{self, Instant},
+};
+
+/// Time beyond the limits in which a connection must be closed: the router's
+/// margin of three seconds and its looks, one a second.
+const CLOSE_TIME: Duration = Duration::from_secs(6);
+
+const PATIENCE: Patience = Patience {
+    head: 200,
+    idle: 300,
+};
+
+async fn start(table: &Rows, runner: &Runner) -> Router {
+    fakes::site::configure_patient(table, 1, &[site::KEY], PATIENCE);
+    fakes::site::list_runner(table, runner, "ready");
+    let router = site::router(site::settings(table.address(), &[])).await;
+    router.ready().await;
+    router
+}
+
+async fn closed(mut stream: TcpStream) -> bool {
+    let mut bytes = Vec::new();
+    let read = time::timeout(CLOSE_TIME, stream.read_to_end(&mut bytes)).await;
+    read.is_ok()
+}
+
+/// A head that never ends holds a connection no longer than an idle one.
+#[tokio::test]
+async fn endless_head() {
+    let table = Rows::start().expect("a table");
+    let runner = Runner::start("i-1", Behaviour::Echo).expect("a target");
+    let router = start(&table, &runner).await;
+    let connect = TcpStream::connect(router.shared.settings.callers);
+    let mut stream = connect.await.expect("connects");
+    let part = b"POST /once/a HTTP/1.1\r\nHost: h.example\r\nX-Att";
+    stream.write_all(part).await.expect("sends");
+    assert!(closed(stream).await);
+}
+
+/// An idle connection is closed, but not before the limit is over.
+#[tokio::test]
+async fn idle_connection() {
+    let table = Rows::start().expect("a table");
+    let runner = Runner::start("i-1", Behaviour::Echo).expect("a target");
+    let router = start(&table, &runner).await;
+    let connect = TcpStream::connect(router.shared.settings.callers);
+    let mut stream = connect.await.expect("connects");
+    let head = format!(
+        "GET /again/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nApi-Key: {}\r\n\r\n",
+        site::KEY
+    );
+    stream.write_all(head.as_bytes()).await.expect("sends");
+    let mut answer = [0; 1_024];
+    assert!(stream.read(&mut answer).await.expect("an answer") > 0);
+    let answered = Instant::now();
+    assert!(closed(stream).await);
+    assert!(answered.elapsed() > Duration::from_millis(PATIENCE.idle));
+}
--- /dev/null
+++ b/crates/edge/tests/pool.rs
@@ -0,0 +1,47 @@
+//! Kept connections to a target.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use edge::upstream::Pool;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    time,
+};
+
+fn request(length: usize) -> Request<Full<Bytes>> {
+    Request::post("/a")
+        .header("host", "h.example")
+        .body(Full::new(Bytes::from(vec![b'x'; length])))
+        .expect("valid")
+}
+
+/// A target answers before it has read a long body and reads no further: the
+/// next request does not wait for that connection.
+#[tokio::test]
+async fn unread_body() {
+    const LONG: usize = 16 * 1024 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let pool = Pool::new(listener.local_addr().expect("bound"));
+    tokio::spawn(async move {
+        let mut streams = Vec::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("accepts");
+            let mut head = [0; 1_024];
+            assert!(stream.read(&mut head).await.expect("reads") > 0);
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            stream.write_all(answer).await.expect("writes");
+            streams.push(stream);
+        }
+    });
+    let (response, lease) = pool.send(request(LONG)).await.expect("a response");
+    let body = response.into_body().collect().await.expect("a whole body");
+    assert_eq!(body.to_bytes(), "ok");
+    pool.keep(lease, None, 1);
+    let next = time::timeout(Duration::from_millis(500), pool.send(request(10)));
+    let (response, _lease) = next.await.expect("in time").expect("a response");
+    assert_eq!(response.status(), 200);
+}
--- a/crates/edge/tests/readers.rs
+++ b/crates/edge/tests/readers.rs
@@ -51,3 +51,13 @@
     let now = readers(&routers);
     assert!(serving.iter().all(|router| now.contains(&router.address)));
 }
+
+/// A shorter bound on leaves makes all routers read more often.
+#[test]
+fn shorter_bound() {
+    let millis = base::span::Span::from_millis;
+    assert_eq!(readers::pause(millis(2_000), false), millis(1_400));
+    assert_eq!(readers::pause(millis(3_000), true), millis(600));
+    assert_eq!(readers::pause(millis(500), false), millis(350));
+    assert_eq!(readers::pause(millis(500), true), millis(350));
+}
--- a/crates/fakes/src/site.rs
+++ b/crates/fakes/src/site.rs
@@ -4,6 +4,7 @@
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    process,
 };
 
 use serde_json::{Value, json};
@@ -19,9 +20,19 @@
 /// Targets that may run one attempt.
 pub const MOST_RUNS: usize = 2;
 
-/// The ports of a router.
+/// Keeps the addresses of processes apart from 127.0.0.1. Numbers of processes
+/// have 22 bits, so that the sum stays below 256.
+const HOST_OFFSET: u8 = 1;
+
+/// The ports of a router, on a loopback address of this process.
+///
+/// A router that was killed leaves its ports free for a while. On an address
+/// that other processes use too, another router could take them, and the peers
+/// of the first would speak with it.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
+    /// The address.
+    pub host: Ipv4Addr,
     /// For callers.
     pub callers: u16,
     /// For readiness.
@@ -39,17 +50,30 @@
     ///
     /// When there are none.
     pub fn free() -> io::Result<Self> {
+        let host = own_host();
         Ok(Self {
-            callers: free_port()?,
-            ready: free_port()?,
-            peers: free_port()?,
-            metrics: free_port()?,
+            host,
+            callers: free_port(host)?,
+            ready: free_port(host)?,
+            peers: free_port(host)?,
+            metrics: free_port(host)?,
         })
     }
 
+    /// Returns the address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::from((self.host, self.callers))
+    }
+
+    /// Returns the address for readiness.
+    pub fn ready(&self) -> SocketAddr {
+        SocketAddr::from((self.host, self.ready))
+    }
+
     /// Returns the settings file of a router with these ports.
     pub fn settings(&self, name: &str, table: SocketAddr) -> String {
         let Self {
+            host,
             callers,
             ready,
             peers,
@@ -57,12 +81,12 @@
         } = self;
         format!(
             r#"node_name = "{name}"
-ip = "127.0.0.1"
+ip = "{host}"
 zone = "north"
 port_range = [{peers}, {metrics}]
 [listen]
-frontend = "127.0.0.1:{callers}"
-ready = "127.0.0.1:{ready}"
+frontend = "{host}:{callers}"
+ready = "{host}:{ready}"
 [bounds]
 drain_ms = 2000
 grace_s = 8
@@ -79,20 +103,50 @@
     }
 }
 
+/// Returns a loopback address that no other process uses: outgoing connections
+/// come from 127.0.0.1, and the number of this process makes the rest.
+fn own_host() -> Ipv4Addr {
+    let [_, high, middle, low] = process::id().to_be_bytes();
+    Ipv4Addr::new(127, high.wrapping_add(HOST_OFFSET), middle, low)
+}
+
 /// Returns a port that is free for TCP and UDP.
-fn free_port() -> io::Result<u16> {
+fn free_port(host: Ipv4Addr) -> io::Result<u16> {
     loop {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = TcpListener::bind((host, 0))?;
         let port = listener.local_addr()?.port();
-        if UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+        if UdpSocket::bind((host, port)).is_ok() {
             return Ok(port);
         }
     }
 }
 
+/// How long callers may take and stay idle, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// For a request head.
+    pub head: u64,
+    /// Between two requests.
+    pub idle: u64,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self {
+            head: 3_000,
+            idle: 15_000,
+        }
+    }
+}
+
 /// Writes a configuration with the rules `once`, `again`, `stream` and `resume`
 /// for the host `h.example`, and one team with these keys.
 pub fn configure(table: &Rows, version: u64, keys: &[&str]) {
+    configure_patient(table, version, keys, Patience::default());
+}
+
+/// Writes the configuration of [`configure`] with other limits for callers.
+pub fn configure_patient(table: &Rows, version: u64, keys: &[&str], patience: Patience) {
     let rule = |name: &str, kind: &str, resumable: bool| {
         json!({"name": name, "hostname": "h.example", "prefix": format!("/{name}/"), "type": kind,
                "timeout_ms": RULE_MILLIS, "service": "service", "max_attempts": MOST_RUNS,
@@ -108,7 +162,7 @@
         ],
         "services": [{"name": "service", "max_connections": 100}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": MAX_BODY,
-                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+                   "header_timeout_ms": patience.head, "idle_timeout_ms": patience.idle},
         "tenants": [{"name": "team", "api_keys": keys}],
     });
     put(table, "op", "config", &config);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,6 +1,9 @@
 //! A caller: it keeps a connection for many requests and notes what it sees.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -65,8 +68,14 @@
 
 impl Caller {
     /// Sends a request on the kept connection, or on a new one.
-    pub async fn call(&mut self, port: u16, rule: usize, attempt: &str, key: &str) -> Outcome {
-        match time::timeout(PATIENCE, self.exchange(port, rule, attempt, key)).await {
+    pub async fn call(
+        &mut self,
+        router: SocketAddr,
+        rule: usize,
+        attempt: &str,
+        key: &str,
+    ) -> Outcome {
+        match time::timeout(PATIENCE, self.exchange(router, rule, attempt, key)).await {
             Ok(outcome) => outcome,
             Err(_) => {
                 self.sender = None;
@@ -81,17 +90,23 @@
     }
 
     /// Returns the kept connection if it is open, or a new one.
-    async fn connection(&mut self, port: u16) -> Option<SendRequest<Full<Bytes>>> {
+    async fn connection(&mut self, router: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
         if let Some(mut sender) = self.sender.take()
             && sender.ready().await.is_ok()
         {
             return Some(sender);
         }
-        connect(port).await
+        connect(router).await
     }
 
-    async fn exchange(&mut self, port: u16, rule: usize, attempt: &str, key: &str) -> Outcome {
-        let Some(mut sender) = self.connection(port).await else {
+    async fn exchange(
+        &mut self,
+        router: SocketAddr,
+        rule: usize,
+        attempt: &str,
+        key: &str,
+    ) -> Outcome {
+        let Some(mut sender) = self.connection(router).await else {
             return Outcome::Unconnected;
         };
         let request = Request::post(format!("/{}/a", RULES[rule].0))
@@ -118,8 +133,8 @@
     }
 }
 
-async fn connect(port: u16) -> Option<SendRequest<Full<Bytes>>> {
-    let stream = TcpStream::connect(("127.0.0.1", port)).await.ok()?;
+async fn connect(router: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(router).await.ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
     Some(sender)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -145,15 +145,21 @@
     }
 
     fn callers(&self, seed: u64, stop: &CancellationToken) -> JoinSet<()> {
-        let ports: Vec<u16> = self
+        let routers: Vec<SocketAddr> = self
             .routers
             .iter()
-            .map(|router| router.ports.callers)
+            .map(|router| router.ports.callers())
             .collect();
         let mut callers = JoinSet::new();
         for number in 0..CALLERS {
             let rng = ChaCha8Rng::seed_from_u64(seed ^ ((number as u64 + 1) << 32));
-            let task = call(number, ports.clone(), rng, self.seen.clone(), stop.clone());
+            let task = call(
+                number,
+                routers.clone(),
+                rng,
+                self.seen.clone(),
+                stop.clone(),
+            );
             callers.spawn(task);
         }
         callers
@@ -164,7 +170,7 @@
         let end = Instant::now() + RECOVERY;
         let mut violations = Vec::new();
         for router in &self.routers {
-            while !is_ready(router.ports.ready).await {
+            while !is_ready(router.ports.ready()).await {
                 if Instant::now() >= end {
                     violations.push(format!("{} is not ready", router.name));
                     break;
@@ -351,7 +357,7 @@
             for (rule, (name, _)) in RULES.iter().enumerate() {
                 let attempt = format!("calm-{}-{name}", router.name);
                 let outcome = Caller::default()
-                    .call(router.ports.callers, rule, &attempt, KEY)
+                    .call(router.ports.callers(), rule, &attempt, KEY)
                     .await;
                 if outcome != Outcome::Whole(http::StatusCode::OK) {
                     violations.push(format!("{name} {attempt} after recovery: {outcome:?}"));
@@ -367,11 +373,13 @@
         time::sleep(BOUND).await;
         let before = self.site.targets[0].runner.runs().len();
         time::sleep(Duration::from_secs(1)).await;
-        let late = self.site.targets[0].runner.runs().len() - before;
-        match late {
-            0 => Vec::new(),
-            _ => vec![format!("{late} requests reached a target after it left")],
-        }
+        let runs = self.site.targets[0].runner.runs();
+        let late = runs.iter().skip(before);
+        late.map(|run| {
+            let attempt = run.headers.get("x-attempt-id");
+            format!("{attempt:?} reached a target after it left")
+        })
+        .collect()
     }
 
     /// A key that is taken away is refused everywhere after the bound.
@@ -382,7 +390,7 @@
         for router in &self.routers {
             let attempt = format!("revoked-{}", router.name);
             let outcome = Caller::default()
-                .call(router.ports.callers, 1, &attempt, REVOKED)
+                .call(router.ports.callers(), 1, &attempt, REVOKED)
                 .await;
             if outcome != Outcome::Whole(http::StatusCode::UNAUTHORIZED) {
                 violations.push(format!("a revoked key at {}: {outcome:?}", router.name));
@@ -408,12 +416,12 @@
 /// Sends requests until it is told to stop.
 async fn call(
     number: usize,
-    ports: Vec<u16>,
+    routers: Vec<SocketAddr>,
     mut rng: ChaCha8Rng,
     seen: Arc<Mutex<Vec<Seen>>>,
     stop: CancellationToken,
 ) {
-    let router = number % ports.len();
+    let router = number % routers.len();
     let mut caller = Caller::default();
     let mut count = 0;
     while !stop.is_cancelled() {
@@ -421,7 +429,7 @@
         let attempt = format!("attempt-{number}-{count}");
         let rule = rng.random_range(0..RULES.len());
         let start = Instant::now();
-        let outcome = caller.call(ports[router], rule, &attempt, KEY).await;
+        let outcome = caller.call(routers[router], rule, &attempt, KEY).await;
         let request = Seen {
             attempt,
             rule,
@@ -440,9 +448,8 @@
     }
 }
 
-async fn is_ready(port: u16) -> bool {
+async fn is_ready(address: SocketAddr) -> bool {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    let address = SocketAddr::from(([127, 0, 0, 1], port));
     let ask = async {
         let mut stream = tokio::net::TcpStream::connect(address).await?;
         stream
