Learn what engines keep of prompts after a start

Cause: after a loss of all routers nobody knew where long prompt parts were kept.

Parts are named by their ids alone: an engine keeps a part whatever was before it, and needs all parts before it to use it.

News of a peer touches only the targets that it names.

--- /dev/null
+++ b/crates/edge/src/engines.rs
@@ -0,0 +1,68 @@
+//! Asks engines what they keep of prompts.
+
+use std::{sync::Arc, time::Duration};
+
+use base::fault::{At, Fault};
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use platform::held::{self, Held};
+use tokio::time;
+
+use crate::{
+    fleet::{PartHash, Target},
+    shared::Shared,
+    upstream::Failure,
+};
+
+/// Time for the list of one engine; it is of use only while callers come back.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest list, in bytes.
+const MAX_LIST: usize = 1024 * 1024;
+
+/// Shortest part that is worth knowing: reading it takes some milliseconds.
+const LEAST_TOKENS: u32 = 256;
+
+/// Parts of one engine that are taken in at most, the longest first.
+const MOST_TAKEN: usize = 64;
+
+/// Asks one engine, and notes what it keeps for this router and the others.
+pub async fn ask(shared: Arc<Shared>, target: Arc<Target>) {
+    let id = &target.row.id;
+    match time::timeout(ASK_TIMEOUT, list(&target)).await {
+        Ok(Ok(held)) => {
+            let parts = longest(held);
+            tracing::info!(event = "kept_parts", source = "target", target = %id, holds = parts.len());
+            let now = shared.clock.now();
+            for part in parts {
+                let part = PartHash::of(&part.id);
+                target.holds(now, part);
+                shared.hold_part(&target, part);
+            }
+        }
+        Ok(Err(fault)) => tracing::info!(event = "kept_parts_unknown", target = %id, %fault),
+        Err(_) => tracing::info!(event = "kept_parts_unknown", target = %id, reason = "late"),
+    }
+}
+
+async fn list(target: &Target) -> Result<Vec<Held>, Fault> {
+    const STEP: &str = "list kept parts";
+    let peer = target.row.address;
+    let request = Request::get(held::PATH).header(header::HOST, peer.to_string());
+    let request = request.body(Full::new(Bytes::new())).at(STEP, peer)?;
+    let (response, _lease) = target.pool.send(request).await.map_err(|failure| {
+        let (Failure::NotSent(fault) | Failure::Lost(fault) | Failure::Silent(fault)) = failure;
+        fault
+    })?;
+    let body = Limited::new(response.into_body(), MAX_LIST).collect().await;
+    let body = body.at(STEP, peer)?.to_bytes();
+    held::decode(&body).at(STEP, peer)
+}
+
+fn longest(mut held: Vec<Held>) -> Vec<Held> {
+    held.retain(|part| part.tokens >= LEAST_TOKENS);
+    held.sort_unstable_by_key(|part| std::cmp::Reverse(part.tokens));
+    held.truncate(MOST_TAKEN);
+    held
+}
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -38,7 +38,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TargetHash(pub u64);
 
-/// Hash of a part of a prompt and of all parts before it.
+/// Hash of the id of a part of a prompt. An engine that keeps a part reads it
+/// again unless it keeps all parts before it too.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PartHash(pub u64);
 
@@ -67,7 +68,16 @@
     since: u32,
     peers: BTreeMap<u64, Told>,
     trust: Trust,
-    parts: BTreeMap<PartHash, time::Mono>,
+    parts: BTreeMap<PartHash, Kept>,
+}
+
+/// A part that a target keeps.
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    /// When it was used last, as far as this router knows.
+    at: time::Mono,
+    /// Whether other requests share it.
+    shared: bool,
 }
 
 /// What a peer told of its requests at a target.
@@ -77,7 +87,7 @@
     at: time::Mono,
 }
 
-/// The parts of a prompt, each hashed with everything before it.
+/// The parts of a prompt in their order.
 #[derive(Clone, Debug, Default)]
 pub struct Chain(Vec<Link>);
 
@@ -118,17 +128,19 @@
     }
 }
 
+impl PartHash {
+    /// Hashes the id of a part.
+    pub fn of(id: &str) -> Self {
+        Self(hash::bytes(id.as_bytes()))
+    }
+}
+
 impl Chain {
-    /// Hashes the parts of a prompt; an engine holds a part only for the same
-    /// model and after the same parts.
+    /// Hashes the parts of a prompt.
     pub fn new(parts: &[Part]) -> Self {
-        let mut hash = 0;
-        let link = |part: &Part| {
-            hash = hash::mix(hash, hash::bytes(part.id.as_bytes()));
-            Link {
-                hash: PartHash(hash),
-                tokens: part.tokens,
-            }
+        let link = |part: &Part| Link {
+            hash: PartHash::of(&part.id),
+            tokens: part.tokens,
         };
         Self(parts.iter().map(link).collect())
     }
@@ -200,8 +212,9 @@
         live.since += 1;
         live.pending = live.pending.saturating_add(missing);
         live.trust.sent(now);
-        for link in &chain.0 {
-            live.hold(now, link.hash);
+        for (index, link) in chain.0.iter().enumerate() {
+            let shared = index + 1 < chain.0.len();
+            live.hold(link.hash, Kept { at: now, shared });
         }
         drop(live);
         Flight {
@@ -215,9 +228,25 @@
         self.live().own
     }
 
-    /// Notes that a peer sent a prompt with a part to the target.
+    /// Notes that the target keeps a part that requests share, as a peer or the
+    /// target itself tells.
     pub fn holds(&self, now: time::Mono, part: PartHash) {
-        self.live().hold(now, part);
+        let kept = Kept {
+            at: now,
+            shared: true,
+        };
+        self.live().hold(part, kept);
+    }
+
+    /// Returns the shared parts that the target is known to keep, the latest
+    /// first.
+    pub fn kept(&self, most: usize) -> Vec<PartHash> {
+        let live = self.live();
+        let shared = live.parts.iter().filter(|(_, kept)| kept.shared);
+        let mut parts: Vec<_> = shared.map(|(part, kept)| (kept.at, *part)).collect();
+        parts.sort_unstable_by(|a, b| b.cmp(a));
+        parts.truncate(most);
+        parts.into_iter().map(|(_, part)| part).collect()
     }
 
     /// Notes how many requests of a peer are at the target.
@@ -306,13 +335,13 @@
         chain.tokens() - held.map(|link| link.tokens).sum::<u32>()
     }
 
-    fn hold(&mut self, now: time::Mono, part: PartHash) {
-        self.parts.insert(part, now);
+    fn hold(&mut self, part: PartHash, kept: Kept) {
+        self.parts.insert(part, kept);
         if self.parts.len() > MOST_PARTS {
-            let mut used: Vec<_> = self.parts.values().copied().collect();
+            let mut used: Vec<_> = self.parts.values().map(|kept| kept.at).collect();
             let (_, middle, _) = used.select_nth_unstable(MOST_PARTS / 2);
             let middle = *middle;
-            self.parts.retain(|_, at| *at > middle);
+            self.parts.retain(|_, kept| kept.at > middle);
         }
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod body;
 pub mod control;
+pub mod engines;
 pub mod events;
 pub mod fleet;
 pub mod front;
@@ -22,6 +23,7 @@
 pub mod process;
 pub mod readers;
 pub mod ready;
+pub mod recall;
 pub mod refuse;
 pub mod relay;
 pub mod routes;
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -66,6 +66,9 @@
     /// Contents that were at crashes of targets.
     #[prost(message, repeated, tag = "11")]
     pub falls: Vec<FallAt>,
+    /// Whether the sender knows what engines keep of prompts.
+    #[prost(bool, tag = "12")]
+    pub knows: bool,
 }
 
 /// Requests at a target.
@@ -85,7 +88,7 @@
     /// Hash of the target's id.
     #[prost(fixed64, tag = "1")]
     pub target: u64,
-    /// Hash of the part and those before it.
+    /// Hash of the part's id.
     #[prost(fixed64, tag = "2")]
     pub part: u64,
 }
@@ -126,7 +129,15 @@
     pub millis: u32,
 }
 
-/// What a router needs that cannot read the table.
+/// Asks for a [`Snapshot`].
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Ask {
+    /// Whether the parts that targets keep are wanted too.
+    #[prost(bool, tag = "1")]
+    pub holds: bool,
+}
+
+/// What a router needs that cannot read the table, or that has just started.
 #[derive(Clone, PartialEq, Message)]
 pub struct Snapshot {
     /// The configuration as the table holds it, deflated; empty before any.
@@ -135,6 +146,9 @@
     /// The targets.
     #[prost(message, repeated, tag = "2")]
     pub targets: Vec<TargetRow>,
+    /// Prompt parts that targets keep, if they were asked for.
+    #[prost(message, repeated, tag = "3")]
+    pub holds: Vec<Hold>,
 }
 
 /// One target.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,7 +1,7 @@
 //! Tells the other routers what this one knows, and hears what they know.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -12,12 +12,12 @@
 
 use base::{
     fault::{At, Fault},
-    id, span, time,
+    hash, id, span, time,
 };
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use rand::RngExt;
+use rand::{RngExt, seq::IndexedRandom};
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
     sync::Notify,
@@ -26,15 +26,17 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::{
+    engines,
     fleet::{PartHash, TargetHash},
     lag::{Lag, State},
     leaving::Leave,
     metrics::Counter,
     news::{
-        Aside, FallAt, Left, LoadAt, MAX_DATAGRAM, MOST_ASIDE, MOST_FALLS, MOST_HOLDS, MOST_LEAVES,
-        News, Snapshot,
+        Aside, Ask, FallAt, Left, LoadAt, MAX_DATAGRAM, MOST_ASIDE, MOST_FALLS, MOST_HOLDS,
+        MOST_LEAVES, News, Snapshot,
     },
     readers::{self, Router},
+    recall::{self, Recall, Step},
     shared::Shared,
     view::View,
 };
@@ -49,6 +51,10 @@
 /// Time without news after which a peer does not count.
 const SILENT_TIME: span::Span = span::Span::from_secs(2);
 
+/// Rounds after the start in which every peer is told: routers that start
+/// together find one another before they decide alone.
+const FIRST_ROUNDS: u64 = 15;
+
 /// Rounds between two datagrams to a peer that is silent.
 const SILENT_ROUNDS: u64 = 8;
 
@@ -68,6 +74,7 @@
     view: Arc<View>,
     known: Mutex<BTreeMap<SocketAddr, Peer>>,
     lag: Mutex<Lag>,
+    recall: Mutex<Recall>,
     run: u64,
     sequence: AtomicU64,
     /// Wakes the sender before its pause is over.
@@ -81,6 +88,10 @@
     heard: Option<time::Mono>,
     /// Whether the table answers the peer.
     reads: bool,
+    /// Whether the peer knows what engines keep of prompts.
+    knows: bool,
+    /// Targets that its latest news named.
+    named: BTreeSet<u64>,
     run: u64,
     sequence: u64,
 }
@@ -105,11 +116,13 @@
             ..Peer::default()
         };
         let known = seeds.map(|seed| (*seed, peer.clone())).collect();
+        let first = shared.settings.first;
         Arc::new(Self {
             shared,
             view,
             known: Mutex::new(known),
             lag: Mutex::default(),
+            recall: Mutex::new(Recall::new(first)),
             run: id::random_bits() as u64,
             sequence: AtomicU64::new(0),
             wake: Notify::new(),
@@ -120,6 +133,10 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn recall(&self) -> MutexGuard<'_, Recall> {
+        self.recall.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether this router is among those that read the table often.
     pub fn is_reader(&self) -> bool {
         let now = self.shared.clock.now();
@@ -153,6 +170,7 @@
         let mut round = 0;
         loop {
             self.tell(&socket, round).await;
+            self.learn();
             round += 1;
             let peers = u32::try_from(self.known().len()).unwrap_or(u32::MAX);
             let pause = PAUSE.max(PEER_PAUSE.saturating_mul(peers));
@@ -186,7 +204,9 @@
         self.shared.routers.store(routers, Ordering::Relaxed);
         known
             .iter()
-            .filter(|(_, peer)| peer.speaks(now) || round.is_multiple_of(SILENT_ROUNDS))
+            .filter(|(_, peer)| {
+                peer.speaks(now) || round < FIRST_ROUNDS || round.is_multiple_of(SILENT_ROUNDS)
+            })
             .map(|(address, _)| *address)
             .collect()
     }
@@ -217,6 +237,7 @@
                 .collect(),
             aside: aside.take(MOST_ASIDE).collect(),
             reads: self.shared.reads.load(Ordering::Relaxed),
+            knows: self.recall().knows(now),
             falls: falls
                 .into_iter()
                 .rev()
@@ -249,14 +270,10 @@
             return;
         }
         if let Some(fleet) = self.shared.fleet.load().as_ref() {
-            let loads: BTreeMap<u64, u32> = news
-                .loads
-                .iter()
-                .map(|load| (load.target, load.count))
-                .collect();
-            for target in fleet.targets() {
-                let count = loads.get(&target.hash.0).copied().unwrap_or(0);
-                target.told(now, news.run, count);
+            for load in self.changed_loads(address, news) {
+                if let Some(target) = fleet.target(TargetHash(load.target)) {
+                    target.told(now, news.run, load.count);
+                }
             }
             for hold in &news.holds {
                 if let Some(target) = fleet.target(TargetHash(hold.target)) {
@@ -280,6 +297,22 @@
         self.catch_up(now, address, news.version);
     }
 
+    /// Returns the loads that a datagram names, and zero for the targets that its
+    /// sender named before; a fleet has many more targets than one router uses.
+    fn changed_loads(&self, address: SocketAddr, news: &News) -> Vec<LoadAt> {
+        let mut known = self.known();
+        let peer = known.entry(address).or_default();
+        let named: BTreeSet<u64> = news.loads.iter().map(|load| load.target).collect();
+        let ended = peer.named.difference(&named);
+        let mut loads = news.loads.clone();
+        loads.extend(ended.map(|target| LoadAt {
+            target: *target,
+            count: 0,
+        }));
+        peer.named = named;
+        loads
+    }
+
     /// Returns whether a datagram is newer than what came from its sender.
     fn is_next(&self, now: time::Mono, address: SocketAddr, news: &News) -> bool {
         let mut known = self.known();
@@ -294,6 +327,8 @@
             listed: peer.listed,
             heard: Some(now),
             reads: news.reads,
+            knows: news.knows,
+            named: std::mem::take(&mut peer.named),
             run: news.run,
             sequence: news.sequence,
         };
@@ -313,10 +348,59 @@
         if !lag.is_due(now, state, rand::rng().random()) {
             return;
         }
+        drop(lag);
+        self.fetch(address, Ask { holds: false });
+    }
+
+    /// Learns what engines keep of prompts, once after the start.
+    fn learn(self: &Arc<Self>) {
+        let fleet = self.shared.fleet.load_full();
+        let (Some(fleet), Some(routes)) = (fleet, self.shared.routes.load_full()) else {
+            return;
+        };
+        let now = self.shared.clock.now();
+        let speaking: BTreeMap<SocketAddr, bool> = self
+            .known()
+            .iter()
+            .filter(|(_, peer)| peer.speaks(now))
+            .map(|(address, peer)| (*address, peer.knows))
+            .collect();
+        let knowing: Vec<_> = speaking.iter().filter(|(_, knows)| **knows).collect();
+        let peer = knowing
+            .choose(&mut rand::rng())
+            .map(|(address, _)| **address);
+        let step = self.recall().next(now, peer.is_some());
+        match (step, peer) {
+            (Step::AskPeer, Some(peer)) => self.fetch(peer, Ask { holds: true }),
+            (Step::AskEngines, _) => {
+                let rank = |address: &SocketAddr| hash::bytes(address.to_string().as_bytes());
+                let others: Vec<u64> = speaking.keys().map(rank).collect();
+                let own = rank(&self.shared.settings.peers);
+                let share = fleet.targets().filter(|target| {
+                    let kind = routes.config.services.get(&target.row.service);
+                    kind.is_some_and(|kind| kind.engines)
+                        && recall::is_own_share(target.hash.0, own, &others)
+                });
+                for target in share {
+                    tokio::spawn(engines::ask(self.shared.clone(), target.clone()));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn fetch(self: &Arc<Self>, address: SocketAddr, ask: Ask) {
         let peers = self.clone();
         tokio::spawn(async move {
-            match timer::timeout(FETCH_TIMEOUT, fetch(address)).await {
-                Ok(Ok(snapshot)) => peers.view.adopt_snapshot(&snapshot),
+            match timer::timeout(FETCH_TIMEOUT, fetch(address, ask)).await {
+                Ok(Ok(snapshot)) => {
+                    peers.view.adopt_snapshot(&snapshot);
+                    if ask.holds {
+                        let holds = snapshot.holds.len();
+                        tracing::info!(event = "kept_parts", source = "peer", %address, holds);
+                        peers.recall().learned();
+                    }
+                }
                 Ok(Err(fault)) => tracing::info!(event = "snapshot_failed", %fault),
                 Err(_) => tracing::info!(event = "snapshot_late", %address),
             }
@@ -328,12 +412,12 @@
         loop {
             match listener.accept().await {
                 Ok((stream, address)) => {
-                    let snapshot = self.view.snapshot().encode_to_vec();
+                    let sent = send_snapshot(self.view.clone(), stream, address);
                     tokio::spawn(async move {
-                        let mut frames = frames(stream);
-                        let sent = frames.send(Bytes::from(snapshot));
-                        if !matches!(timer::timeout(FETCH_TIMEOUT, sent).await, Ok(Ok(()))) {
-                            tracing::info!(event = "snapshot_unsent", %address);
+                        match timer::timeout(FETCH_TIMEOUT, sent).await {
+                            Ok(Ok(())) => {}
+                            Ok(Err(fault)) => tracing::info!(event = "snapshot_unsent", %fault),
+                            Err(_) => tracing::info!(event = "snapshot_unsent", %address),
                         }
                     });
                 }
@@ -353,10 +437,29 @@
     Framed::new(stream, codec)
 }
 
-async fn fetch(address: SocketAddr) -> Result<Snapshot, Fault> {
+async fn send_snapshot(
+    view: Arc<View>,
+    stream: TcpStream,
+    address: SocketAddr,
+) -> Result<(), Fault> {
+    const STEP: &str = "send snapshot";
+    let mut frames = frames(stream);
+    let frame = frames.next().await;
+    let frame = frame
+        .ok_or("the peer closed the connection")
+        .at(STEP, address)?;
+    let ask = Ask::decode(frame.at(STEP, address)?).at(STEP, address)?;
+    let snapshot = view.snapshot(ask.holds).encode_to_vec();
+    frames.send(Bytes::from(snapshot)).await.at(STEP, address)
+}
+
+async fn fetch(address: SocketAddr, ask: Ask) -> Result<Snapshot, Fault> {
     const STEP: &str = "fetch snapshot";
     let stream = TcpStream::connect(address).await.at(STEP, address)?;
-    let frame = frames(stream).next().await;
+    let mut frames = frames(stream);
+    let ask = Bytes::from(ask.encode_to_vec());
+    frames.send(ask).await.at(STEP, address)?;
+    let frame = frames.next().await;
     let frame = frame
         .ok_or("the peer closed the connection")
         .at(STEP, address)?;
--- /dev/null
+++ b/crates/edge/src/recall.rs
@@ -0,0 +1,99 @@
+//! Decides how a router learns what engines keep of prompts after it started.
+//!
+//! Load pattern: routers were lost and callers come back with long prompt parts
+//! that engines still keep, but nobody knows where, and the parts would be read
+//! again elsewhere. A router that is alone in its loss asks a peer. After a loss
+//! of all routers each of them asks a share of the engines, once, because the
+//! call delays an engine's work, and tells the others.
+
+use base::{hash, span, time};
+
+/// Time for which a router listens whether a peer knows more. Peers speak
+/// several times a second, and routers that are started together start within
+/// half a second.
+const LISTEN_TIME: span::Span = span::Span::from_millis(1_000);
+
+/// Time until a peer that did not answer is asked again, or another one.
+const AGAIN_TIME: span::Span = span::Span::from_millis(1_500);
+
+/// Time after which routers that asked their shares have told one another.
+const SETTLE_TIME: span::Span = span::Span::from_secs(3);
+
+/// Longest time for which peers are asked; what engines keep is learned from
+/// sends by then.
+const GIVE_UP_TIME: span::Span = span::Span::from_secs(8);
+
+/// What a router does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing.
+    Wait,
+    /// It asks a peer that knows.
+    AskPeer,
+    /// It asks its share of the engines.
+    AskEngines,
+}
+
+/// Whether a router knows what engines keep.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Recall {
+    knows: bool,
+    since: Option<time::Mono>,
+    asked: Option<time::Mono>,
+    /// When the router asked its share of the engines.
+    shared: Option<time::Mono>,
+}
+
+impl Recall {
+    /// Starts; at the first start of the whole system there is nothing to know.
+    pub fn new(first: bool) -> Self {
+        Self {
+            knows: first,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether peers may ask this router. One that asked its share of the
+    /// engines needs the other routers' shares first.
+    pub fn knows(&self, now: time::Mono) -> bool {
+        let settled = self.shared.is_none_or(|at| now.since(at) >= SETTLE_TIME);
+        self.knows && settled
+    }
+
+    /// Notes that a peer answered.
+    pub fn learned(&mut self) {
+        self.knows = true;
+    }
+
+    /// Returns what to do, once the targets are known.
+    pub fn next(&mut self, now: time::Mono, peer_knows: bool) -> Step {
+        if self.knows {
+            return Step::Wait;
+        }
+        let waited = now.since(*self.since.get_or_insert(now));
+        if waited >= GIVE_UP_TIME {
+            self.knows = true;
+            return Step::Wait;
+        }
+        if self.asked.is_some_and(|at| now.since(at) < AGAIN_TIME) {
+            return Step::Wait;
+        }
+        if peer_knows {
+            self.asked = Some(now);
+            return Step::AskPeer;
+        }
+        if self.asked.is_none() && waited >= LISTEN_TIME {
+            self.knows = true;
+            self.shared = Some(now);
+            return Step::AskEngines;
+        }
+        Step::Wait
+    }
+}
+
+/// Returns whether an engine is in the share of a router, given the hashes of
+/// the other routers' addresses.
+pub fn is_own_share(target: u64, own: u64, others: &[u64]) -> bool {
+    let rank = |router: u64| hash::mix(router, target);
+    others.iter().all(|other| rank(*other) < rank(own))
+}
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -14,7 +14,7 @@
 use platform::settings::{Bounds, Settings};
 
 use crate::{
-    fleet::{Chain, Fleet, Target},
+    fleet::{Chain, Fleet, PartHash, Target},
     metrics::Metrics,
     news::Hold,
     routes::Routes,
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Notes that a target says that it keeps a part, for the other routers.
+    pub fn hold_part(&self, target: &Target, part: PartHash) {
+        let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        if holds.len() < MOST_HOLDS {
+            holds.push(Hold::new(target.hash, part));
+        }
+    }
+
     /// Takes the oldest of what [`Shared::hold`] noted.
     pub fn take_holds(&self, most: usize) -> Vec<Hold> {
         let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -8,13 +8,17 @@
 use tokio::sync::Notify;
 
 use crate::{
-    fleet::Fleet,
+    fleet::{Fleet, PartHash, TargetHash},
     leaving::{Leave, Listed},
-    news::{self, Snapshot, TargetRow},
+    news::{self, Hold, Snapshot, TargetRow},
     routes::Routes,
     shared::Shared,
 };
 
+/// Parts told of each target in a snapshot at most, about as many long ones as
+/// an engine has room for.
+const MOST_KEPT: usize = 64;
+
 /// The beliefs of one process; traffic sees them through [`Shared`].
 #[derive(Debug)]
 pub struct View {
@@ -100,10 +104,18 @@
         if !snapshot.targets.is_empty() {
             self.publish("peer");
         }
+        if let Some(fleet) = self.shared.fleet.load().as_ref() {
+            for hold in &snapshot.holds {
+                if let Some(target) = fleet.target(TargetHash(hold.target)) {
+                    target.holds(now, PartHash(hold.part));
+                }
+            }
+        }
     }
 
     /// Returns what another router needs that cannot read the table.
-    pub fn snapshot(&self) -> Snapshot {
+    /// `holds` says whether the parts that targets keep are added.
+    pub fn snapshot(&self, holds: bool) -> Snapshot {
         let config = self.deflated();
         let listed = self.listed();
         let targets = listed
@@ -112,9 +124,23 @@
         Snapshot {
             config,
             targets: targets.collect(),
+            holds: match holds {
+                true => self.holds(),
+                false => Vec::new(),
+            },
         }
     }
 
+    fn holds(&self) -> Vec<Hold> {
+        let fleet = self.shared.fleet.load();
+        let targets = fleet.iter().flat_map(|fleet| fleet.targets());
+        let holds = targets.flat_map(|target| {
+            let parts = target.kept(MOST_KEPT).into_iter();
+            parts.map(|part| Hold::new(target.hash, part))
+        });
+        holds.collect()
+    }
+
     /// Returns the configuration in force, deflated once for each version.
     fn deflated(&self) -> Bytes {
         let mut held = self.config.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/edge/tests/table.rs
+++ b/crates/edge/tests/table.rs
@@ -142,3 +142,41 @@
     })
     .await;
 }
+
+fn keeping(router: &Router) -> usize {
+    let fleet = router.shared.fleet.load();
+    let targets = fleet.iter().flat_map(|fleet| fleet.targets());
+    targets.filter(|target| target.kept(10).len() == 1).count()
+}
+
+/// After a loss of all routers each engine is asked once what it keeps, and all
+/// routers know it; one that starts later asks a router.
+#[tokio::test]
+async fn kept_parts() {
+    let table = Rows::start().expect("a table");
+    let options = fakes::site::Options {
+        engines: true,
+        ..Default::default()
+    };
+    fakes::site::configure_with(&table, 1, &[site::KEY], options);
+    let runners = targets(&table);
+    for (number, runner) in runners.iter().enumerate() {
+        runner.keep(&format!("part-{number}"), 5_000);
+        runner.keep("short", 20);
+    }
+    let settings = site::settings(table.address(), &[]);
+    let seeds = [settings.peers];
+    let other = site::settings(table.address(), &seeds);
+    let (first, second) = tokio::join!(site::router(settings), site::router(other));
+    site::until("both know both", || {
+        keeping(&first) == 2 && keeping(&second) == 2
+    })
+    .await;
+    let lists = || runners.iter().map(Runner::lists).sum::<usize>();
+    assert_eq!(lists(), 2);
+    // Until then the shares of the others may be on their way.
+    time::sleep(Duration::from_millis(3_300)).await;
+    let third = site::router(site::settings(table.address(), &seeds)).await;
+    site::until("the third knows both", || keeping(&third) == 2).await;
+    assert_eq!(lists(), 2);
+}
--- a/crates/fakes/src/runner.rs
+++ b/crates/fakes/src/runner.rs
@@ -94,6 +94,8 @@
     behaviours: Mutex<VecDeque<Behaviour>>,
     usual: Mutex<Behaviour>,
     runs: Mutex<Vec<Run>>,
+    kept: Mutex<Vec<(String, u32)>>,
+    lists: AtomicUsize,
     streams: Arc<AtomicUsize>,
     power: Power,
 }
@@ -118,6 +120,8 @@
             behaviours: Mutex::default(),
             usual: Mutex::new(usual),
             runs: Mutex::default(),
+            kept: Mutex::default(),
+            lists: AtomicUsize::new(0),
             streams: Arc::default(),
             power: port.power(),
         });
@@ -155,6 +159,16 @@
         lock(&self.shared.runs).clone()
     }
 
+    /// Makes the target keep a part of a prompt.
+    pub fn keep(&self, part: &str, tokens: u32) {
+        lock(&self.shared.kept).push((part.to_owned(), tokens));
+    }
+
+    /// Returns how often the target was asked what it keeps.
+    pub fn lists(&self) -> usize {
+        self.shared.lists.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of streams that are being sent.
     pub fn streams(&self) -> usize {
         self.shared.streams.load(Ordering::Relaxed)
@@ -216,6 +230,17 @@
         Ok(response)
     }
 
+    /// Lists what the target keeps of prompts.
+    fn list(&self) -> Response<Body> {
+        self.lists.fetch_add(1, Ordering::Relaxed);
+        let held: Vec<_> = lock(&self.kept)
+            .iter()
+            .map(|(part, tokens)| ("", part.clone(), *tokens, "m"))
+            .collect();
+        let list = serde_json::json!({"epoch": 1, "next": 1, "held": held});
+        body::json(StatusCode::OK, &list)
+    }
+
     /// Streams the events after `seen` up to `last`; a broken stream ends with
     /// part of the next one.
     fn stream(&self, seen: u64, last: u64, broken: bool) -> Body {
@@ -246,6 +271,9 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Dropped> {
+        if request.uri().path() == "/kv-list" {
+            return Ok(self.list());
+        }
         let (head, incoming) = request.into_parts();
         let expected = head.headers.get("x-target-instance");
         if expected.is_some_and(|expected| expected.as_bytes() != self.id.as_bytes()) {
