Refuse requests for plain services that would be late

Change: the time of work is learned from responses, each divided by the turns that its request waited for (admit::work); a growing part of the requests is refused whose response is expected after 0.6 to 1.0 of the wanted time. Nothing is refused while a slot is free, and a service whose work takes longer than callers want is not refused for that.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod repeat;
 pub mod shed;
 pub mod ticket;
+pub mod work;
--- a/crates/admit/src/shed.rs
+++ b/crates/admit/src/shed.rs
@@ -1,7 +1,7 @@
-//! Refuses part of the requests for a service of engines while there are more
-//! than the engines run well.
+//! Refuses part of the requests for a service while there are more than its
+//! targets serve in time.
 //!
-//! Load pattern: several times the usual traffic for seconds, or the usual
+//! Load pattern of engines: several times the usual traffic for seconds, or the usual
 //! traffic on part of the engines. An engine that is given more than its slots
 //! makes requests wait beyond the time in which callers want them, and the more
 //! requests it runs at once, the slower each stream goes: long ones then run
@@ -9,6 +9,11 @@
 //! A part of the requests is refused at once instead, so that the others are
 //! served in time. The part grows with the load, in the order of urgency, and
 //! no kind of request is refused altogether before the others are.
+//!
+//! Load pattern of plain services: slightly more requests than the targets work
+//! on, for seconds. Their queues fill, and then each response is late by the
+//! whole queue, though the targets could serve nearly all in time. Requests are
+//! refused when their response would be late, so that the queues stay short.
 //! See [the design page](../../../docs/design.md), section 6.3.
 
 /// Part of the slots, in hundredths, from which the least urgent requests begin
@@ -25,6 +30,14 @@
 /// step of urgency.
 const URGENCY_PERCENT: f64 = 2.0;
 
+/// Part of the wanted time from which responses of plain services begin to be
+/// late: the time of work varies.
+const LATE_START: f64 = 0.6;
+
+/// Turns that a request for a plain service may wait for, whatever time is
+/// wanted: where work takes longer than that, refusing would help nobody.
+const LEAST_TURNS: f64 = 2.0;
+
 /// Part of the wanted time after which a caller comes back from a small excess,
 /// so that it still gets its response in time.
 const SOON_PART: f64 = 0.4;
@@ -55,15 +68,28 @@
     pub left: span::Span,
 }
 
-/// Returns the part of such requests that is refused now, from 0 to 1; `fill` is
-/// the load of the service's engines in hundredths of their slots.
-pub fn refused_part(fill: f64, request: Request) -> f64 {
+/// Returns the part of the requests for engines that is refused now, from 0 to 1;
+/// `fill` is the load of the service's engines in hundredths of their slots.
+pub fn engines_part(fill: f64, request: Request) -> f64 {
     let rank = f64::from(request.rank.min(LAST_RANK));
     let urgency = URGENCY_PERCENT * (f64::from(LAST_RANK) - rank);
     let start = START_PERCENT + urgency;
     ((fill - start) / RANGE_PERCENT).clamp(0.0, 1.0)
 }
 
+/// Returns the part of the requests for a plain service that is refused now, from
+/// 0 to 1, given the time that a target works on a request, and how often all
+/// its slots are used before this one is done.
+pub fn plain_part(work: span::Span, turns: f64, request: Request) -> f64 {
+    let work = work.as_secs_f64();
+    let wanted = request.aim.as_secs_f64().max(work * LEAST_TURNS);
+    let late = work * turns / wanted;
+    match turns > 1.0 {
+        true => ((late - LATE_START) / (1.0 - LATE_START)).clamp(0.0, 1.0),
+        false => 0.0,
+    }
+}
+
 /// Returns when a refused caller should come back; `random` from 0 to 1 spreads
 /// the callers.
 ///
--- /dev/null
+++ b/crates/admit/tests/shed.rs
@@ -0,0 +1,102 @@
+//! Requests that are refused because of the load.
+
+use admit::{
+    shed::{self, Request},
+    work::{self, Work},
+};
+use base::{id::ServiceId, span::Span};
+
+const ORDER: Request = Request {
+    rank: 2,
+    aim: Span::from_millis(300),
+    left: Span::from_millis(3_000),
+};
+
+#[test]
+fn engines_by_urgency() {
+    assert_eq!(shed::engines_part(60.0, ORDER), 0.0);
+    assert_eq!(shed::engines_part(120.0, ORDER), 1.0);
+    let urgent = Request { rank: 0, ..ORDER };
+    let part = shed::engines_part(80.0, ORDER);
+    assert!(part > shed::engines_part(80.0, urgent));
+    assert!(
+        part < 1.0,
+        "no kind is refused altogether before the others"
+    );
+}
+
+/// A response that would be late is refused, also where nothing is in time.
+#[test]
+fn plain_in_time() {
+    let work = Span::from_millis(60);
+    assert_eq!(shed::plain_part(work, 1.0, ORDER), 0.0);
+    assert_eq!(shed::plain_part(work, 2.5, ORDER), 0.0);
+    assert_eq!(shed::plain_part(work, 5.0, ORDER), 1.0);
+    let slow = Span::from_millis(500);
+    assert_eq!(shed::plain_part(slow, 1.0, ORDER), 0.0);
+    assert_eq!(shed::plain_part(slow, 2.5, ORDER), 1.0);
+}
+
+/// A small excess is over soon, a large one late; callers are spread.
+#[test]
+fn times_to_return() {
+    let soon = shed::after(0.05, ORDER, 0.0);
+    let late = shed::after(0.9, ORDER, 0.0);
+    assert!(soon < Span::from_millis(250), "{soon}");
+    assert!(late > Span::from_millis(900), "{late}");
+    assert!(late <= Span::from_millis(1_000), "{late}");
+    assert!(shed::after(0.9, ORDER, 1.0) < late);
+}
+
+/// The time of work is learned at any load.
+#[test]
+fn learned_work() {
+    let service: ServiceId = "orders".parse().expect("an id");
+    let mut learned = Work::default();
+    for load in (0..30).cycle().take(300) {
+        let took = Span::from_micros((60_000.0 * work::turns(load, 6)) as u64);
+        learned.note(&service, took, load, 6);
+    }
+    let mean = learned.mean(&service).expect("enough responses");
+    assert!(
+        mean > Span::from_millis(59) && mean < Span::from_millis(61),
+        "{mean}"
+    );
+}
+
+/// A queue that the excess of a tenth fills: without refusing, all are late by
+/// the whole queue; with it, nearly all that are taken are in time.
+#[test]
+fn queue_replayed() {
+    const SLOTS: u32 = 6;
+    const PLACES: u32 = 30;
+    let work = Span::from_millis(60);
+    let run = |sheds: bool| {
+        let (mut timely, mut late) = (0, 0);
+        let mut load = 0.0_f64;
+        // Time steps of 10 ms: a target of six slots ends one request in each.
+        for step in 0..1_000_u32 {
+            load = (load - 1.0).max(0.0);
+            for arrival in 0..(1 + u32::from(step % 10 == 0)) {
+                let turns = work::turns(load as u32, SLOTS);
+                let random = f64::from((step * 7 + arrival * 3) % 10) / 10.0;
+                if sheds && random < shed::plain_part(work, turns, ORDER) {
+                    continue;
+                }
+                if load as u32 >= PLACES {
+                    continue;
+                }
+                load += 1.0;
+                match work.as_secs_f64() * turns < ORDER.aim.as_secs_f64() {
+                    true => timely += 1,
+                    false => late += 1,
+                }
+            }
+        }
+        (timely, late)
+    };
+    let (all, some) = (run(false), run(true));
+    println!("taken (timely, late): {all:?}, shed: {some:?}");
+    assert!(some.0 > all.0 * 3 / 2);
+    assert!(some.1 * 20 < all.1);
+}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use admit::poison::Fall;
-use base::span;
+use base::{span, time};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -31,6 +31,8 @@
     pub source: Option<SocketAddr>,
     /// Prompt tokens that it lacks.
     pub missing: u32,
+    /// Requests believed to be there before this one.
+    pub load: u32,
 }
 
 /// A response whose head has come.
@@ -44,6 +46,10 @@
     pub lease: Lease,
     /// The request at the target.
     pub flight: Flight,
+    /// When the request was sent.
+    pub sent: time::Mono,
+    /// Requests believed to be at the target then.
+    pub load: u32,
 }
 
 /// Why an attempt gave no response for the caller.
@@ -92,6 +98,8 @@
             body,
             lease,
             flight,
+            sent: now,
+            load: pick.load,
         };
         self.shared.metrics.first.add(self.took());
         self.check(target, reply)
@@ -209,6 +217,8 @@
             body,
             lease,
             flight,
+            sent,
+            load,
         } = reply;
         let target = flight.target().clone();
         let left = self.deadline.since(self.shared.clock.now());
@@ -229,6 +239,9 @@
         if !answer.closes {
             target.pool.keep(lease, answer.idle, self.most_idle());
         }
+        let took = self.shared.clock.now().since(sent);
+        let slots = target.row.slots;
+        self.shared.work().note(&self.service, took, load, slots);
         let failed = answer.status.is_server_error();
         target.outcome(|trust| {
             if failed {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use admit::shed;
+use admit::{shed, work};
 use base::{hash, id, span, time};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -38,7 +38,7 @@
 enum Next {
     /// It is sent to a target.
     Send(Pick),
-    /// The engines have too much work; the caller should come back after a time.
+    /// The targets have too much work; the caller should come back after a time.
     Shed(span::Span),
     /// There is no target for it, or no further attempt.
     Stop,
@@ -119,7 +119,7 @@
             return Next::Stop;
         };
         if tried.targets.is_empty()
-            && let Some(after) = self.shed(now, choice)
+            && let Some(after) = self.shed(now, &pick, choice.fill)
         {
             return Next::Shed(after);
         }
@@ -154,16 +154,21 @@
         Next::Send(pick)
     }
 
-    /// Returns when to come back if the service's engines have too much work for
+    /// Returns when to come back if the service's targets have too much work for
     /// another request.
-    fn shed(&self, now: time::Mono, choice: cost::Choice) -> Option<span::Span> {
-        self.kind.filter(|kind| kind.engines)?;
+    fn shed(&self, now: time::Mono, pick: &Pick, fill: cost::Fill) -> Option<span::Span> {
         let request = shed::Request {
             rank: self.rank(),
             aim: self.rule.aim,
             left: self.deadline.since(now),
         };
-        let part = shed::refused_part(choice.fill.percent(), request);
+        let turns = work::turns(pick.load, pick.target.row.slots);
+        let mean = self.shared.work().mean(&self.service);
+        let part = match (self.kind, mean) {
+            (Some(kind), _) if kind.engines => shed::engines_part(fill.percent(), request),
+            (_, Some(work)) => shed::plain_part(work, turns, request),
+            _ => 0.0,
+        };
         let mut random = rand::rng();
         if random.random::<f64>() >= part {
             return None;
@@ -174,8 +179,11 @@
             event = "shed",
             id = %self.call.attempt,
             service = %self.service,
-            load = choice.fill.load,
-            slots = choice.fill.slots,
+            target = %pick.target.row.id,
+            target_load = pick.load,
+            load = fill.load,
+            slots = fill.slots,
+            work = mean.map(tracing::field::display),
             rank = request.rank,
             %after,
         );
@@ -204,6 +212,7 @@
             target: targets[choice.index].clone(),
             source: choice.source.map(|source| targets[source].row.address),
             missing: candidates[choice.index].missing,
+            load: candidates[choice.index].load,
         };
         Some((pick, choice))
     }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -8,6 +8,7 @@
 use admit::{
     poison::Poison,
     repeat::{self, Repeats},
+    work::Work,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use base::{id, time};
@@ -45,6 +46,7 @@
     pub bounds: ArcSwap<Bounds>,
     repeats: Mutex<Repeats>,
     poison: Mutex<Poison>,
+    work: Mutex<Work>,
     holds: Mutex<Vec<Hold>>,
 }
 
@@ -64,6 +66,7 @@
             metrics: Metrics::default(),
             bounds: ArcSwap::from_pointee(bounds),
             poison: Mutex::default(),
+            work: Mutex::default(),
             holds: Mutex::default(),
             settings,
         })
@@ -80,6 +83,11 @@
         self.repeats.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns how long targets of plain services work.
+    pub fn work(&self) -> MutexGuard<'_, Work> {
+        self.work.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the contents that were at crashes of targets.
     pub fn poison(&self) -> MutexGuard<'_, Poison> {
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/edge/tests/replay/mod.rs
+++ b/crates/edge/tests/replay/mod.rs
@@ -307,7 +307,7 @@
             aim: span(kind.aim),
             left: span(kind.limit - (now - request.start)),
         };
-        let part = shed::refused_part(choice.fill.percent(), asked);
+        let part = shed::engines_part(choice.fill.percent(), asked);
         if pattern.sheds && random.random::<f64>() < part {
             let seen = &mut seen[request.kind];
             if request.returning {
