Share the engines among the listed routers, and ask them sooner after a start

The routers that are listed in the table are known before they are heard, so that the shares do not depend on who has spoken.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -359,22 +359,22 @@
             return;
         };
         let now = self.shared.clock.now();
-        let speaking: BTreeMap<SocketAddr, bool> = self
+        // Routers that start together share the engines before they have heard
+        // of one another.
+        let listed: Vec<SocketAddr> = self.known().keys().copied().collect();
+        let knowing: Vec<SocketAddr> = self
             .known()
             .iter()
-            .filter(|(_, peer)| peer.speaks(now))
-            .map(|(address, peer)| (*address, peer.knows))
+            .filter(|(_, peer)| peer.speaks(now) && peer.knows)
+            .map(|(address, _)| *address)
             .collect();
-        let knowing: Vec<_> = speaking.iter().filter(|(_, knows)| **knows).collect();
-        let peer = knowing
-            .choose(&mut rand::rng())
-            .map(|(address, _)| **address);
+        let peer = knowing.choose(&mut rand::rng()).copied();
         let step = self.recall().next(now, peer.is_some());
         match (step, peer) {
             (Step::AskPeer, Some(peer)) => self.fetch(peer, Ask { holds: true }),
             (Step::AskEngines, _) => {
                 let rank = |address: &SocketAddr| hash::bytes(address.to_string().as_bytes());
-                let others: Vec<u64> = speaking.keys().map(rank).collect();
+                let others: Vec<u64> = listed.iter().map(rank).collect();
                 let own = rank(&self.shared.settings.peers);
                 let share = fleet.targets().filter(|target| {
                     let kind = routes.config.services.get(&target.row.service);
--- a/crates/edge/src/recall.rs
+++ b/crates/edge/src/recall.rs
@@ -8,10 +8,9 @@
 
 use base::{hash, span, time};
 
-/// Time for which a router listens whether a peer knows more. Peers speak
-/// several times a second, and routers that are started together start within
-/// half a second.
-const LISTEN_TIME: span::Span = span::Span::from_millis(1_000);
+/// Time for which a router listens whether a peer knows more: a round of news,
+/// which follows the first one of this router, and its way.
+const LISTEN_TIME: span::Span = span::Span::from_millis(300);
 
 /// Time until a peer that did not answer is asked again, or another one.
 const AGAIN_TIME: span::Span = span::Span::from_millis(1_500);
