Give the clients of the platform's services one kind of options

Table, object store and instance list each had a copy of the same options and the same construction; they differ in the time for one attempt only.

--- a/crates/bench/src/recovery.rs
+++ b/crates/bench/src/recovery.rs
@@ -21,9 +21,9 @@
 use store::{
     breaker,
     control::Policy,
-    error,
+    error, service,
     share::Rates,
-    table::{Op, Options as TableOptions, Outcome, Table},
+    table::{self, Op, Outcome, Table},
 };
 use tokio::{sync::mpsc, task::JoinSet};
 
@@ -206,9 +206,9 @@
     let interval = Duration::from_secs_f64(f64::from(options.clients) / options.writes);
     let mut loops = JoinSet::new();
     for index in 0..options.clients {
-        let table = Table::new(TableOptions {
+        let table = Table::new(service::Options {
             policy: policy.clone(),
-            ..TableOptions::new(peer)
+            ..table::options(peer)
         });
         let client = Arc::new(Client {
             index,
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -12,7 +12,13 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
 use platform::rows::{self, Page, Position, Row, Table};
-use store::{backoff::Backoff, breaker, control::Policy, service::Service, share::Rates};
+use store::{
+    backoff::Backoff,
+    breaker,
+    control::Policy,
+    service::{Options, Service},
+    share::Rates,
+};
 use tokio::time as timer;
 
 use crate::{
@@ -111,7 +117,11 @@
         climb: RAMP_TIME,
         ..Policy::default()
     };
-    Service::new(store.address, timeout, policy)
+    Service::new(Options {
+        peer: store.address,
+        timeout,
+        policy,
+    })
 }
 
 /// Where a follower stands in the history of a table.
--- a/crates/roles/src/platform.rs
+++ b/crates/roles/src/platform.rs
@@ -31,9 +31,9 @@
     /// Makes the clients; they connect with the first call.
     pub fn new(addresses: &settings::Platform) -> Self {
         Self {
-            table: table::Table::new(table::Options::new(addresses.table)),
-            objects: object::Objects::new(object::Options::new(addresses.objects)),
-            instances: list::Instances::new(list::Options::new(addresses.instances)),
+            table: table::Table::new(table::options(addresses.table)),
+            objects: object::Objects::new(object::options(addresses.objects)),
+            instances: list::Instances::new(list::options(addresses.instances)),
             plans: Arc::default(),
         }
     }
--- a/crates/store/src/list.rs
+++ b/crates/store/src/list.rs
@@ -8,28 +8,17 @@
 };
 use serde::Deserialize;
 
-use crate::{control::Policy, error::Error, service::Service};
+use crate::{
+    error::Error,
+    service::{Options, Service},
+};
 
-/// How a client reaches the instance list.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Address of the instance list.
-    pub peer: SocketAddr,
-    /// Time for one attempt.
-    pub timeout: span::Span,
-    /// Rates, retries and breaker.
-    pub policy: Policy,
-}
+/// Time for one attempt of a call.
+const TIMEOUT: span::Span = span::Span::from_secs(2);
 
-impl Options {
-    /// Returns the default options for an instance list.
-    pub fn new(peer: SocketAddr) -> Self {
-        Self {
-            peer,
-            timeout: span::Span::from_secs(2),
-            policy: Policy::default(),
-        }
-    }
+/// Returns the usual options of a client for an instance list.
+pub fn options(peer: SocketAddr) -> Options {
+    Options::new(peer, TIMEOUT)
 }
 
 /// Whether an instance is to stay.
@@ -75,12 +64,7 @@
 impl Instances {
     /// Makes a client; it connects with the first call.
     pub fn new(options: Options) -> Self {
-        let Options {
-            peer,
-            timeout,
-            policy,
-        } = options;
-        Self(Arc::new(Service::new(peer, timeout, policy)))
+        Self(Arc::new(Service::new(options)))
     }
 
     /// Reads the list; the cause of a fault is an [`Error`].
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -10,33 +10,18 @@
 use http::{HeaderMap, Method, Request, StatusCode, header};
 
 use crate::{
-    control::Policy,
     error::Error,
     http as exchange,
-    service::{self, Service},
+    service::{self, Options, Service},
     share::Rates,
 };
 
-/// How a client reaches the object store.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Address of the object store.
-    pub peer: SocketAddr,
-    /// Time for one attempt.
-    pub timeout: span::Span,
-    /// Rates, retries and breaker.
-    pub policy: Policy,
-}
+/// Time for one attempt of a call.
+const TIMEOUT: span::Span = span::Span::from_secs(5);
 
-impl Options {
-    /// Returns the default options for an object store.
-    pub fn new(peer: SocketAddr) -> Self {
-        Self {
-            peer,
-            timeout: span::Span::from_secs(5),
-            policy: Policy::default(),
-        }
-    }
+/// Returns the usual options of a client for an object store.
+pub fn options(peer: SocketAddr) -> Options {
+    Options::new(peer, TIMEOUT)
 }
 
 /// Identifies the content of an object.
@@ -88,12 +73,7 @@
 impl Objects {
     /// Makes a client; it connects with the first call.
     pub fn new(options: Options) -> Self {
-        let Options {
-            peer,
-            timeout,
-            policy,
-        } = options;
-        Self(Arc::new(Service::new(peer, timeout, policy)))
+        Self(Arc::new(Service::new(options)))
     }
 
     /// Changes this process's share of the rates.
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -19,6 +19,28 @@
 /// Time to come back when a write was not sent for a reason that names none.
 pub(crate) const DEFAULT_AFTER: span::Span = span::Span::from_secs(1);
 
+/// How a client reaches a service.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Address of the service.
+    pub peer: SocketAddr,
+    /// Time for one attempt of a call.
+    pub timeout: span::Span,
+    /// Rates, retries and breaker.
+    pub policy: Policy,
+}
+
+impl Options {
+    /// Returns options with the default policy.
+    pub fn new(peer: SocketAddr, timeout: span::Span) -> Self {
+        Self {
+            peer,
+            timeout,
+            policy: Policy::default(),
+        }
+    }
+}
+
 /// The connections to a service and the limits on its calls.
 #[derive(Debug)]
 pub struct Service {
@@ -28,10 +50,10 @@
 
 impl Service {
     /// Makes the connections; the first is opened with the first call.
-    pub fn new(peer: SocketAddr, timeout: span::Span, policy: Policy) -> Self {
+    pub fn new(options: Options) -> Self {
         Self {
-            client: Client::new(peer, timeout),
-            guard: Guard::new(policy),
+            client: Client::new(options.peer, options.timeout),
+            guard: Guard::new(options.policy),
         }
     }
 
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -12,36 +12,21 @@
 
 use crate::{
     breaker,
-    control::Policy,
     error::Error,
     http as exchange,
-    service::{self, Service},
+    service::{self, Options, Service},
     share::Rates,
 };
 
 /// Rows of one request of a scan.
 const PAGE: usize = 500;
 
-/// How a client reaches the table.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Address of the table.
-    pub peer: SocketAddr,
-    /// Time for one attempt.
-    pub timeout: span::Span,
-    /// Rates, retries and breaker.
-    pub policy: Policy,
-}
+/// Time for one attempt of a call.
+const TIMEOUT: span::Span = span::Span::from_secs(2);
 
-impl Options {
-    /// Returns the default options for a table.
-    pub fn new(peer: SocketAddr) -> Self {
-        Self {
-            peer,
-            timeout: span::Span::from_secs(2),
-            policy: Policy::default(),
-        }
-    }
+/// Returns the usual options of a client for a table.
+pub fn options(peer: SocketAddr) -> Options {
+    Options::new(peer, TIMEOUT)
 }
 
 /// The version of a row, set by the table.
@@ -215,12 +200,7 @@
 impl Table {
     /// Makes a client; it connects with the first call.
     pub fn new(options: Options) -> Self {
-        let Options {
-            peer,
-            timeout,
-            policy,
-        } = options;
-        Self(Arc::new(Service::new(peer, timeout, policy)))
+        Self(Arc::new(Service::new(options)))
     }
 
     /// Changes this process's share of the rates.
--- a/crates/store/tests/object.rs
+++ b/crates/store/tests/object.rs
@@ -1,13 +1,13 @@
 //! Guards the object client's conditions and outcomes.
 
 use fakes::fault::{Chance, Outage};
-use store::object::{Condition, Objects, Options, Outcome};
+use store::object::{self, Condition, Objects, Outcome};
 
 fn start() -> (fakes::object::Objects, Objects) {
     let options = fakes::object::Options::default();
     let listen = "127.0.0.1:0".parse().unwrap();
     let fake = fakes::object::Objects::start(listen, &options).unwrap();
-    let client = Objects::new(Options::new(fake.address()));
+    let client = Objects::new(object::options(fake.address()));
     (fake, client)
 }
 
--- a/crates/store/tests/table.rs
+++ b/crates/store/tests/table.rs
@@ -9,8 +9,9 @@
 use serde::{Deserialize, Serialize};
 use store::{
     breaker, error,
+    service::Options,
     share::Rates,
-    table::{Condition, Op, Options, Outcome, RowVersion, Table},
+    table::{self, Condition, Op, Outcome, RowVersion, Table},
 };
 
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -27,7 +28,7 @@
     let fake = fakes::table::Table::start("127.0.0.1:0".parse().unwrap(), &options).unwrap();
     let client = Table::new(Options {
         timeout: Span::from_millis(500),
-        ..Options::new(fake.address())
+        ..table::options(fake.address())
     });
     (fake, client)
 }
@@ -204,7 +205,7 @@
         ..fakes::table::Options::default()
     };
     let fake = fakes::table::Table::start("127.0.0.1:0".parse().unwrap(), &options).unwrap();
-    let table = Table::new(Options::new(fake.address()));
+    let table = Table::new(table::options(fake.address()));
     row_version(table.transact(&[insert("a", 1)]).await);
     let limited = table.transact(&[insert("b", 1)]).await;
     let Outcome::NotSent { after, .. } = limited else {
