Refuse a surging team's requests sooner under overload

Cause: refusing did not tell teams apart, so that one team's surge cost all teams the same part of their requests.

Change: admit::shares remembers for seconds how much of a service's work was taken from each team; a team with twice an even share or more is refused from 7.5 in 100 slots sooner on, one without work as much later. It counts what was taken, not what was asked, so that a large team is never starved by its own demand.

sent and shed lines name the team.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod poison;
 pub mod quarantine;
 pub mod repeat;
+pub mod shares;
 pub mod shed;
 pub mod ticket;
 pub mod work;
--- /dev/null
+++ b/crates/admit/src/shares.rs
@@ -0,0 +1,78 @@
+//! How a service's work is divided among teams lately.
+//!
+//! Load pattern: one team sends many times its usual. What counts is the work
+//! that was taken from each team, so that a team that is refused more gets a
+//! smaller share, until the shares are even.
+
+use std::collections::BTreeMap;
+
+use base::{id, span, time};
+
+/// Time after which a request counts a third: about as long as one runs.
+const MEMORY: span::Span = span::Span::from_secs(2);
+
+/// Requests of a team below which it does not count as active.
+const ACTIVE: f64 = 0.5;
+
+/// Teams and services that are remembered at most.
+const MOST_SHARES: usize = 4_096;
+
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    requests: f64,
+    at: time::Mono,
+}
+
+impl Share {
+    fn requests(&self, now: time::Mono) -> f64 {
+        let age = now.since(self.at).as_secs_f64() / MEMORY.as_secs_f64();
+        self.requests * (-age).exp()
+    }
+}
+
+/// Requests that were taken lately, by service and team.
+#[derive(Clone, Debug, Default)]
+pub struct Shares(BTreeMap<id::ServiceId, BTreeMap<id::TeamId, Share>>);
+
+impl Shares {
+    /// Notes that a request was taken.
+    pub fn note(&mut self, now: time::Mono, service: &id::ServiceId, team: &id::TeamId) {
+        if self.0.values().map(BTreeMap::len).sum::<usize>() >= MOST_SHARES {
+            self.forget(now);
+        }
+        let shares = self.0.entry(service.clone()).or_default();
+        let before = shares.get(team).map_or(0.0, |share| share.requests(now));
+        let share = Share {
+            requests: before + 1.0,
+            at: now,
+        };
+        shares.insert(team.clone(), share);
+    }
+
+    /// Returns a team's part of the work relative to an even share of the active
+    /// teams; 1 where it is alone or nothing is known.
+    pub fn ratio(&self, now: time::Mono, service: &id::ServiceId, team: &id::TeamId) -> f64 {
+        let Some(shares) = self.0.get(service) else {
+            return 1.0;
+        };
+        let active = shares
+            .iter()
+            .map(|(id, share)| (id, share.requests(now)))
+            .filter(|(id, requests)| *requests >= ACTIVE || *id == team);
+        let (count, total) = active.fold((0.0, 0.0), |(count, total), (_, requests)| {
+            (count + 1.0, total + requests)
+        });
+        let own = shares.get(team).map_or(0.0, |share| share.requests(now));
+        match total > 0.0 && count > 1.0 {
+            true => own * count / total,
+            false => 1.0,
+        }
+    }
+
+    fn forget(&mut self, now: time::Mono) {
+        for shares in self.0.values_mut() {
+            shares.retain(|_, share| share.requests(now) >= ACTIVE);
+        }
+        self.0.retain(|_, shares| !shares.is_empty());
+    }
+}
--- a/crates/admit/src/shed.rs
+++ b/crates/admit/src/shed.rs
@@ -8,7 +8,9 @@
 //! into their time limits, and everything that was generated for them is lost.
 //! A part of the requests is refused at once instead, so that the others are
 //! served in time. The part grows with the load, in the order of urgency, and
-//! no kind of request is refused altogether before the others are.
+//! no kind of request is refused altogether before the others are. A team that
+//! has more than an even share of the work is refused sooner, so that a surging
+//! team pays for its surge.
 //!
 //! Load pattern of plain services: slightly more requests than the targets work
 //! on, for seconds. Their queues fill, and then each response is late by the
@@ -30,6 +32,14 @@
 /// step of urgency.
 const URGENCY_PERCENT: f64 = 2.0;
 
+/// Part of the slots, in hundredths, by which refusing begins later for a team
+/// without work, and sooner for one with twice an even share: a quarter of the
+/// range, so that large teams are not starved.
+const FAIR_PERCENT: f64 = 7.5;
+
+/// The same for plain services, as a part of the wanted time.
+const FAIR_PART: f64 = 0.1;
+
 /// Part of the wanted time from which responses of plain services begin to be
 /// late: the time of work varies.
 const LATE_START: f64 = 0.6;
@@ -58,10 +68,12 @@
 use base::span;
 
 /// A request as the decision sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Request {
     /// Urgency, 0 first.
     pub rank: u8,
+    /// The part of the work that its team has lately, relative to an even share.
+    pub share: f64,
     /// Time in which the caller wants its response.
     pub aim: span::Span,
     /// Time that the caller still waits.
@@ -73,7 +85,7 @@
 pub fn engines_part(fill: f64, request: Request) -> f64 {
     let rank = f64::from(request.rank.min(LAST_RANK));
     let urgency = URGENCY_PERCENT * (f64::from(LAST_RANK) - rank);
-    let start = START_PERCENT + urgency;
+    let start = START_PERCENT + urgency + FAIR_PERCENT * fairness(request);
     ((fill - start) / RANGE_PERCENT).clamp(0.0, 1.0)
 }
 
@@ -84,12 +96,19 @@
     let work = work.as_secs_f64();
     let wanted = request.aim.as_secs_f64().max(work * LEAST_TURNS);
     let late = work * turns / wanted;
+    let start = LATE_START + FAIR_PART * fairness(request);
     match turns > 1.0 {
-        true => ((late - LATE_START) / (1.0 - LATE_START)).clamp(0.0, 1.0),
+        true => ((late - start) / (1.0 - LATE_START)).clamp(0.0, 1.0),
         false => 0.0,
     }
 }
 
+/// Returns 1 for a team without work, 0 for one with an even share and -1 for one
+/// with twice that or more.
+fn fairness(request: Request) -> f64 {
+    (1.0 - request.share).clamp(-1.0, 1.0)
+}
+
 /// Returns when a refused caller should come back; `random` from 0 to 1 spreads
 /// the callers.
 ///
--- a/crates/admit/tests/shed.rs
+++ b/crates/admit/tests/shed.rs
@@ -1,13 +1,19 @@
 //! Requests that are refused because of the load.
 
 use admit::{
+    shares::Shares,
     shed::{self, Request},
     work::{self, Work},
 };
-use base::{id::ServiceId, span::Span};
+use base::{
+    id::{ServiceId, TeamId},
+    span::Span,
+    time::Mono,
+};
 
 const ORDER: Request = Request {
     rank: 2,
+    share: 1.0,
     aim: Span::from_millis(300),
     left: Span::from_millis(3_000),
 };
@@ -25,6 +31,28 @@
     );
 }
 
+/// A team with more than its share is refused sooner, one with less later.
+#[test]
+fn shares_of_teams() {
+    let with = |share| shed::engines_part(80.0, Request { share, ..ORDER });
+    assert!(with(2.0) > with(1.0) && with(1.0) > with(0.2));
+    assert_eq!(with(9.0), with(2.0));
+    let [large, small] = ["large", "small"].map(|team| team.parse::<TeamId>().expect("an id"));
+    let service: ServiceId = "model".parse().expect("an id");
+    let mut shares = Shares::default();
+    let at = |millis| Mono(0) + Span::from_millis(millis);
+    assert_eq!(shares.ratio(at(0), &service, &small), 1.0);
+    for millis in 0..90 {
+        shares.note(at(millis), &service, &large);
+    }
+    for millis in 0..10 {
+        shares.note(at(millis), &service, &small);
+    }
+    let ratio = |team| shares.ratio(at(100), &service, team);
+    assert!(ratio(&large) > 1.7 && ratio(&small) < 0.3);
+    assert!(shares.ratio(at(20_000), &service, &large) < 1.1);
+}
+
 /// A response that would be late is refused, also where nothing is in time.
 #[test]
 fn plain_in_time() {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -126,6 +126,9 @@
         let target = &pick.target;
         if tried.targets.is_empty() {
             self.shared.repeats().first(now, &self.service);
+            if let Some(team) = &self.team {
+                self.shared.shares().note(now, &self.service, &team.id);
+            }
         } else {
             let routers = self.shared.routers.load(Ordering::Relaxed);
             if !self.shared.repeats().repeat(now, &self.service, routers) {
@@ -138,6 +141,7 @@
             event = "sent",
             id = %self.call.attempt,
             rule = %self.rule.id,
+            team = self.team.as_ref().map(|team| tracing::field::display(&team.id)),
             service = %self.service,
             target = %target.row.id,
             reason = %choice.reason,
@@ -157,8 +161,13 @@
     /// Returns when to come back if the service's targets have too much work for
     /// another request.
     fn shed(&self, now: time::Mono, pick: &Pick, fill: cost::Fill) -> Option<span::Span> {
+        let team = self.team.as_ref().map(|team| &team.id);
+        let share = team.map_or(1.0, |team| {
+            self.shared.shares().ratio(now, &self.service, team)
+        });
         let request = shed::Request {
             rank: self.rank(),
+            share,
             aim: self.rule.aim,
             left: self.deadline.since(now),
         };
@@ -185,6 +194,8 @@
             slots = fill.slots,
             work = mean.map(tracing::field::display),
             rank = request.rank,
+            team = team.map(tracing::field::display),
+            share = request.share,
             %after,
         );
         Some(after)
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -8,6 +8,7 @@
 use admit::{
     poison::Poison,
     repeat::{self, Repeats},
+    shares::Shares,
     work::Work,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -47,6 +48,7 @@
     repeats: Mutex<Repeats>,
     poison: Mutex<Poison>,
     work: Mutex<Work>,
+    shares: Mutex<Shares>,
     holds: Mutex<Vec<Hold>>,
 }
 
@@ -67,6 +69,7 @@
             bounds: ArcSwap::from_pointee(bounds),
             poison: Mutex::default(),
             work: Mutex::default(),
+            shares: Mutex::default(),
             holds: Mutex::default(),
             settings,
         })
@@ -88,6 +91,11 @@
         self.work.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns how the work is divided among teams.
+    pub fn shares(&self) -> MutexGuard<'_, Shares> {
+        self.shares.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the contents that were at crashes of targets.
     pub fn poison(&self) -> MutexGuard<'_, Poison> {
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/edge/tests/overload.rs
+++ b/crates/edge/tests/overload.rs
@@ -15,6 +15,7 @@
         rate: USUAL * ENGINES as f64 * times,
         length: 8_000.0,
         sheds,
+        surge: 0.1,
     }
 }
 
@@ -38,7 +39,7 @@
 #[test]
 fn usual_load() {
     for times in [1.0, 2.0] {
-        let seen = replay::run(pattern(times, true), 1);
+        let seen = replay::run(pattern(times, true), 1).kinds;
         print("usual", &seen);
         assert_eq!(sum(&seen, |seen| seen.refused), 0);
         assert!(sum(&seen, |seen| seen.timely) * 100 >= sum(&seen, |seen| seen.asked) * 99);
@@ -50,8 +51,8 @@
 #[test]
 fn burst_on_half() {
     for seed in 1..=3 {
-        let all = replay::run(pattern(12.0, false), seed);
-        let some = replay::run(pattern(12.0, true), seed);
+        let all = replay::run(pattern(12.0, false), seed).kinds;
+        let some = replay::run(pattern(12.0, true), seed).kinds;
         print("taken", &all);
         print("shed", &some);
         let cut = |seen: &[Seen]| sum(seen, |seen| seen.cut);
@@ -69,7 +70,7 @@
 /// urgent one, and large requests are served at least half as often as all.
 #[test]
 fn fair_refusals() {
-    let seen = replay::run(pattern(12.0, true), 4);
+    let seen = replay::run(pattern(12.0, true), 4).kinds;
     print("shed", &seen);
     let mut kinds: Vec<(u8, f64)> = KINDS
         .iter()
@@ -86,3 +87,26 @@
         assert!(share(seen) > 0.1, "{seen:?}");
     }
 }
+
+/// One team sends three quarters of twelve times the usual load: the others are
+/// refused far less often, and it is not starved.
+#[test]
+fn surging_team() {
+    for seed in 5..=7 {
+        let surge = Pattern {
+            surge: 0.75,
+            ..pattern(12.0, true)
+        };
+        let teams = replay::run(surge, seed).teams;
+        println!("teams (asked, refused): {teams:?}");
+        let part = |(asked, refused): (u32, u32)| f64::from(refused) / f64::from(asked);
+        let others = teams[1..]
+            .iter()
+            .fold((0, 0), |sum, team| (sum.0 + team.0, sum.1 + team.1));
+        assert!(
+            part(others) * 1.8 < part(teams[0]),
+            "seed {seed}: {teams:?}"
+        );
+        assert!(part(teams[0]) < 0.8, "seed {seed}: {teams:?}");
+    }
+}
--- a/crates/edge/tests/replay/mod.rs
+++ b/crates/edge/tests/replay/mod.rs
@@ -3,8 +3,12 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap};
 
-use admit::shed;
-use base::span::Span;
+use admit::{shares::Shares, shed};
+use base::{
+    id::{ServiceId, TeamId},
+    span::Span,
+    time::Mono,
+};
 use place::cost::{self, Candidate, Prompt, Spill};
 use rand::{RngExt, SeedableRng, rngs::ChaCha8Rng};
 
@@ -109,6 +113,7 @@
     output: f64,
     large: bool,
     returning: bool,
+    team: usize,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -240,8 +245,14 @@
     pub length: Millis,
     /// Whether requests are refused by [`shed`].
     pub sheds: bool,
+    /// Part of the requests that the first of ten teams sends; the others share
+    /// the rest.
+    pub surge: f64,
 }
 
+/// Teams of a pattern.
+pub const TEAMS: usize = 10;
+
 /// Draws a size around a mean; the largest are several times the mean.
 fn size(random: &mut ChaCha8Rng, mean: f64) -> f64 {
     let uniform: f64 = random.random_range(0.02..1.0);
@@ -256,9 +267,11 @@
     }
 }
 
-fn arrivals(pattern: Pattern, random: &mut ChaCha8Rng) -> BinaryHeap<Reverse<Arrival>> {
+fn arrivals(pattern: Pattern, seed: u64, random: &mut ChaCha8Rng) -> BinaryHeap<Reverse<Arrival>> {
     let total: f64 = KINDS.iter().map(|kind| kind.weight).sum();
     let mut arrivals = BinaryHeap::new();
+    // Teams change nothing else of a pattern.
+    let mut teams = ChaCha8Rng::seed_from_u64(seed);
     let mut now = 0.0;
     while now < pattern.length {
         now -= (random.random_range(f64::EPSILON..1.0_f64)).ln() * 1_000.0 / pattern.rate;
@@ -277,33 +290,56 @@
             // A tenth of an exponential distribution lies above this.
             large: output > KINDS[kind].output * std::f64::consts::LN_10,
             returning: false,
+            team: match teams.random_bool(pattern.surge) {
+                true => 0,
+                false => teams.random_range(1..TEAMS),
+            },
         };
         arrivals.push(Reverse(Arrival((now * 1e3) as u64, request)));
     }
     arrivals
 }
 
-/// Runs a pattern and returns what callers saw, by kind.
-pub fn run(pattern: Pattern, seed: u64) -> Vec<Seen> {
+/// What callers saw.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// By kind.
+    pub kinds: Vec<Seen>,
+    /// Requests and refused requests, by team.
+    pub teams: [(u32, u32); TEAMS],
+}
+
+/// Runs a pattern and returns what callers saw.
+pub fn run(pattern: Pattern, seed: u64) -> Report {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut arrivals = arrivals(pattern, &mut random);
+    let mut arrivals = arrivals(pattern, seed, &mut random);
     let mut engines: Vec<Engine> = Vec::new();
     engines.resize_with(pattern.engines, Engine::default);
     let mut seen = vec![Seen::default(); KINDS.len()];
+    let mut teams = [(0, 0); TEAMS];
+    let mut shares = Shares::default();
+    let service: ServiceId = "model".parse().expect("an id");
+    let ids: Vec<TeamId> = (0..TEAMS)
+        .map(|team| format!("team-{team}").parse().expect("an id"))
+        .collect();
     while let Some(Reverse(Arrival(at, request))) = arrivals.pop() {
         let now = at as f64 / 1e3;
         advance(&mut engines, now, &mut seen);
         let kind = &KINDS[request.kind];
         if !request.returning {
             seen[request.kind].asked += 1;
+            teams[request.team].0 += 1;
             seen[request.kind].large.0 += u32::from(request.large);
         }
         let candidates: Vec<Candidate> = engines.iter().enumerate().map(candidate).collect();
         let spill = Spill::below(2.0);
         let choice = cost::choose(&candidates, Prompt::default(), spill, random.random())
             .expect("there are engines");
+        let clock = Mono(0) + Span::from_micros(at);
+        let team = &ids[request.team];
         let asked = shed::Request {
             rank: kind.rank,
+            share: shares.ratio(clock, &service, team),
             aim: span(kind.aim),
             left: span(kind.limit - (now - request.start)),
         };
@@ -313,6 +349,7 @@
             if request.returning {
                 seen.refused += 1;
                 seen.twice += 1;
+                teams[request.team].1 += 1;
                 continue;
             }
             let after = shed::after(part, asked, random.random()).as_micros();
@@ -323,6 +360,7 @@
             arrivals.push(Reverse(Arrival(at + after, again)));
             continue;
         }
+        shares.note(clock, &service, team);
         let engine = &mut engines[choice.index];
         if engine.load() == 0 {
             engine.next = now;
@@ -338,7 +376,7 @@
         });
     }
     advance(&mut engines, f64::MAX, &mut seen);
-    seen
+    Report { kinds: seen, teams }
 }
 
 fn candidate((index, engine): (usize, &Engine)) -> Candidate {
