--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod relay;
 pub mod routes;
 pub mod shared;
+pub mod snapshot;
 pub mod stream;
 pub mod upstream;
 pub mod view;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -14,16 +14,13 @@
     fault::{At, Fault},
     hash, id, span, time,
 };
-use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use rand::{RngExt, seq::IndexedRandom};
 use tokio::{
-    net::{TcpListener, TcpStream, UdpSocket},
+    net::{TcpListener, UdpSocket},
     sync::Notify,
     time as timer,
 };
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::{
     engines,
@@ -33,11 +30,12 @@
     metrics::Counter,
     news::{
         Aside, Ask, FallAt, Left, LoadAt, MAX_DATAGRAM, MOST_ASIDE, MOST_FALLS, MOST_HOLDS,
-        MOST_LEAVES, News, Snapshot,
+        MOST_LEAVES, News,
     },
     readers::{self, Router},
     recall::{self, Recall, Step},
     shared::Shared,
+    snapshot,
     view::View,
 };
 
@@ -64,9 +62,6 @@
 /// Time for fetching a snapshot.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Longest snapshot, in bytes.
-const MAX_SNAPSHOT: usize = 16 * 1024 * 1024;
-
 /// The other routers.
 #[derive(Debug)]
 pub struct Peers {
@@ -392,7 +387,7 @@
     fn fetch(self: &Arc<Self>, address: SocketAddr, ask: Ask) {
         let peers = self.clone();
         tokio::spawn(async move {
-            match timer::timeout(FETCH_TIMEOUT, fetch(address, ask)).await {
+            match timer::timeout(FETCH_TIMEOUT, snapshot::fetch(address, ask)).await {
                 Ok(Ok(snapshot)) => {
                     peers.view.adopt_snapshot(&snapshot);
                     if ask.holds {
@@ -412,7 +407,7 @@
         loop {
             match listener.accept().await {
                 Ok((stream, address)) => {
-                    let sent = send_snapshot(self.view.clone(), stream, address);
+                    let sent = snapshot::send(self.view.clone(), stream, address);
                     tokio::spawn(async move {
                         match timer::timeout(FETCH_TIMEOUT, sent).await {
                             Ok(Ok(())) => {}
@@ -429,39 +424,3 @@
         }
     }
 }
-
-fn frames(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_SNAPSHOT)
-        .new_codec();
-    Framed::new(stream, codec)
-}
-
-async fn send_snapshot(
-    view: Arc<View>,
-    stream: TcpStream,
-    address: SocketAddr,
-) -> Result<(), Fault> {
-    const STEP: &str = "send snapshot";
-    let mut frames = frames(stream);
-    let frame = frames.next().await;
-    let frame = frame
-        .ok_or("the peer closed the connection")
-        .at(STEP, address)?;
-    let ask = Ask::decode(frame.at(STEP, address)?).at(STEP, address)?;
-    let snapshot = view.snapshot(ask.holds).encode_to_vec();
-    frames.send(Bytes::from(snapshot)).await.at(STEP, address)
-}
-
-async fn fetch(address: SocketAddr, ask: Ask) -> Result<Snapshot, Fault> {
-    const STEP: &str = "fetch snapshot";
-    let stream = TcpStream::connect(address).await.at(STEP, address)?;
-    let mut frames = frames(stream);
-    let ask = Bytes::from(ask.encode_to_vec());
-    frames.send(ask).await.at(STEP, address)?;
-    let frame = frames.next().await;
-    let frame = frame
-        .ok_or("the peer closed the connection")
-        .at(STEP, address)?;
-    Snapshot::decode(frame.at(STEP, address)?).at(STEP, address)
-}
--- /dev/null
+++ b/crates/edge/src/snapshot.rs
@@ -0,0 +1,60 @@
+//! Snapshots that routers fetch from one another over a connection of their own.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::fault::{At, Fault};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::{
+    news::{Ask, Snapshot},
+    view::View,
+};
+
+/// Longest snapshot, in bytes.
+const MAX_SNAPSHOT: usize = 16 * 1024 * 1024;
+
+fn frames(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_SNAPSHOT)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+/// Answers a peer that connected and asks for a snapshot.
+///
+/// # Errors
+///
+/// When the peer asks for nothing or the connection breaks.
+pub async fn send(view: Arc<View>, stream: TcpStream, address: SocketAddr) -> Result<(), Fault> {
+    const STEP: &str = "send snapshot";
+    let mut frames = frames(stream);
+    let frame = frames.next().await;
+    let frame = frame
+        .ok_or("the peer closed the connection")
+        .at(STEP, address)?;
+    let ask = Ask::decode(frame.at(STEP, address)?).at(STEP, address)?;
+    let snapshot = view.snapshot(ask.holds).encode_to_vec();
+    frames.send(Bytes::from(snapshot)).await.at(STEP, address)
+}
+
+/// Fetches a snapshot from a peer.
+///
+/// # Errors
+///
+/// When the peer cannot be reached or does not answer with a snapshot.
+pub async fn fetch(address: SocketAddr, ask: Ask) -> Result<Snapshot, Fault> {
+    const STEP: &str = "fetch snapshot";
+    let stream = TcpStream::connect(address).await.at(STEP, address)?;
+    let mut frames = frames(stream);
+    let ask = Bytes::from(ask.encode_to_vec());
+    frames.send(ask).await.at(STEP, address)?;
+    let frame = frames.next().await;
+    let frame = frame
+        .ok_or("the peer closed the connection")
+        .at(STEP, address)?;
+    Snapshot::decode(frame.at(STEP, address)?).at(STEP, address)
+}
