Answer a router that has started with the parts alone, bounded

After a kill of many routers each of them fetched all rows of targets and up to 64 parts of each, some MB over links of 10 Mbit/s, and again when that took longer than 1.5 s.

Change: the answer has the 2,048 parts that were used last and nothing else (40 KB), and two peers are asked at most.

--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -122,6 +122,20 @@
         self.targets.get(&hash)
     }
 
+    /// Returns the parts that targets are known to keep and requests share, the
+    /// latest first.
+    pub fn kept(&self, most: usize) -> Vec<(TargetHash, PartHash)> {
+        let parts = self.targets().flat_map(|target| {
+            let kept = target.kept().into_iter();
+            kept.map(|(at, part)| (at, target.hash, part))
+        });
+        let mut parts: Vec<_> = parts.collect();
+        parts.sort_unstable_by(|a, b| b.cmp(a));
+        parts.truncate(most);
+        let parts = parts.into_iter();
+        parts.map(|(_, target, part)| (target, part)).collect()
+    }
+
     /// Returns all targets.
     pub fn targets(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.targets.values()
@@ -238,15 +252,12 @@
         self.live().hold(part, kept);
     }
 
-    /// Returns the shared parts that the target is known to keep, the latest
-    /// first.
-    pub fn kept(&self, most: usize) -> Vec<PartHash> {
+    /// Returns the shared parts that the target is known to keep, with the times
+    /// of their latest use.
+    pub fn kept(&self) -> Vec<(time::Mono, PartHash)> {
         let live = self.live();
         let shared = live.parts.iter().filter(|(_, kept)| kept.shared);
-        let mut parts: Vec<_> = shared.map(|(part, kept)| (kept.at, *part)).collect();
-        parts.sort_unstable_by(|a, b| b.cmp(a));
-        parts.truncate(most);
-        parts.into_iter().map(|(_, part)| part).collect()
+        shared.map(|(part, kept)| (kept.at, *part)).collect()
     }
 
     /// Notes how many requests of a peer are at the target.
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -132,7 +132,7 @@
 /// Asks for a [`Snapshot`].
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Ask {
-    /// Whether the parts that targets keep are wanted too.
+    /// Whether the parts that targets keep are wanted, and nothing else.
     #[prost(bool, tag = "1")]
     pub holds: bool,
 }
@@ -146,7 +146,7 @@
     /// The targets.
     #[prost(message, repeated, tag = "2")]
     pub targets: Vec<TargetRow>,
-    /// Prompt parts that targets keep, if they were asked for.
+    /// Prompt parts that targets keep, if these were asked for.
     #[prost(message, repeated, tag = "3")]
     pub holds: Vec<Hold>,
 }
--- a/crates/edge/src/recall.rs
+++ b/crates/edge/src/recall.rs
@@ -18,6 +18,9 @@
 /// Time after which routers that asked their shares have told one another.
 const SETTLE_TIME: span::Span = span::Span::from_secs(3);
 
+/// Peers that are asked at most.
+const MOST_ASKS: u32 = 2;
+
 /// Longest time for which peers are asked; what engines keep is learned from
 /// sends by then.
 const GIVE_UP_TIME: span::Span = span::Span::from_secs(8);
@@ -39,6 +42,8 @@
     knows: bool,
     since: Option<time::Mono>,
     asked: Option<time::Mono>,
+    /// How often a peer was asked.
+    asks: u32,
     /// When the router asked its share of the engines.
     shared: Option<time::Mono>,
 }
@@ -64,21 +69,26 @@
         self.knows = true;
     }
 
+    fn is_asking(&self, now: time::Mono) -> bool {
+        self.asked.is_some_and(|at| now.since(at) < AGAIN_TIME)
+    }
+
     /// Returns what to do, once the targets are known.
     pub fn next(&mut self, now: time::Mono, peer_knows: bool) -> Step {
         if self.knows {
             return Step::Wait;
         }
         let waited = now.since(*self.since.get_or_insert(now));
-        if waited >= GIVE_UP_TIME {
+        if waited >= GIVE_UP_TIME || self.asks >= MOST_ASKS && !self.is_asking(now) {
             self.knows = true;
             return Step::Wait;
         }
-        if self.asked.is_some_and(|at| now.since(at) < AGAIN_TIME) {
+        if self.is_asking(now) {
             return Step::Wait;
         }
         if peer_knows {
             self.asked = Some(now);
+            self.asks += 1;
             return Step::AskPeer;
         }
         if self.asked.is_none() && waited >= LISTEN_TIME {
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -37,7 +37,11 @@
         .ok_or("the peer closed the connection")
         .at(STEP, address)?;
     let ask = Ask::decode(frame.at(STEP, address)?).at(STEP, address)?;
-    let snapshot = view.snapshot(ask.holds).encode_to_vec();
+    let snapshot = match ask.holds {
+        true => view.held(),
+        false => view.snapshot(),
+    };
+    let snapshot = snapshot.encode_to_vec();
     frames.send(Bytes::from(snapshot)).await.at(STEP, address)
 }
 
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -15,9 +15,9 @@
     shared::Shared,
 };
 
-/// Parts told of each target in a snapshot at most, about as many long ones as
-/// an engine has room for.
-const MOST_KEPT: usize = 64;
+/// Parts told to a router that has started at most, 40 KB: as many routers as a
+/// large fleet has may start at the same time, on links of 10 Mbit/s.
+const MOST_KEPT: usize = 2_048;
 
 /// The beliefs of one process; traffic sees them through [`Shared`].
 #[derive(Debug)]
@@ -114,8 +114,7 @@
     }
 
     /// Returns what another router needs that cannot read the table.
-    /// `holds` says whether the parts that targets keep are added.
-    pub fn snapshot(&self, holds: bool) -> Snapshot {
+    pub fn snapshot(&self) -> Snapshot {
         let config = self.deflated();
         let listed = self.listed();
         let targets = listed
@@ -124,21 +123,19 @@
         Snapshot {
             config,
             targets: targets.collect(),
-            holds: match holds {
-                true => self.holds(),
-                false => Vec::new(),
-            },
+            holds: Vec::new(),
         }
     }
 
-    fn holds(&self) -> Vec<Hold> {
+    /// Returns what another router needs that has just started and reads the
+    /// table itself: the parts that targets keep.
+    pub fn held(&self) -> Snapshot {
         let fleet = self.shared.fleet.load();
-        let targets = fleet.iter().flat_map(|fleet| fleet.targets());
-        let holds = targets.flat_map(|target| {
-            let parts = target.kept(MOST_KEPT).into_iter();
-            parts.map(|part| Hold::new(target.hash, part))
-        });
-        holds.collect()
+        let kept = fleet.iter().flat_map(|fleet| fleet.kept(MOST_KEPT));
+        Snapshot {
+            holds: kept.map(|(target, part)| Hold::new(target, part)).collect(),
+            ..Snapshot::default()
+        }
     }
 
     /// Returns the configuration in force, deflated once for each version.
