--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -102,7 +102,7 @@
     pub fn new(rows: &[&row::Target], old: Option<&Self>) -> Self {
         let mut fleet = Self::default();
         for row in rows {
-            let hash = TargetHash(hash::bytes(row.id.as_str().as_bytes()));
+            let hash = TargetHash::of(&row.id);
             let known = old.and_then(|old| old.targets.get(&hash));
             let target = Arc::new(Target::new((*row).clone(), hash, known));
             fleet.targets.insert(hash, target.clone());
@@ -142,6 +142,13 @@
     }
 }
 
+impl TargetHash {
+    /// Hashes an id.
+    pub fn of(id: &id::TargetId) -> Self {
+        Self(hash::bytes(id.as_str().as_bytes()))
+    }
+}
+
 impl PartHash {
     /// Hashes the id of a part.
     pub fn of(id: &str) -> Self {
--- a/crates/edge/src/leaving.rs
+++ b/crates/edge/src/leaving.rs
@@ -6,7 +6,7 @@
 //! after its return, so a removal that is seen then counts only if the row
 //! stays away.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::{id, span, time};
 use platform::{rows::Position, target::Target};
@@ -116,10 +116,11 @@
 
     /// Takes in all rows that there are; the others were removed.
     pub fn replace(&mut self, now: time::Mono, position: Position, rows: Vec<(Position, Target)>) {
+        let listed: BTreeSet<&id::TargetId> = rows.iter().map(|(_, target)| &target.id).collect();
         let gone: Vec<_> = self
             .entries
             .keys()
-            .filter(|id| rows.iter().all(|(_, target)| target.id != **id))
+            .filter(|id| !listed.contains(id))
             .cloned()
             .collect();
         for id in gone {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -189,12 +189,11 @@
 }
 
 fn is_same(fleet: &Fleet, rows: &[&row::Target]) -> bool {
-    let mut count = 0;
-    let known = fleet.targets().all(|target| {
-        count += 1;
-        rows.contains(&&target.row)
-    });
-    known && count == rows.len()
+    let known = |row: &&row::Target| {
+        let target = fleet.target(TargetHash::of(&row.id));
+        target.is_some_and(|target| target.row == **row)
+    };
+    fleet.targets().count() == rows.len() && rows.iter().all(known)
 }
 
 fn log_changes(old: Option<&Fleet>, new: &Fleet, source: &'static str) {
