Take in told parts, note them and judge idle connections in one place each

Found on reading the whole change: two loops took in the parts that others tell, two functions filled the same queue with the same bound, the limit of idle connections stood twice, and a router that had learned what engines keep still listed its peers in every round. Behaviour is the same.

--- a/crates/admit/src/shed.rs
+++ b/crates/admit/src/shed.rs
@@ -1,10 +1,10 @@
 //! Refuses part of the requests for a service while there are more than its
 //! targets serve in time.
 //!
-//! Load pattern of engines: several times the usual traffic for seconds, or the usual
-//! traffic on part of the engines. An engine that is given more than its slots
-//! makes requests wait beyond the time in which callers want them, and the more
-//! requests it runs at once, the slower each stream goes: long ones then run
+//! Load pattern of engines: several times the usual traffic for seconds, or the
+//! usual traffic on part of the engines. An engine that is given more than its
+//! slots makes requests wait beyond the time in which callers want them, and the
+//! more requests it runs at once, the slower each stream goes: long ones then run
 //! into their time limits, and everything that was generated for them is lost.
 //! A part of the requests is refused at once instead, so that the others are
 //! served in time. The part grows with the load, in the order of urgency, and
@@ -18,6 +18,8 @@
 //! refused when their response would be late, so that the queues stay short.
 //! See [the design page](../../../docs/design.md), section 6.3.
 
+use base::span;
+
 /// Part of the slots, in hundredths, from which the least urgent requests begin
 /// to be refused. Above half, because a stream at half of the slots is hardly
 /// slower than alone.
@@ -65,8 +67,6 @@
 /// Least urgent rank that is told apart.
 const LAST_RANK: u8 = 4;
 
-use base::span;
-
 /// A request as the decision sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Request {
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -80,7 +80,7 @@
         let now = self.shared.clock.now();
         let left = self.deadline.since(now);
         let flight = target.begin(now, &self.chain, pick.missing);
-        self.shared.hold(target, &self.chain);
+        self.shared.hold(target, self.chain.shared());
         let request = self.request(pick, left, seen);
         let sent = target.pool.send(request);
         let (response, lease) = match timer::timeout(left.duration(), sent).await {
--- a/crates/edge/src/engines.rs
+++ b/crates/edge/src/engines.rs
@@ -38,7 +38,7 @@
             for part in parts {
                 let part = PartHash::of(&part.id);
                 target.holds(now, part);
-                shared.hold_part(&target, part);
+                shared.hold(&target, std::iter::once(part));
             }
         }
         Ok(Err(fault)) => tracing::info!(event = "kept_parts_unknown", target = %id, %fault),
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -9,7 +9,7 @@
 use place::{cost, trust::Trust};
 use platform::{call::Part, report, target as row};
 
-use crate::upstream::Pool;
+use crate::{news::Hold, upstream::Pool};
 
 /// Prompt parts that are remembered for one target at most, about 100 KB.
 const MOST_PARTS: usize = 2_048;
@@ -122,6 +122,15 @@
         self.targets.get(&hash)
     }
 
+    /// Notes what others tell of the parts that targets keep.
+    pub fn hold(&self, now: time::Mono, holds: &[Hold]) {
+        for hold in holds {
+            if let Some(target) = self.target(TargetHash(hold.target)) {
+                target.holds(now, PartHash(hold.part));
+            }
+        }
+    }
+
     /// Returns the parts that targets are known to keep and requests share, the
     /// latest first.
     pub fn kept(&self, most: usize) -> Vec<(TargetHash, PartHash)> {
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -55,21 +55,17 @@
 }
 
 impl Usage {
-    fn is_active(&self) -> bool {
-        self.active.load(Ordering::Relaxed) > 0
-    }
-
     /// Returns whether the connection is to be closed because it is idle.
     fn is_stale(&self, idle: span::Span, limits: Limits) -> bool {
         let limit = limits.idle.as_micros() + IDLE_MARGIN.as_micros();
-        !self.is_active() && idle.as_micros() > limit
+        self.active.load(Ordering::Relaxed) == 0 && idle.as_micros() > limit
     }
 
     /// Returns whether not even a head has come in the time for one, after the
     /// connection was to be closed; a head that never ends would keep it open.
     fn is_unused(&self, idle: span::Span, limits: Limits) -> bool {
-        let limit = limits.idle.as_micros() + IDLE_MARGIN.as_micros();
-        !self.is_active() && idle.as_micros() > limit + limits.arrival.as_micros()
+        let overdue = idle.as_micros().saturating_sub(limits.arrival.as_micros());
+        self.is_stale(span::Span::from_micros(overdue), limits)
     }
 }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     engines,
-    fleet::{PartHash, TargetHash},
+    fleet::TargetHash,
     lag::{Lag, State},
     leaving::Leave,
     metrics::Counter,
@@ -270,11 +270,7 @@
                     target.told(now, news.run, load.count);
                 }
             }
-            for hold in &news.holds {
-                if let Some(target) = fleet.target(TargetHash(hold.target)) {
-                    target.holds(now, PartHash(hold.part));
-                }
-            }
+            fleet.hold(now, &news.holds);
             for aside in &news.aside {
                 if let Some(target) = fleet.target(TargetHash(aside.target)) {
                     target.outcome(|trust| trust.told(now, aside.time()));
@@ -349,6 +345,9 @@
 
     /// Learns what engines keep of prompts, once after the start.
     fn learn(self: &Arc<Self>) {
+        if self.recall().is_done() {
+            return;
+        }
         let fleet = self.shared.fleet.load_full();
         let (Some(fleet), Some(routes)) = (fleet, self.shared.routes.load_full()) else {
             return;
--- a/crates/edge/src/recall.rs
+++ b/crates/edge/src/recall.rs
@@ -64,6 +64,11 @@
         self.knows && settled
     }
 
+    /// Returns whether there is nothing left to do.
+    pub fn is_done(&self) -> bool {
+        self.knows
+    }
+
     /// Notes that a peer answered.
     pub fn learned(&mut self) {
         self.knows = true;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -16,7 +16,7 @@
 use platform::settings::{Bounds, Settings};
 
 use crate::{
-    fleet::{Chain, Fleet, PartHash, Target},
+    fleet::{Fleet, PartHash, Target},
     metrics::Metrics,
     news::Hold,
     routes::Routes,
@@ -109,20 +109,11 @@
             .map_or(id::Version(0), |routes| routes.config.version)
     }
 
-    /// Notes that the shared parts of a prompt are sent to a target, for the
-    /// other routers.
-    pub fn hold(&self, target: &Target, chain: &Chain) {
+    /// Notes parts that a target keeps, for the other routers.
+    pub fn hold(&self, target: &Target, parts: impl Iterator<Item = PartHash>) {
         let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
         if holds.len() < MOST_HOLDS {
-            holds.extend(chain.shared().map(|part| Hold::new(target.hash, part)));
-        }
-    }
-
-    /// Notes that a target says that it keeps a part, for the other routers.
-    pub fn hold_part(&self, target: &Target, part: PartHash) {
-        let mut holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
-        if holds.len() < MOST_HOLDS {
-            holds.push(Hold::new(target.hash, part));
+            holds.extend(parts.map(|part| Hold::new(target.hash, part)));
         }
     }
 
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    fleet::{Fleet, PartHash, TargetHash},
+    fleet::{Fleet, TargetHash},
     leaving::{Leave, Listed},
     news::{self, Hold, Snapshot, TargetRow},
     routes::Routes,
@@ -105,11 +105,7 @@
             self.publish("peer");
         }
         if let Some(fleet) = self.shared.fleet.load().as_ref() {
-            for hold in &snapshot.holds {
-                if let Some(target) = fleet.target(TargetHash(hold.target)) {
-                    target.holds(now, PartHash(hold.part));
-                }
-            }
+            fleet.hold(now, &snapshot.holds);
         }
     }
 
