Log the prompt parts and the progress of requests at a crash

The lines could not tell a prompt part that crashes engines from engines that crash without a cause in the requests: no line named parts, and target_crashed did not tell how far a request had come. It has the keys parts, answering and refused now. Pool::probe tells a refused connection from none at all.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -227,6 +227,9 @@
     ChatHash(u64, 16);
     /// Identifies requests with the same content, for quarantine.
     Fingerprint(u64, 16);
+    /// Hash of the id of a prompt part. An engine can use a cached part only if it
+    /// has also cached all parts before it.
+    PartHash(u64, 16);
 }
 
 /// Returns 128 random bits, which are unique in practice.
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -16,9 +16,9 @@
 use crate::{
     body::{self, Body},
     decide::Selection,
-    fleet::{InFlight, Target},
+    fleet::{InFlight, SharedParts, Target},
     request::CallerRequest,
-    upstream::{Lease, SendError},
+    upstream::{Lease, Reachability, SendError},
 };
 
 /// Maximum length of a response that is not a stream, in bytes.
@@ -137,7 +137,7 @@
             // A closed connection shows that the target's host is running.
             SendError::Closed(_) => {
                 target.update_breaker(Breaker::record_error);
-                self.check_crash(target);
+                self.check_crash(target, None);
             }
             SendError::NotSent(_) | SendError::Unresponsive(_) => {
                 target.update_breaker(|breaker| breaker.record_no_response(now));
@@ -157,13 +157,16 @@
 
     /// Checks whether a target that closed the connection during the request has
     /// crashed. If it cannot be reached, the crash is recorded against the
-    /// request's content, which may be the cause.
-    pub fn check_crash(&self, target: &Arc<Target>) {
+    /// request's content, which may be the cause. `answering` is the time since the
+    /// first event of the response, if there was one.
+    pub fn check_crash(&self, target: &Arc<Target>, answering: Option<span::Span>) {
         let (shared, target) = (self.shared.clone(), target.clone());
         let attempt = self.head.attempt.clone();
         let fingerprint = self.fingerprint;
+        let parts = self.chain.clone();
         tokio::spawn(async move {
-            if target.pool.is_reachable().await {
+            let reachability = target.pool.probe().await;
+            if reachability == Reachability::Open {
                 return;
             }
             let now = shared.clock.now();
@@ -174,7 +177,15 @@
             };
             if shared.poison().record_crash(now, report) {
                 let target = &target.row.id;
-                tracing::info!(event = "target_crashed", id = %attempt, %target, content = %fingerprint);
+                tracing::info!(
+                    event = "target_crashed",
+                    id = %attempt,
+                    %target,
+                    content = %fingerprint,
+                    parts = %SharedParts(&parts),
+                    answering = answering.map(tracing::field::display),
+                    refused = reachability == Reachability::Refused,
+                );
             }
         });
     }
@@ -255,7 +266,7 @@
                     ReadError::TooLarge(_) => breaker.record_no_response(now),
                     _ => breaker.record_error(),
                 });
-                self.check_crash(&target);
+                self.check_crash(&target, None);
                 tracing::info!(event = "lost", id = %self.head.attempt, target = %target.row.id, %error);
                 return Err(AttemptError::OutcomeUnknown);
             }
--- a/crates/edge/src/engines.rs
+++ b/crates/edge/src/engines.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use crate::{
-    fleet::{PartHash, Target},
+    fleet::{self, Target},
     shared::Shared,
     upstream::SendError,
 };
@@ -39,7 +39,7 @@
             tracing::info!(event = "kept_parts", source = "target", target = %id, holds = parts.len());
             let now = shared.clock.now();
             for part in parts {
-                let part = PartHash::of(&part.id);
+                let part = fleet::part_hash(&part.id);
                 target.add_cached(now, part);
                 shared.announce_parts(&target, std::iter::once(part));
             }
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
@@ -42,11 +43,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TargetHash(pub u64);
 
-/// Hash of the id of a prompt part. An engine can use a cached part only if it
-/// has also cached all parts before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct PartHash(pub u64);
-
 /// A target and what is known about its state.
 #[derive(Debug)]
 pub struct Target {
@@ -73,7 +69,7 @@
     peers: BTreeMap<u64, PeerLoad>,
     breaker: Breaker,
     slowdown: Slowdown,
-    parts: BTreeMap<PartHash, CacheEntry>,
+    parts: BTreeMap<id::PartHash, CacheEntry>,
 }
 
 /// A prompt part that a target has cached.
@@ -98,7 +94,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct PrefixPart {
-    hash: PartHash,
+    hash: id::PartHash,
     tokens: u32,
 }
 
@@ -149,14 +145,14 @@
     pub fn add_cached(&self, now: time::Mono, parts: &[CachedPart]) -> Vec<CachedPart> {
         let is_new = |part: &&CachedPart| {
             let target = self.target(TargetHash(part.target));
-            target.is_some_and(|target| target.add_cached(now, PartHash(part.part)))
+            target.is_some_and(|target| target.add_cached(now, id::PartHash(part.part)))
         };
         parts.iter().filter(is_new).copied().collect()
     }
 
     /// Returns cached prompt parts that several requests share, most recently
     /// used first, at most `max`.
-    pub fn cached_parts(&self, max: usize) -> Vec<(TargetHash, PartHash)> {
+    pub fn cached_parts(&self, max: usize) -> Vec<(TargetHash, id::PartHash)> {
         let parts = self.targets().flat_map(|target| {
             let cached = target.cached_parts().into_iter();
             cached.map(|(at, part)| (at, target.hash, part))
@@ -186,6 +182,11 @@
     }
 }
 
+/// Hashes the id of a prompt part.
+pub fn part_hash(id: &str) -> id::PartHash {
+    id::PartHash(hash::bytes(id.as_bytes()))
+}
+
 impl TargetHash {
     /// Hashes an id.
     pub fn of(id: &id::TargetId) -> Self {
@@ -199,10 +200,19 @@
     }
 }
 
-impl PartHash {
-    /// Hashes the id of a part.
-    pub fn of(id: &str) -> Self {
-        Self(hash::bytes(id.as_bytes()))
+/// Displays the hashes of the parts that other requests may share.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedParts<'a>(pub &'a PrefixChain);
+
+impl fmt::Display for SharedParts<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.shared().enumerate() {
+            if index > 0 {
+                f.write_str(",")?;
+            }
+            part.fmt(f)?;
+        }
+        Ok(())
     }
 }
 
@@ -210,14 +220,14 @@
     /// Hashes the parts of a prompt.
     pub fn new(parts: &[Part]) -> Self {
         let part = |part: &Part| PrefixPart {
-            hash: PartHash::of(&part.id),
+            hash: part_hash(&part.id),
             tokens: part.tokens,
         };
         Self(parts.iter().map(part).collect())
     }
 
     /// Returns the parts that other requests may share, the longest prefix last.
-    pub fn shared(&self) -> impl Iterator<Item = PartHash> {
+    pub fn shared(&self) -> impl Iterator<Item = id::PartHash> {
         let count = self.0.len().saturating_sub(1);
         self.0.iter().take(count).map(|part| part.hash)
     }
@@ -288,7 +298,7 @@
         now: time::Mono,
         chain: &PrefixChain,
         missing: u32,
-    ) -> (InFlight, Vec<PartHash>) {
+    ) -> (InFlight, Vec<id::PartHash>) {
         let mut state = self.state();
         state.own += 1;
         state.since += 1;
@@ -316,7 +326,7 @@
 
     /// Records that the target has cached a shared part, as reported by a peer
     /// or by the target. Returns whether that was not known.
-    pub fn add_cached(&self, now: time::Mono, part: PartHash) -> bool {
+    pub fn add_cached(&self, now: time::Mono, part: id::PartHash) -> bool {
         let cached = CacheEntry {
             at: now,
             shared: true,
@@ -326,7 +336,7 @@
 
     /// Returns the shared parts that the target is known to have cached, with
     /// the time of their latest use.
-    pub fn cached_parts(&self) -> Vec<(time::Mono, PartHash)> {
+    pub fn cached_parts(&self) -> Vec<(time::Mono, id::PartHash)> {
         let state = self.state();
         let shared = state.parts.iter().filter(|(_, cached)| cached.shared);
         shared.map(|(part, cached)| (cached.at, *part)).collect()
@@ -442,7 +452,7 @@
         chain.tokens() - cached.map(|part| part.tokens).sum::<u32>()
     }
 
-    fn insert_part(&mut self, part: PartHash, cached: CacheEntry) -> bool {
+    fn insert_part(&mut self, part: id::PartHash, cached: CacheEntry) -> bool {
         let is_new = self.parts.insert(part, cached).is_none();
         if self.parts.len() > MAX_PARTS {
             let mut used: Vec<_> = self.parts.values().map(|cached| cached.at).collect();
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     exchange::LoadFreshness,
-    fleet::{Fleet, PartHash, Target},
+    fleet::{Fleet, Target},
     metrics::Metrics,
     routes::Routes,
     timing::ServiceLatencies,
@@ -186,7 +186,7 @@
 
     /// Queues parts that a target has cached for announcement to the other
     /// routers.
-    pub fn announce_parts(&self, target: &Target, parts: impl Iterator<Item = PartHash>) {
+    pub fn announce_parts(&self, target: &Target, parts: impl Iterator<Item = id::PartHash>) {
         self.announce_cached(parts.map(|part| CachedPart::new(target.hash, part)));
     }
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use base::fault::Fault;
+use base::{fault::Fault, time};
 use bytes::Bytes;
 use futures_util::stream;
 use http::Response;
@@ -27,6 +27,8 @@
     response: TargetResponse,
     events: EventBuffer,
     timer: EventTimer,
+    /// When the first event from the current target was received.
+    begun: Option<time::Mono>,
     attempts: Attempts,
     ended: bool,
     _active: ActiveRequest,
@@ -54,6 +56,7 @@
         let stream = Self {
             events: EventBuffer::new(request.head.last_event),
             timer: EventTimer::default(),
+            begun: None,
             request,
             response,
             attempts,
@@ -79,7 +82,9 @@
                 Read::Broken(fault) => {
                     let target = self.response.flight.target().clone();
                     target.update_breaker(|breaker| breaker.record_error());
-                    self.request.check_crash(&target);
+                    let now = self.request.shared.clock.now();
+                    let answering = self.begun.map(|begun| now.since(begun));
+                    self.request.check_crash(&target, answering);
                     let id = &self.request.head.attempt;
                     let last = self.events.last_id();
                     tracing::info!(event = "stream_broken", %id, target = %target.row.id, last, %fault);
@@ -112,6 +117,10 @@
                 let data = frame.into_data().unwrap_or_default();
                 match self.events.push(&data) {
                     Ok(events) => {
+                        if !events.is_empty() {
+                            let now = self.request.shared.clock.now();
+                            self.begun.get_or_insert(now);
+                        }
                         self.record_progress();
                         Read::Events(events)
                     }
@@ -165,6 +174,7 @@
             Some(response) => {
                 self.response = response;
                 self.timer = EventTimer::default();
+                self.begun = None;
                 true
             }
             None => false,
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -13,10 +13,7 @@
 use platform::{rows::Position, target as row};
 use prost::Message;
 
-use crate::{
-    fleet::{PartHash, TargetHash},
-    target_list::Departure,
-};
+use crate::{fleet::TargetHash, target_list::Departure};
 
 /// Largest datagram that is sent, in bytes; larger ones would be fragmented on
 /// the way.
@@ -291,7 +288,7 @@
 
 impl CachedPart {
     /// Creates an entry for a part at a target.
-    pub fn new(target: TargetHash, part: PartHash) -> Self {
+    pub fn new(target: TargetHash, part: id::PartHash) -> Self {
         Self {
             target: target.0,
             part: part.0,
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -60,6 +60,17 @@
     Unresponsive(Fault),
 }
 
+/// Result of an attempt to connect to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reachability {
+    /// The target accepts connections.
+    Open,
+    /// The target's host is running and refuses connections.
+    Refused,
+    /// There is no answer: the target's host or the network is down.
+    Silent,
+}
+
 /// Pool of idle connections to one target.
 #[derive(Debug)]
 pub struct Pool {
@@ -151,16 +162,21 @@
         }
     }
 
-    /// Returns whether a new connection to the target can be opened.
-    pub async fn is_reachable(&self) -> bool {
+    /// Opens a new connection to the target, to find out whether it is running.
+    pub async fn probe(&self) -> Reachability {
         match self.connect().await {
             Ok(connection) => {
                 self.release(Lease(connection), None, 1);
-                true
+                Reachability::Open
             }
             Err(fault) => {
                 tracing::debug!(event = "target_unreachable", %fault);
-                false
+                match fault.cause.downcast_ref::<io::Error>() {
+                    Some(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                        Reachability::Refused
+                    }
+                    _ => Reachability::Silent,
+                }
             }
         }
     }
