Reproduce crashes by a prompt part in a test, failing

One router and eight targets; 25 requests share a part that crashes each target that receives them, and 100 sound ones share their caller and their other parts. The bounds are those of the users' rule: at most three requests with the part later than 3 s after the fifth crash.

--- /dev/null
+++ b/crates/edge/tests/crashing_part.rs
@@ -0,0 +1,105 @@
+//! Requests that share a prompt part crash each target that starts to respond
+//! to them, and no two of them are alike.
+
+mod site;
+
+use std::time::{Duration, Instant};
+
+use fakes::{
+    rows::Rows,
+    runner::{Behaviour, Runner},
+};
+use http::StatusCode;
+use site::{Response, Router};
+use tokio::time;
+
+/// Number of targets.
+const TARGETS: usize = 8;
+
+/// Part that crashes targets.
+const DEADLY: &str = "deadly";
+
+/// Time after the fifth crash from which at most [`ALLOWED`] requests with the
+/// part may reach targets: `contact_ms` of the platform's rules.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Number of requests with the part that may reach targets from then on.
+const ALLOWED: usize = 3;
+
+struct Site {
+    table: Rows,
+    targets: Vec<Runner>,
+}
+
+impl Site {
+    fn start() -> Self {
+        let table = Rows::start().expect("a table");
+        fakes::site::configure(&table, 1, &[site::KEY]);
+        let targets = (0..TARGETS).map(|number| {
+            let target = Runner::start(&format!("i-{number}"), Behaviour::ByPath);
+            let target = target.expect("a target");
+            target.crash_on(Some(DEADLY));
+            fakes::site::list_runner(&table, &target, "ready");
+            target
+        });
+        let targets = targets.collect();
+        Self { table, targets }
+    }
+
+    async fn router(&self) -> Router {
+        let router = site::router(site::settings(self.table.address(), &[])).await;
+        router.ready().await;
+        router
+    }
+
+    /// Returns how many requests with the part reached targets.
+    fn deadly_runs(&self) -> usize {
+        let runs = self.targets.iter().flat_map(Runner::runs);
+        runs.filter(|run| run.has_part(DEADLY)).count()
+    }
+}
+
+/// Sends a request whose path and last part are its own.
+async fn call(router: &Router, number: usize, shared: &str) -> Response {
+    let name = format!("{}{number}", shared.replace([',', ':'], "-"));
+    let mut request = site::request(&format!("/stream/{name}"), &name);
+    let prefix = format!("{shared},own-{number}:100");
+    let headers = request.headers_mut();
+    headers.insert("x-prompt-prefix", prefix.parse().expect("a prefix"));
+    router.send(request).await
+}
+
+async fn sound(router: &Router, number: usize) -> Response {
+    call(router, number, "first:1000,second:500").await
+}
+
+async fn deadly(router: &Router, number: usize) -> Response {
+    call(router, number, "first:1000,second:500,deadly:50").await
+}
+
+/// A part that crashes targets is in requests that have nothing else in common
+/// with one another and share their other parts with sound requests.
+#[tokio::test]
+async fn crashes_go_on() {
+    let site = Site::start();
+    let router = site.router().await;
+    let mut served = 0;
+    let mut late = 0;
+    let mut fifth = None;
+    for step in 0..100 {
+        served += usize::from(sound(&router, step).await.status == StatusCode::OK);
+        if step % 4 == 0 {
+            let before = site.deadly_runs();
+            deadly(&router, step).await;
+            let after = site.deadly_runs();
+            if after == 5 {
+                fifth.get_or_insert(Instant::now());
+            }
+            let over = fifth.is_some_and(|fifth| fifth.elapsed() > CONTACT);
+            late += if over { after - before } else { 0 };
+        }
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(late <= ALLOWED, "{late} requests with the part were sent");
+    assert!(served >= 90, "{served} of 100 sound requests were served");
+}
--- a/crates/fakes/src/runner.rs
+++ b/crates/fakes/src/runner.rs
@@ -100,6 +100,8 @@
     usual: Mutex<Behaviour>,
     runs: Mutex<Vec<Run>>,
     kept: Mutex<Vec<(String, u32)>>,
+    /// Prompt part whose requests crash the target.
+    deadly: Mutex<Option<String>>,
     lists: AtomicUsize,
     streams: Arc<AtomicUsize>,
     power: Power,
@@ -126,6 +128,7 @@
             usual: Mutex::new(usual),
             runs: Mutex::default(),
             kept: Mutex::default(),
+            deadly: Mutex::default(),
             lists: AtomicUsize::new(0),
             streams: Arc::default(),
             power: port.power(),
@@ -169,6 +172,12 @@
         lock(&self.shared.kept).push((part.to_owned(), tokens));
     }
 
+    /// Makes requests with a prompt part crash the target, or no requests any
+    /// more.
+    pub fn crash_on(&self, part: Option<&str>) {
+        *lock(&self.shared.deadly) = part.map(str::to_owned);
+    }
+
     /// Returns how often the target was asked what it keeps.
     pub fn lists(&self) -> usize {
         self.shared.lists.load(Ordering::Relaxed)
@@ -193,6 +202,16 @@
     }
 }
 
+impl Run {
+    /// Returns whether the request's prompt has a part.
+    pub fn has_part(&self, part: &str) -> bool {
+        let prefix = self.headers.get("x-prompt-prefix");
+        let prefix = prefix.and_then(|prefix| prefix.to_str().ok());
+        let mut parts = prefix.unwrap_or_default().split(',');
+        parts.any(|entry| entry.split(':').next() == Some(part))
+    }
+}
+
 impl Shared {
     fn respond(&self, behaviour: Behaviour, run: &Run) -> Result<Response<Body>, Dropped> {
         let text = |name| run.headers.get(name).and_then(|value| value.to_str().ok());
@@ -322,7 +341,8 @@
             body,
         };
         lock(&self.runs).push(run.clone());
-        if behaviour == Behaviour::Crash {
+        let deadly = lock(&self.deadly).clone();
+        if behaviour == Behaviour::Crash || deadly.is_some_and(|part| run.has_part(&part)) {
             self.power.down(Some(CRASH_TIME));
             return Err(Dropped);
         }
