--- /dev/null
+++ b/crates/admit/src/crash_parts.rs
@@ -0,0 +1,559 @@
+//! Refuses requests with a prompt part that crashes the targets that run it, for
+//! fleets without an agent per target.
+//!
+//! Load pattern: each target that starts to respond to a prompt with the part
+//! crashes, whatever else the request contains. No two of the requests are alike,
+//! they arrive at any router, and sound requests share their caller and their
+//! other parts. [`crate::poison`] refuses contents that come again.
+//!
+//! Routers exchange which parts were in use when a target crashed. A part is
+//! refused if it was in use at several crashes, one after the other, and no
+//! request with it has begun to be answered since, while other requests of the
+//! service have. See [the design page](../../../docs/design.md), section 6.3.
+
+use std::{
+    cmp,
+    collections::{BTreeMap, VecDeque},
+};
+
+use base::{id, span, time};
+
+/// Number of successive crashes from which a part is refused.
+const CRASH_LIMIT: usize = 3;
+
+/// Time after the first event of a response from which the request is not the
+/// cause of a crash, and shows that its parts are sound.
+pub const SURVIVAL_TIME: span::Span = span::Span::from_millis(500);
+
+/// Time between the crash that reaches the limit and the refusal, in which a
+/// sound part that many requests have is seen to be answered again.
+const SETTLE_TIME: span::Span = span::Span::from_secs(1);
+
+/// Number of other requests of the service that have to be answered since the
+/// first of the crashes. If none are, the targets are down for another reason.
+const MIN_SURVIVALS: usize = 3;
+
+/// Time for which a part is refused, before single requests try it again.
+const REFUSAL_TERM: span::Span = span::Span::from_secs(60);
+
+/// Time for which the outcome of a trial is awaited, before another one.
+const TRIAL_TIME: span::Span = span::Span::from_secs(10);
+
+/// Time after its term for which a refused part is remembered if no request
+/// tries it.
+const TRIAL_TERM: span::Span = span::Span::from_secs(600);
+
+/// Time for which crashes are remembered.
+const CRASH_MEMORY: span::Span = span::Span::from_secs(300);
+
+/// Two reports of a crash of one target within this time are of the same crash. A
+/// target takes longer to come back.
+const SAME_CRASH: span::Span = span::Span::from_secs(1);
+
+/// Time for which a crash or a cleared part is sent to other routers.
+const GOSSIP_TIME: span::Span = span::Span::from_secs(3);
+
+/// Maximum number of remembered crashes.
+const MAX_CRASHES: usize = 128;
+
+/// Maximum number of parts that are remembered for one crash.
+const MAX_SUSPECTS: usize = 64;
+
+/// Maximum number of parts that are reported for one crash.
+const MAX_REPORTED: usize = 24;
+
+/// Time after the latest crash in which parts may reach the limit, because
+/// requests are answered again.
+const EVALUATION_TIME: span::Span = span::Span::from_secs(30);
+
+/// Time before a stored refusal is read for which answered requests contradict
+/// it. The time of its crashes is not stored, as routers share no clock.
+const STORED_AGE: span::Span = span::Span::from_secs(5);
+
+/// Maximum number of refused parts.
+const MAX_REFUSED: usize = 1_024;
+
+/// Number of answered parts after which the older ones are forgotten, about
+/// 300 KB.
+const MAX_SURVIVORS: usize = 8_192;
+
+/// Maximum number of services whose answered requests are counted.
+const MAX_SERVICES: usize = 256;
+
+/// A crash of a target, and the parts that may be its cause.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Hash of the target's id.
+    pub target: u64,
+    /// Service of the target.
+    pub service: id::ServiceId,
+    /// When the target crashed.
+    pub at: time::Mono,
+    /// Parts of the requests at the target that had not been answered for
+    /// [`SURVIVAL_TIME`].
+    pub suspects: BTreeMap<id::PartHash, Suspect>,
+}
+
+/// A part of a prompt that may be the cause of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// Index of the part in the prompt.
+    pub index: u32,
+    /// When the latest request with the part was sent to the target.
+    pub sent: time::Mono,
+}
+
+/// A part that is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefusedPart {
+    /// The part.
+    pub part: id::PartHash,
+    /// Time of the latest crash that counted.
+    pub crashed: time::Mono,
+    /// When its refusal term ends.
+    pub until: time::Mono,
+}
+
+/// A part that requests were answered with after crashes at which it was in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClearedPart {
+    /// The part.
+    pub part: id::PartHash,
+    /// When the first event of such a response arrived.
+    pub answered: time::Mono,
+}
+
+/// What a router sends to the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Recent crashes, newest first.
+    pub crashes: Vec<Crash>,
+    /// Refused parts.
+    pub refused: Vec<RefusedPart>,
+    /// Parts that were cleared recently.
+    pub cleared: Vec<ClearedPart>,
+}
+
+/// A change of what is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A part is refused from now on.
+    Refused {
+        /// The part.
+        part: id::PartHash,
+        /// Number of crashes that this router knows of at which it was in use.
+        crashes: usize,
+    },
+    /// A part is no longer refused.
+    Admitted(id::PartHash),
+}
+
+/// How often a part was in use at crashes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Uses {
+    crashes: usize,
+    /// Largest index of the part in a prompt.
+    index: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    crashed: time::Mono,
+    until: time::Mono,
+    /// Until when the outcome of a trial is awaited.
+    trial: Option<time::Mono>,
+}
+
+/// When requests with a part were last answered, for the parts that were used
+/// most recently.
+#[derive(Clone, Debug, Default)]
+struct Survivors {
+    current: BTreeMap<id::PartHash, time::Mono>,
+    previous: BTreeMap<id::PartHash, time::Mono>,
+}
+
+impl Survivors {
+    fn record(&mut self, part: id::PartHash, answered: time::Mono) {
+        if self.current.len() >= MAX_SURVIVORS && !self.current.contains_key(&part) {
+            self.previous = std::mem::take(&mut self.current);
+        }
+        let known = self.latest(part).unwrap_or_default();
+        self.current.insert(part, known.max(answered));
+    }
+
+    fn latest(&self, part: id::PartHash) -> Option<time::Mono> {
+        let current = self.current.get(&part);
+        current.or_else(|| self.previous.get(&part)).copied()
+    }
+}
+
+/// Tracks which parts were in use at crashes, and which are refused.
+#[derive(Clone, Debug, Default)]
+pub struct CrashParts {
+    /// In the order of their times.
+    crashes: VecDeque<Crash>,
+    /// Time until which the crash of a target is sent to other routers.
+    announced: BTreeMap<(u64, time::Mono), time::Mono>,
+    refused: BTreeMap<id::PartHash, Refusal>,
+    cleared: Vec<(time::Mono, ClearedPart)>,
+    survivors: Survivors,
+    /// Times at which the latest answered requests of each service began to be
+    /// answered.
+    answered: BTreeMap<id::ServiceId, VecDeque<time::Mono>>,
+    changes: Vec<Change>,
+}
+
+impl CrashParts {
+    /// Returns the time after which the caller of a request with these parts
+    /// should retry, if the request is refused.
+    ///
+    /// When the term of a part is over, about one request of the whole fleet at a
+    /// time is let through: `random`, between 0 and 1, decides whether it is this
+    /// one, and `routers` is the number of routers.
+    pub fn refuses(
+        &mut self,
+        now: time::Mono,
+        parts: impl Iterator<Item = id::PartHash>,
+        routers: u32,
+        random: f64,
+    ) -> Option<(id::PartHash, span::Span)> {
+        if self.refused.is_empty() {
+            return None;
+        }
+        let mut trials = Vec::new();
+        for part in parts {
+            let Some(refusal) = self.refused.get(&part) else {
+                continue;
+            };
+            if refusal.until > now {
+                return Some((part, refusal.until.since(now)));
+            }
+            let is_trial = random * f64::from(routers.max(1)) < 1.0;
+            if refusal.trial.is_some_and(|until| until > now) || !is_trial {
+                return Some((part, TRIAL_TIME));
+            }
+            trials.push(part);
+        }
+        for part in trials {
+            if let Some(refusal) = self.refused.get_mut(&part) {
+                refusal.trial = Some(now + TRIAL_TIME);
+            }
+        }
+        None
+    }
+
+    /// Records that a request with these parts began to be answered at `answered`
+    /// and that its target has not crashed for [`SURVIVAL_TIME`] since, or has
+    /// completed the response.
+    pub fn record_answered(
+        &mut self,
+        now: time::Mono,
+        service: &id::ServiceId,
+        answered: time::Mono,
+        parts: impl Iterator<Item = id::PartHash>,
+    ) {
+        if self.answered.len() >= MAX_SERVICES && !self.answered.contains_key(service) {
+            self.answered.clear();
+        }
+        let latest = self.answered.entry(service.clone()).or_default();
+        if latest.len() >= MIN_SURVIVALS {
+            latest.pop_front();
+        }
+        latest.push_back(answered);
+        for part in parts {
+            self.clear(now, ClearedPart { part, answered });
+        }
+    }
+
+    /// Records that requests with a part were answered, here or at another router.
+    fn clear(&mut self, now: time::Mono, cleared: ClearedPart) {
+        let before = self.survivors.latest(cleared.part).unwrap_or_default();
+        if before >= cleared.answered {
+            return;
+        }
+        let counted = self.counted(cleared.part, before).len();
+        self.survivors.record(cleared.part, cleared.answered);
+        let refusal = self.refused.get(&cleared.part);
+        let lifted = refusal.is_some_and(|refusal| refusal.crashed < cleared.answered);
+        if lifted {
+            self.refused.remove(&cleared.part);
+            self.changes.push(Change::Admitted(cleared.part));
+        }
+        if lifted || counted + 1 >= CRASH_LIMIT {
+            self.cleared.retain(|(_, known)| known.part != cleared.part);
+            self.cleared.push((now + GOSSIP_TIME, cleared));
+        }
+    }
+
+    /// Records a crash; returns whether it added anything.
+    pub fn record_crash(&mut self, now: time::Mono, crash: Crash) -> bool {
+        self.forget(now);
+        if now.since(crash.at) >= CRASH_MEMORY || crash.suspects.is_empty() {
+            return false;
+        }
+        for part in crash.suspects.keys() {
+            self.renew(now, *part, crash.at);
+        }
+        let known = self.crashes.iter_mut().find(|known| {
+            let apart = known.at.since(crash.at).max(crash.at.since(known.at));
+            known.target == crash.target && apart < SAME_CRASH
+        });
+        let (added, key) = match known {
+            Some(known) => (merge(known, &crash.suspects), (known.target, known.at)),
+            None => {
+                let key = (crash.target, crash.at);
+                let place = self.crashes.partition_point(|known| known.at <= crash.at);
+                self.crashes.insert(place, crash);
+                if self.crashes.len() > MAX_CRASHES {
+                    self.crashes.pop_front();
+                }
+                (true, key)
+            }
+        };
+        if added {
+            self.announced.insert(key, now + GOSSIP_TIME);
+        }
+        added
+    }
+
+    /// Starts the term of a refused part again after a crash during a trial.
+    fn renew(&mut self, now: time::Mono, part: id::PartHash, crashed: time::Mono) {
+        if let Some(refusal) = self.refused.get_mut(&part)
+            && refusal.until <= now
+            && crashed > refusal.until
+        {
+            refusal.crashed = crashed;
+            refusal.until = now + REFUSAL_TERM;
+            refusal.trial = None;
+        }
+    }
+
+    fn forget(&mut self, now: time::Mono) {
+        self.crashes
+            .retain(|crash| now.since(crash.at) < CRASH_MEMORY);
+        self.announced.retain(|_, until| *until > now);
+        self.cleared.retain(|(until, _)| *until > now);
+        let over = |refusal: &Refusal| refusal.until + TRIAL_TERM <= now;
+        let expired: Vec<_> = self
+            .refused
+            .iter()
+            .filter(|(_, refusal)| over(refusal))
+            .map(|(part, _)| *part)
+            .collect();
+        for part in expired {
+            self.refused.remove(&part);
+            self.changes.push(Change::Admitted(part));
+        }
+    }
+
+    /// Refuses the parts whose crashes are sufficient by now.
+    pub fn evaluate(&mut self, now: time::Mono) {
+        self.forget(now);
+        let latest = self.crashes.back();
+        if latest.is_none_or(|latest| now.since(latest.at) > EVALUATION_TIME) {
+            return;
+        }
+        let mut candidates: Vec<_> = self
+            .uses()
+            .into_iter()
+            .filter(|(part, uses)| uses.crashes >= CRASH_LIMIT && !self.refused.contains_key(part))
+            .map(|(part, uses)| (uses, part))
+            .collect();
+        candidates.sort_unstable();
+        // The part with the most crashes explains those of the parts beside it. Of
+        // two that were always used together, the later one is in fewer prompts.
+        for (uses, part) in candidates.into_iter().rev() {
+            if let Some(crashed) = self.sufficient(now, part)
+                && self.refused.len() < MAX_REFUSED
+            {
+                self.insert(part, crashed, now + REFUSAL_TERM, uses.crashes);
+            }
+        }
+    }
+
+    /// Returns for each part at how many crashes it was in use.
+    fn uses(&self) -> BTreeMap<id::PartHash, Uses> {
+        let mut uses: BTreeMap<id::PartHash, Uses> = BTreeMap::new();
+        for crash in &self.crashes {
+            for (part, suspect) in &crash.suspects {
+                let uses = uses.entry(*part).or_default();
+                uses.crashes += 1;
+                uses.index = uses.index.max(suspect.index);
+            }
+        }
+        uses
+    }
+
+    /// Returns the time of the latest crash of a part, if its crashes suffice.
+    fn sufficient(&self, now: time::Mono, part: id::PartHash) -> Option<time::Mono> {
+        let survived = self.survivors.latest(part).unwrap_or_default();
+        let counted = self.counted(part, survived);
+        let first = counted.first()?;
+        let reached = counted.get(CRASH_LIMIT - 1)?;
+        let answered = self.answered.get(&first.service)?;
+        let others = answered.iter().filter(|at| **at >= first.at).count();
+        let settled = now >= reached.at + SETTLE_TIME;
+        (settled && others >= MIN_SURVIVALS).then(|| counted.last().map_or(first.at, |c| c.at))
+    }
+
+    /// Returns the successive crashes at which a part was in use since it was last
+    /// answered: at each of them, a request with the part had been sent after the
+    /// crash before. Those at which a refused part was in use do not count.
+    fn counted(&self, part: id::PartHash, survived: time::Mono) -> Vec<&Crash> {
+        let mut counted: Vec<&Crash> = Vec::new();
+        for crash in &self.crashes {
+            let Some(suspect) = crash.suspects.get(&part) else {
+                continue;
+            };
+            let explained = crash
+                .suspects
+                .keys()
+                .any(|other| *other != part && self.refused.contains_key(other));
+            let follows = counted.last().is_none_or(|last| suspect.sent > last.at);
+            if crash.at > survived && !explained && follows {
+                counted.push(crash);
+            }
+        }
+        counted
+    }
+
+    fn insert(
+        &mut self,
+        part: id::PartHash,
+        crashed: time::Mono,
+        until: time::Mono,
+        crashes: usize,
+    ) {
+        let refusal = Refusal {
+            crashed,
+            until,
+            trial: None,
+        };
+        if self.refused.insert(part, refusal).is_none() {
+            self.changes.push(Change::Refused { part, crashes });
+        }
+    }
+
+    /// Adopts a refusal by another router, unless requests with the part were
+    /// answered here since the crash.
+    pub fn adopt(&mut self, now: time::Mono, refused: RefusedPart) {
+        let survived = self.survivors.latest(refused.part).unwrap_or_default();
+        if survived > refused.crashed {
+            let part = refused.part;
+            let cleared = ClearedPart {
+                part,
+                answered: survived,
+            };
+            self.cleared.retain(|(_, known)| known.part != part);
+            self.cleared.push((now + GOSSIP_TIME, cleared));
+            return;
+        }
+        let until = refused.until.min(now + REFUSAL_TERM);
+        let is_full = self.refused.len() >= MAX_REFUSED;
+        match self.refused.get_mut(&refused.part) {
+            Some(known) if refused.crashed > known.crashed => {
+                known.crashed = refused.crashed;
+                known.until = known.until.max(until);
+            }
+            None if !is_full => self.insert(refused.part, refused.crashed, until, 0),
+            _ => {}
+        }
+    }
+
+    /// Adopts a refusal that a router stored.
+    pub fn adopt_stored(&mut self, now: time::Mono, part: id::PartHash) {
+        let refused = RefusedPart {
+            part,
+            crashed: time::Mono(now.0.saturating_sub(STORED_AGE.as_micros())),
+            until: now + REFUSAL_TERM,
+        };
+        if !self.refused.contains_key(&part) {
+            self.adopt(now, refused);
+        }
+    }
+
+    /// Stops refusing a part that another router no longer refuses.
+    pub fn lift(&mut self, part: id::PartHash) {
+        if self.refused.remove(&part).is_some() {
+            self.changes.push(Change::Admitted(part));
+        }
+    }
+
+    /// Merges what another router sent.
+    pub fn merge(&mut self, now: time::Mono, report: Report) {
+        for cleared in report.cleared {
+            self.clear(now, cleared);
+        }
+        for crash in report.crashes {
+            self.record_crash(now, crash);
+        }
+        for refused in report.refused {
+            self.adopt(now, refused);
+        }
+    }
+
+    /// Returns what the other routers may not know yet, newest first.
+    pub fn report(&mut self, now: time::Mono) -> Report {
+        self.forget(now);
+        let uses = match self.announced.is_empty() {
+            true => BTreeMap::new(),
+            false => self.uses(),
+        };
+        let crashes = self.crashes.iter().rev();
+        let crashes = crashes
+            .filter(|crash| self.announced.contains_key(&(crash.target, crash.at)))
+            .map(|crash| reported(crash, &uses));
+        let refused = self.refused.iter().map(|(part, refusal)| RefusedPart {
+            part: *part,
+            crashed: refusal.crashed,
+            until: refusal.until,
+        });
+        Report {
+            crashes: crashes.collect(),
+            refused: refused.collect(),
+            cleared: self.cleared.iter().rev().map(|(_, part)| *part).collect(),
+        }
+    }
+
+    /// Returns the refused parts.
+    pub fn refused(&self) -> impl Iterator<Item = id::PartHash> {
+        self.refused.keys().copied()
+    }
+
+    /// Returns the changes since the last call, in order.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+}
+
+/// Returns a crash with the suspects that were in use at most crashes.
+fn reported(crash: &Crash, uses: &BTreeMap<id::PartHash, Uses>) -> Crash {
+    let mut suspects: Vec<_> = crash.suspects.iter().collect();
+    suspects.sort_unstable_by_key(|(part, _)| cmp::Reverse(uses.get(part)));
+    suspects.truncate(MAX_REPORTED);
+    let suspects = suspects.into_iter();
+    Crash {
+        suspects: suspects.map(|(part, suspect)| (*part, *suspect)).collect(),
+        ..crash.clone()
+    }
+}
+
+/// Adds suspects to a crash; returns whether any was new.
+fn merge(crash: &mut Crash, suspects: &BTreeMap<id::PartHash, Suspect>) -> bool {
+    let mut added = false;
+    for (part, suspect) in suspects {
+        let is_full = crash.suspects.len() >= MAX_SUSPECTS;
+        match crash.suspects.get_mut(part) {
+            Some(known) => {
+                known.index = known.index.max(suspect.index);
+                known.sent = known.sent.max(suspect.sent);
+            }
+            None if !is_full => {
+                crash.suspects.insert(*part, *suspect);
+                added = true;
+            }
+            None => {}
+        }
+    }
+    added
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod bound;
 pub mod budget;
 pub mod controller;
+pub mod crash_parts;
 pub mod external;
 mod fair_queue;
 pub mod fleet_retries;
--- /dev/null
+++ b/crates/admit/tests/crash_parts.rs
@@ -0,0 +1,268 @@
+//! Tests that a prompt part which crashes targets is refused, and no other.
+
+use std::collections::BTreeMap;
+
+use admit::crash_parts::{Change, Crash, CrashParts, RefusedPart, Suspect};
+use base::{
+    id::{PartHash, ServiceId},
+    time::Mono,
+};
+
+/// First part, which all requests have.
+const FIRST: u64 = 1;
+
+/// Second part, which the requests of one caller have.
+const SECOND: u64 = 2;
+
+/// Part that crashes targets.
+const DEADLY: u64 = 3;
+
+/// Part of requests that have no other part in common with those above.
+const OTHER: u64 = 9;
+
+fn at(millis: u64) -> Mono {
+    Mono(millis * 1_000)
+}
+
+fn service() -> ServiceId {
+    "model".parse().expect("an id")
+}
+
+/// A crash of a target with the parts of requests sent 50 ms before it.
+fn crash(millis: u64, target: u64, parts: &[u64]) -> Crash {
+    let suspects = (0..).zip(parts).map(|(index, part)| {
+        let sent = at(millis - 50);
+        (PartHash(*part), Suspect { index, sent })
+    });
+    Crash {
+        target,
+        service: service(),
+        at: at(millis),
+        suspects: suspects.collect(),
+    }
+}
+
+fn answer(tracker: &mut CrashParts, begun: u64, parts: &[u64]) {
+    let parts = parts.iter().map(|part| PartHash(*part));
+    tracker.record_answered(at(begun + 500), &service(), at(begun), parts);
+}
+
+/// Answers requests of no part in question, from `begun` on.
+fn answer_others(tracker: &mut CrashParts, begun: u64) {
+    for number in 0..3 {
+        answer(tracker, begun + number, &[OTHER]);
+    }
+}
+
+fn refuses(tracker: &mut CrashParts, millis: u64, parts: &[u64]) -> bool {
+    let parts = parts.iter().map(|part| PartHash(*part));
+    tracker.refuses(at(millis), parts, 1, 0.5).is_some()
+}
+
+/// A tracker that refuses the part since 4 s after the first of three crashes.
+fn refusing() -> CrashParts {
+    let mut tracker = CrashParts::default();
+    for number in 0..3 {
+        let millis = 1_000 + number * 1_000;
+        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, SECOND, DEADLY]));
+        answer_others(&mut tracker, millis + 100);
+        answer(&mut tracker, millis + 200, &[FIRST, SECOND]);
+    }
+    tracker.evaluate(at(4_000));
+    tracker
+}
+
+#[test]
+fn other_contents() {
+    let mut tracker = refusing();
+    assert!(refuses(&mut tracker, 4_001, &[FIRST, SECOND, DEADLY]));
+    assert!(refuses(&mut tracker, 4_001, &[OTHER, DEADLY]));
+    assert!(!refuses(&mut tracker, 4_001, &[FIRST, SECOND]));
+    assert_eq!(tracker.refused().count(), 1);
+}
+
+/// Two crashes may have any part in common by chance.
+#[test]
+fn two_crashes() {
+    let mut tracker = CrashParts::default();
+    for number in 1..3 {
+        let millis = number * 1_000;
+        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, DEADLY]));
+        answer_others(&mut tracker, millis + 100);
+    }
+    tracker.evaluate(at(10_000));
+    assert_eq!(tracker.refused().count(), 0);
+}
+
+/// Targets crash faster than answers to other requests with a part that most
+/// requests have show that it is sound.
+#[test]
+fn popular_part() {
+    let mut tracker = CrashParts::default();
+    for number in 0..5 {
+        let millis = 1_000 + number * 100;
+        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, 100 + number]));
+        tracker.evaluate(at(millis));
+    }
+    answer_others(&mut tracker, 1_300);
+    tracker.evaluate(at(1_900));
+    answer(&mut tracker, 1_500, &[FIRST]);
+    tracker.evaluate(at(3_000));
+    assert_eq!(tracker.refused().count(), 0);
+}
+
+/// All targets crash together: every part was in use at many crashes, and those
+/// that are answered first afterwards say nothing of the others.
+#[test]
+fn all_targets_down() {
+    let mut tracker = CrashParts::default();
+    for target in 0..50 {
+        tracker.record_crash(
+            at(1_000 + target),
+            crash(1_000 + target, target, &[FIRST, SECOND]),
+        );
+    }
+    tracker.evaluate(at(3_000));
+    answer_others(&mut tracker, 4_000);
+    tracker.evaluate(at(5_000));
+    assert_eq!(tracker.refused().count(), 0);
+}
+
+/// Targets that crash whatever they run answer no request of the service, so that
+/// no part is the cause.
+#[test]
+fn nothing_answered() {
+    let mut tracker = CrashParts::default();
+    answer_others(&mut tracker, 200);
+    for target in 0..50 {
+        let millis = 1_000 + target * 300;
+        tracker.record_crash(at(millis), crash(millis, target, &[FIRST, SECOND]));
+        tracker.evaluate(at(millis));
+    }
+    tracker.evaluate(at(18_000));
+    assert_eq!(tracker.refused().count(), 0);
+}
+
+/// Parts that are always used together cannot be told apart: the one that fewer
+/// prompts have is refused, and the other one stays in use.
+#[test]
+fn always_together() {
+    let mut tracker = CrashParts::default();
+    for number in 1..6 {
+        let millis = number * 1_000;
+        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, SECOND, DEADLY]));
+        answer_others(&mut tracker, millis + 100);
+        tracker.evaluate(at(millis + 900));
+    }
+    tracker.evaluate(at(7_000));
+    let refused: Vec<_> = tracker.refused().collect();
+    assert_eq!(refused, [PartHash(DEADLY)]);
+}
+
+/// The part begins to crash targets after it was sound for a long time.
+#[test]
+fn sound_before() {
+    let mut tracker = CrashParts::default();
+    answer(&mut tracker, 900, &[FIRST, DEADLY]);
+    for number in 1..4 {
+        let millis = number * 1_000;
+        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, DEADLY]));
+        answer_others(&mut tracker, millis + 100);
+        answer(&mut tracker, millis + 200, &[FIRST]);
+    }
+    tracker.evaluate(at(4_000));
+    assert!(refuses(&mut tracker, 4_001, &[DEADLY]));
+}
+
+/// After the term one request tries the part: another crash starts the term
+/// again, and an answer ends the refusal.
+#[test]
+fn trial_after_term() {
+    let mut tracker = refusing();
+    assert!(refuses(&mut tracker, 63_999, &[DEADLY]));
+    assert!(!refuses(&mut tracker, 64_001, &[DEADLY]));
+    assert!(
+        refuses(&mut tracker, 64_002, &[DEADLY]),
+        "a trial is under way"
+    );
+    tracker.record_crash(at(64_500), crash(64_500, 7, &[FIRST, DEADLY]));
+    assert!(refuses(&mut tracker, 80_000, &[DEADLY]));
+    assert!(!refuses(&mut tracker, 124_501, &[DEADLY]));
+    answer(&mut tracker, 124_700, &[FIRST, DEADLY]);
+    assert!(!refuses(&mut tracker, 125_300, &[DEADLY]));
+    let changes = tracker.take_changes();
+    assert_eq!(changes.last(), Some(&Change::Admitted(PartHash(DEADLY))));
+}
+
+/// Of many routers about one at a time tries a part after its term.
+#[test]
+fn trials_of_fleet() {
+    let allowed = (0..1_000).filter(|number| {
+        let mut tracker = refusing();
+        let random = f64::from(*number) / 1_000.0;
+        let parts = [PartHash(DEADLY)].into_iter();
+        tracker.refuses(at(64_001), parts, 100, random).is_none()
+    });
+    assert_eq!(allowed.count(), 10);
+}
+
+/// A router that has just started has seen no crash and no answer.
+#[test]
+fn started_router() {
+    let report = refusing().report(at(4_000));
+    let mut started = CrashParts::default();
+    started.merge(at(4_000), report);
+    assert!(refuses(&mut started, 4_001, &[FIRST, DEADLY]));
+    assert!(!refuses(&mut started, 4_001, &[FIRST, SECOND]));
+    let mut stored = CrashParts::default();
+    stored.adopt_stored(at(10_000), PartHash(DEADLY));
+    assert!(refuses(&mut stored, 10_001, &[DEADLY]));
+    stored.lift(PartHash(DEADLY));
+    assert!(!refuses(&mut stored, 10_002, &[DEADLY]));
+}
+
+/// Another router refuses a part that this one has answers to: it keeps sending,
+/// and tells the other one.
+#[test]
+fn contradicted_refusal() {
+    let mut tracker = CrashParts::default();
+    answer(&mut tracker, 5_000, &[SECOND]);
+    let refused = RefusedPart {
+        part: PartHash(SECOND),
+        crashed: at(4_000),
+        until: at(65_000),
+    };
+    let mut other = CrashParts::default();
+    other.adopt(at(5_600), refused);
+    assert!(refuses(&mut other, 5_601, &[SECOND]));
+    tracker.merge(at(5_600), other.report(at(5_600)));
+    assert!(!refuses(&mut tracker, 5_601, &[SECOND]));
+    other.merge(at(5_700), tracker.report(at(5_700)));
+    assert!(!refuses(&mut other, 5_701, &[SECOND]));
+}
+
+/// What is remembered is limited, whatever crashes and whatever is told.
+#[test]
+fn limited_memory() {
+    let mut tracker = CrashParts::default();
+    for target in 0..2_000 {
+        let millis = 1_000 + target * 10;
+        let parts: Vec<u64> = (0..50).map(|part| target * 50 + part).collect();
+        tracker.record_crash(at(millis), crash(millis, target, &parts));
+    }
+    let refused = (0..5_000).map(|part| RefusedPart {
+        part: PartHash(part),
+        crashed: at(20_000),
+        until: at(90_000),
+    });
+    refused.for_each(|refused| tracker.adopt(at(21_000), refused));
+    let report = tracker.report(at(21_000));
+    assert!(report.crashes.len() <= 128);
+    assert!(report.refused.len() <= 1_024);
+    let parts: BTreeMap<_, _> = report
+        .crashes
+        .into_iter()
+        .flat_map(|crash| crash.suspects)
+        .collect();
+    assert!(parts.len() <= 128 * 24);
+}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,9 +1,12 @@
 //! One attempt: sends a request to a target and validates the response.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use admit::poison::CrashReport;
-use base::{span, time};
+use admit::{
+    crash_parts::{Crash, SURVIVAL_TIME, Suspect},
+    poison::CrashReport,
+};
+use base::{id, span, time};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
@@ -87,7 +90,7 @@
         let sent = target.pool.send(request);
         let (response, lease) = match timer::timeout(remaining.duration(), sent).await {
             Ok(Ok(sent)) => sent,
-            Ok(Err(error)) => return Err(self.send_failed(target, error)),
+            Ok(Err(error)) => return Err(self.send_failed(target, now, error)),
             Err(_) => {
                 self.log_missed(target, "timeout");
                 return Err(AttemptError::Timeout);
@@ -131,13 +134,18 @@
         request
     }
 
-    fn send_failed(&self, target: &Arc<Target>, error: SendError) -> AttemptError {
+    fn send_failed(
+        &self,
+        target: &Arc<Target>,
+        sent: time::Mono,
+        error: SendError,
+    ) -> AttemptError {
         let now = self.shared.clock.now();
         match &error {
             // A closed connection shows that the target's host is running.
             SendError::Closed(_) => {
                 target.update_breaker(Breaker::record_error);
-                self.check_crash(target, None);
+                self.check_crash(target, sent, None);
             }
             SendError::NotSent(_) | SendError::Unresponsive(_) => {
                 target.update_breaker(|breaker| breaker.record_no_response(now));
@@ -157,10 +165,22 @@
 
     /// Checks whether a target that closed the connection during the request has
     /// crashed. If it cannot be reached, the crash is recorded against the
-    /// request's content, which may be the cause. `answering` is the time since the
-    /// first event of the response, if there was one.
-    pub fn check_crash(&self, target: &Arc<Target>, answering: Option<span::Span>) {
+    /// request's content and the parts of its prompt, which may be the cause.
+    /// `sent` is when the request was sent, `answering` the time since the first
+    /// event of the response, if there was one.
+    pub fn check_crash(
+        &self,
+        target: &Arc<Target>,
+        sent: time::Mono,
+        answering: Option<span::Span>,
+    ) {
         let (shared, target) = (self.shared.clone(), target.clone());
+        let crash = Crash {
+            target: target.hash.0,
+            service: self.service.clone(),
+            at: shared.clock.now(),
+            suspects: self.suspects(sent, answering),
+        };
         let attempt = self.head.attempt.clone();
         let fingerprint = self.fingerprint;
         let parts = self.chain.clone();
@@ -171,6 +191,9 @@
             }
             let now = shared.clock.now();
             target.update_breaker(|breaker| breaker.record_no_response(now));
+            if reachability == Reachability::Refused && !shared.is_leaving(&target) {
+                shared.crash_parts().record_crash(now, crash);
+            }
             let report = CrashReport {
                 fingerprint,
                 target: target.hash.0,
@@ -190,6 +213,33 @@
         });
     }
 
+    /// Returns the parts of the prompt that may have crashed the target: none, if
+    /// the target had been answering for some time.
+    fn suspects(
+        &self,
+        sent: time::Mono,
+        answering: Option<span::Span>,
+    ) -> BTreeMap<id::PartHash, Suspect> {
+        if answering.is_some_and(|time| time >= SURVIVAL_TIME) {
+            return BTreeMap::new();
+        }
+        let parts = (0..).zip(self.chain.shared());
+        parts
+            .map(|(index, part)| (part, Suspect { index, sent }))
+            .collect()
+    }
+
+    /// Records that the request began to be answered at `answered`, and that its
+    /// target has not crashed.
+    pub fn record_answered(&self, answered: time::Mono) {
+        let now = self.shared.clock.now();
+        if self.chain.shared().next().is_some() {
+            let parts = self.chain.shared();
+            let mut crash_parts = self.shared.crash_parts();
+            crash_parts.record_answered(now, &self.service, answered, parts);
+        }
+    }
+
     fn log_missed(&self, target: &Target, outcome: &'static str) {
         tracing::info!(event = "missed", id = %self.head.attempt, target = %target.row.id, outcome);
     }
@@ -266,7 +316,7 @@
                     ReadError::TooLarge(_) => breaker.record_no_response(now),
                     _ => breaker.record_error(),
                 });
-                self.check_crash(&target, None);
+                self.check_crash(&target, sent, None);
                 tracing::info!(event = "lost", id = %self.head.attempt, target = %target.row.id, %error);
                 return Err(AttemptError::OutcomeUnknown);
             }
@@ -298,6 +348,9 @@
                 breaker.record_success()
             }
         });
+        if !failed {
+            self.record_answered(sent);
+        }
         let mut response = Response::new(body::full(bytes));
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -27,6 +27,7 @@
     metrics::Counter,
     peers::Peers,
     readers,
+    refusals::StoredParts,
     shared::Shared,
     target_list::TargetList,
     view::{self, View},
@@ -68,6 +69,14 @@
     let service = Arc::new(client(&shared, CALL_TIMEOUT));
     let waiting = [CONFIG_WAIT, RELAYED_WAIT]
         .map(|wait| (wait, Arc::new(client(&shared, add(wait, CALL_TIMEOUT)))));
+    let stored = StoredParts::default();
+    tokio::spawn(follow_refusals(
+        shared.clone(),
+        service.clone(),
+        waiting[1].1.clone(),
+        stored.clone(),
+    ));
+    tokio::spawn(stored.write(shared.clone(), service.clone()));
     let view = View::new(shared.clone());
     let peers = Peers::new(shared.clone(), view.clone());
     tokio::spawn(follow_config(
@@ -273,6 +282,26 @@
     }
 }
 
+/// Follows the rows of the prompt parts that routers refuse.
+async fn follow_refusals(
+    shared: Arc<Shared>,
+    service: Arc<Service>,
+    waiting: Arc<Service>,
+    stored: StoredParts,
+) {
+    let mut follower = Follower::new(shared.clone(), service, Table::Refusals);
+    follower.waiting = waiting;
+    loop {
+        match follower.next(RELAYED_WAIT).await {
+            Ok(change) => {
+                let is_all = matches!(change, Change::All(_));
+                stored.apply(&shared, change.rows(), is_all);
+            }
+            Err(_) => timer::sleep(FAILURE_PAUSE).await,
+        }
+    }
+}
+
 async fn follow_targets(
     peers: Arc<Peers>,
     shared: Arc<Shared>,
@@ -372,7 +401,12 @@
     }
 }
 
-async fn transact(service: &Service, body: Bytes) -> Result<(), Fault> {
+/// Sends a transaction to the table.
+///
+/// # Errors
+///
+/// When the table does not confirm it; it may have been performed.
+pub async fn transact(service: &Service, body: Bytes) -> Result<(), Fault> {
     let client = service.client();
     let attempt = || {
         let request = Request::builder()
--- a/crates/edge/src/error_response.rs
+++ b/crates/edge/src/error_response.rs
@@ -21,8 +21,8 @@
     BodyTooLarge,
     /// The configuration or the targets have not been loaded yet.
     NotReady,
-    /// Earlier requests with the same content crashed several targets; the request
-    /// was not sent to a target.
+    /// Earlier requests with the same content, or with the same part of a prompt,
+    /// crashed several targets; the request was not sent to a target.
     CrashesTargets,
     /// No target accepts the request, or the router has too little memory left for
     /// its body; no target processed the request.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -40,9 +40,8 @@
 enum Next {
     /// Send it to a target.
     Send(Selection),
-    /// Shed it because the targets are overloaded; the caller should retry after
-    /// this time.
-    Shed(span::Span),
+    /// Refuse it without sending it; the caller should retry after this time.
+    Refuse(Reason, span::Span),
     /// Make no further attempt: none is allowed, or no target is available.
     Stop,
 }
@@ -74,8 +73,8 @@
         loop {
             let selection = match request.next(&mut attempts) {
                 Next::Send(selection) => selection,
-                Next::Shed(after) => {
-                    return request.refuse(&attempts, Reason::Overloaded, Some(after));
+                Next::Refuse(reason, after) => {
+                    return request.refuse(&attempts, reason, Some(after));
                 }
                 Next::Stop => return request.give_up(&attempts, failed),
             };
@@ -121,6 +120,12 @@
         if !may_run || now >= self.deadline || attempts.targets.len() >= MAX_TARGETS {
             return Next::Stop;
         }
+        if let Some(after) = self.refused_part(now) {
+            return match attempts.runs {
+                0 => Next::Refuse(Reason::CrashesTargets, after),
+                _ => Next::Stop,
+            };
+        }
         let latency = self.shared.latency_model(&self.service);
         let fleet = self.shared.fleet.load();
         let Some(fleet) = fleet.as_ref() else {
@@ -138,7 +143,7 @@
         if attempts.targets.is_empty()
             && let Some(after) = self.shed(now, &state, &selection)
         {
-            return Next::Shed(after);
+            return Next::Refuse(Reason::Overloaded, after);
         }
         let target = &selection.target;
         if attempts.targets.is_empty() {
@@ -180,6 +185,18 @@
         Next::Send(selection)
     }
 
+    /// Returns the time after which the caller should retry, if a part of the
+    /// prompt crashes targets.
+    fn refused_part(&self, now: time::Mono) -> Option<span::Span> {
+        let routers = self.shared.routers.load(Ordering::Relaxed);
+        let mut crash_parts = self.shared.crash_parts();
+        let parts = self.chain.shared();
+        let (part, after) = crash_parts.refuses(now, parts, routers, rand::rng().random())?;
+        drop(crash_parts);
+        tracing::info!(event = "part_refused", id = %self.head.attempt, %part, %after);
+        Some(after)
+    }
+
     /// Returns this router's current view of the request's service.
     fn service_state<'a>(
         &'a self,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -50,6 +50,8 @@
     RetriesDenied,
     /// Streams that were resumed at another target.
     Resumed,
+    /// Prompt parts that were refused because they crash targets.
+    RefusedParts,
     /// Calls to the table.
     TableCalls,
     /// Calls to the table that failed.
@@ -59,7 +61,7 @@
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 15] = [
+    const ALL: [(Self, &'static str); 16] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -72,6 +74,7 @@
         (Self::Timeouts, "attempts_timed_out"),
         (Self::RetriesDenied, "repeats_denied"),
         (Self::Resumed, "streams_resumed"),
+        (Self::RefusedParts, "parts_refused"),
         (Self::TableCalls, "table_calls"),
         (Self::TableFailures, "table_failures"),
         (Self::UpdatesReceived, "news_received"),
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -2,10 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
+use admit::crash_parts::{Change, Report};
 use base::{
     fault::{At, Fault},
     hash, id, time,
@@ -21,7 +25,7 @@
 
 use crate::{
     cache_sync::{self, CacheSync, Step},
-    engines,
+    crash_reports, engines,
     exchange::{Exchange, Outgoing},
     lag::{Lag, VersionState},
     metrics::Counter,
@@ -52,6 +56,8 @@
     exchange: Mutex<Exchange>,
     lag: Mutex<Lag>,
     cache_sync: Mutex<CacheSync>,
+    /// Number of rounds of updates so far.
+    rounds: AtomicUsize,
     /// Starts the next round before its interval has passed.
     pub wake: Notify,
 }
@@ -76,6 +82,7 @@
             exchange: Mutex::new(exchange),
             lag: Mutex::default(),
             cache_sync: Mutex::new(CacheSync::new(first)),
+            rounds: AtomicUsize::new(0),
             wake: Notify::new(),
         })
     }
@@ -199,7 +206,7 @@
         let last_change = target_list.last_change().0;
         drop(target_list);
         let crashes = self.shared.poison().recent_crashes(now);
-        Update {
+        let mut update = Update {
             process: self.shared.settings.process.to_string(),
             version: self.shared.version().0,
             departures: departures.iter().map(DepartureEntry::from).collect(),
@@ -216,7 +223,32 @@
                 .map(CrashEntry::from)
                 .collect(),
             ..Update::default()
+        };
+        let report = self.report_crashes(now);
+        let round = self.rounds.fetch_add(1, Ordering::Relaxed);
+        crash_reports::write(&mut update, now, &report, round);
+        update
+    }
+
+    /// Refuses the prompt parts whose crashes are sufficient by now, and returns
+    /// what the other routers may not know yet.
+    fn report_crashes(&self, now: time::Mono) -> Report {
+        let mut crash_parts = self.shared.crash_parts();
+        crash_parts.evaluate(now);
+        let changes = crash_parts.take_changes();
+        let report = crash_parts.report(now);
+        drop(crash_parts);
+        for change in &changes {
+            match change {
+                Change::Refused { part, crashes } => {
+                    self.shared.metrics.count(Counter::RefusedParts);
+                    tracing::warn!(event = "part_crashes_targets", %part, crashes);
+                }
+                Change::Admitted(part) => tracing::info!(event = "part_admitted", %part),
+            }
         }
+        self.shared.queue_refusal_changes(changes);
+        report
     }
 
     async fn receive(self: Arc<Self>, socket: Arc<UdpSocket>) {
@@ -254,6 +286,8 @@
                 self.shared.announce_cached(learned.into_iter());
             }
         }
+        let report = crash_reports::read(update, now);
+        self.shared.crash_parts().merge(now, report);
         for crash in &update.crashes {
             self.shared.poison().record_crash(now, (*crash).into());
         }
@@ -377,6 +411,9 @@
         reads_table: common.reads_table,
         cache_synced: common.cache_synced,
         crashes: common.crashes.clone(),
+        part_crashes: common.part_crashes.clone(),
+        refused_parts: common.refused_parts.clone(),
+        cleared_parts: common.cleared_parts.clone(),
         ..loads
     };
     let cached = if message.cached { cached } else { &[] };
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -9,6 +9,7 @@
 };
 
 use admit::{
+    crash_parts::{Change, CrashParts},
     fleet_retries::{FleetRetryBudget, RetryLimit},
     poison::PoisonTracker,
     shares::TeamShares,
@@ -18,6 +19,7 @@
 use inlet::memory::MemoryBudget;
 use place::latency::LatencyModel;
 use platform::settings::{Bounds, Settings};
+use tokio::sync::Notify;
 
 use crate::{
     exchange::LoadFreshness,
@@ -55,8 +57,12 @@
     pub metrics: Metrics,
     /// Bounds, which may change while the process runs.
     pub bounds: ArcSwap<Bounds>,
+    /// Signals that other prompt parts are refused than before.
+    pub refusals_changed: Notify,
     retry_budget: Mutex<FleetRetryBudget>,
     poison: Mutex<PoisonTracker>,
+    crash_parts: Mutex<CrashParts>,
+    refusal_changes: Mutex<Vec<Change>>,
     speeds: Mutex<BTreeMap<id::ServiceId, ServiceLatencies>>,
     shares: Mutex<TeamShares>,
     announcements: Mutex<Vec<CachedPart>>,
@@ -113,10 +119,13 @@
             routers: AtomicU32::new(INITIAL_ROUTERS),
             peer_loads: PeerLoads::default(),
             room: MemoryBudget::new(settings.memory.as_usize() / BODY_MEMORY_DIVISOR),
+            refusals_changed: Notify::new(),
             retry_budget: Mutex::new(FleetRetryBudget::new(retry_limit(&bounds))),
             metrics: Metrics::default(),
             bounds: ArcSwap::from_pointee(bounds),
             poison: Mutex::default(),
+            crash_parts: Mutex::default(),
+            refusal_changes: Mutex::default(),
             speeds: Mutex::default(),
             shares: Mutex::default(),
             announcements: Mutex::default(),
@@ -176,6 +185,13 @@
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the prompt parts that were in use at crashes.
+    pub fn crash_parts(&self) -> MutexGuard<'_, CrashParts> {
+        self.crash_parts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the version of the configuration in force, 0 before any.
     pub fn version(&self) -> id::Version {
         let routes = self.routes.load();
@@ -211,6 +227,34 @@
         announcements.drain(..count).collect()
     }
 
+    /// Queues changes of the refused prompt parts, which the table has to hold.
+    pub fn queue_refusal_changes(&self, changes: Vec<Change>) {
+        let mut queued = self
+            .refusal_changes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if !changes.is_empty() && queued.len() < MAX_REFUSAL_CHANGES {
+            queued.extend(changes);
+            self.refusals_changed.notify_one();
+        }
+    }
+
+    /// Removes and returns the queued changes of the refused prompt parts.
+    pub fn take_refusal_changes(&self) -> Vec<Change> {
+        let mut queued = self
+            .refusal_changes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut queued)
+    }
+
+    /// Returns whether the target is leaving or gone by now.
+    pub fn is_leaving(&self, target: &Target) -> bool {
+        let fleet = self.fleet.load();
+        let known = fleet.as_ref().and_then(|fleet| fleet.target(target.hash));
+        known.is_none_or(|known| known.row.leaving)
+    }
+
     /// Returns whether this router is ready for requests.
     pub fn is_ready(&self) -> bool {
         let is_configured = self.routes.load().is_some() && self.fleet.load().is_some();
@@ -235,6 +279,10 @@
 /// announced; at worst they are read again by another target.
 const MAX_ANNOUNCEMENTS: usize = 1_024;
 
+/// Number of queued changes of the refused prompt parts from which further ones
+/// are not stored.
+const MAX_REFUSAL_CHANGES: usize = 1_024;
+
 /// Maximum number of services whose times are remembered.
 const MAX_SERVICES: usize = 1_024;
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use admit::crash_parts::SURVIVAL_TIME;
 use base::{fault::Fault, time};
 use bytes::Bytes;
 use futures_util::stream;
@@ -29,6 +30,8 @@
     timer: EventTimer,
     /// When the first event from the current target was received.
     begun: Option<time::Mono>,
+    /// Whether the target has not crashed for some time since.
+    survived: bool,
     attempts: Attempts,
     ended: bool,
     _active: ActiveRequest,
@@ -57,6 +60,7 @@
             events: EventBuffer::new(request.head.last_event),
             timer: EventTimer::default(),
             begun: None,
+            survived: false,
             request,
             response,
             attempts,
@@ -84,7 +88,8 @@
                     target.update_breaker(|breaker| breaker.record_error());
                     let now = self.request.shared.clock.now();
                     let answering = self.begun.map(|begun| now.since(begun));
-                    self.request.check_crash(&target, answering);
+                    self.request
+                        .check_crash(&target, self.response.sent, answering);
                     let id = &self.request.head.attempt;
                     let last = self.events.last_id();
                     tracing::info!(event = "stream_broken", %id, target = %target.row.id, last, %fault);
@@ -118,8 +123,7 @@
                 match self.events.push(&data) {
                     Ok(events) => {
                         if !events.is_empty() {
-                            let now = self.request.shared.clock.now();
-                            self.begun.get_or_insert(now);
+                            self.record_survival();
                         }
                         self.record_progress();
                         Read::Events(events)
@@ -130,6 +134,16 @@
         }
     }
 
+    /// Records the first event, and some time later that the target has not crashed.
+    fn record_survival(&mut self) {
+        let now = self.request.shared.clock.now();
+        let begun = *self.begun.get_or_insert(now);
+        if !self.survived && now.since(begun) >= SURVIVAL_TIME {
+            self.survived = true;
+            self.request.record_answered(begun);
+        }
+    }
+
     /// Updates the latency models with the time of the events just received.
     fn record_progress(&mut self) {
         let shared = &self.request.shared;
@@ -175,6 +189,7 @@
                 self.response = response;
                 self.timer = EventTimer::default();
                 self.begun = None;
+                self.survived = false;
                 true
             }
             None => false,
@@ -182,6 +197,11 @@
     }
 
     fn finish(self) -> Option<(Result<Frame<Bytes>, Fault>, Self)> {
+        if let Some(begun) = self.begun
+            && !self.survived
+        {
+            self.request.record_answered(begun);
+        }
         let TargetResponse {
             head,
             lease,
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -31,6 +31,12 @@
 /// Maximum number of crashes in one datagram.
 pub const MAX_CRASHES: usize = 10;
 
+/// Maximum number of suspected parts of crashes in one datagram.
+pub const MAX_SUSPECTS: usize = 32;
+
+/// Maximum number of refused parts, and of cleared ones, in one datagram.
+pub const MAX_REFUSED: usize = 8;
+
 /// Maximum number of blocked targets in one datagram.
 pub const MAX_BLOCKED: usize = 10;
 
@@ -111,6 +117,72 @@
     /// Targets that are slower than others.
     #[prost(message, repeated, tag = "24")]
     pub slow: Vec<SlowTarget>,
+    /// Prompt parts that were in use when targets crashed.
+    #[prost(message, repeated, tag = "25")]
+    pub part_crashes: Vec<PartCrash>,
+    /// Prompt parts that the sender refuses.
+    #[prost(message, repeated, tag = "26")]
+    pub refused_parts: Vec<RefusedPart>,
+    /// Prompt parts of crashes that requests were answered with later.
+    #[prost(message, repeated, tag = "27")]
+    pub cleared_parts: Vec<ClearedPart>,
+}
+
+/// A crash of a target, and the prompt parts that may be its cause.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartCrash {
+    /// Hash of the target's id.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// Service of the target.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age: u32,
+    /// The parts.
+    #[prost(message, repeated, tag = "4")]
+    pub suspects: Vec<SuspectPart>,
+}
+
+/// A prompt part that may be the cause of a crash.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct SuspectPart {
+    /// Hash of the part's id.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Index of the part in the prompt.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    /// Time since the latest request with the part was sent to the target, in
+    /// milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age: u32,
+}
+
+/// A prompt part that is refused.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RefusedPart {
+    /// Hash of the part's id.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Time since the latest crash at which the part was in use, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age: u32,
+    /// Time until the end of the refusal term, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub remaining: u32,
+}
+
+/// A prompt part that requests were answered with after a crash.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct ClearedPart {
+    /// Hash of the part's id.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Time since the first event of such a response, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age: u32,
 }
 
 /// Which routers' requests a message counts.
--- /dev/null
+++ b/crates/edge/tests/crash_reports.rs
@@ -0,0 +1,317 @@
+//! A fleet of routers in which each sees at most one of the crashes that a prompt
+//! part causes.
+
+use std::collections::BTreeMap;
+
+use admit::crash_parts::{Crash, CrashParts, Suspect};
+use base::{
+    id::{PartHash, ServiceId},
+    time::Mono,
+};
+use edge::{crash_reports, update::Update};
+use prost::Message;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+const FIRST: PartHash = PartHash(1);
+const SECOND: PartHash = PartHash(2);
+const DEADLY: PartHash = PartHash(3);
+
+/// Time of one step of the simulation, in milliseconds.
+const STEP: u64 = 50;
+
+/// Steps between two rounds of updates.
+const ROUND: u64 = 4;
+
+/// Time from the sending of a request with the part to the crash, in milliseconds.
+const CRASH_TIME: u64 = 400;
+
+/// Number of peers that a router reaches in a round.
+const FANOUT: usize = 4;
+
+/// Chance that a datagram is lost.
+const LOSS: f64 = 0.2;
+
+/// Number of requests with the part that may reach targets later than the time
+/// allowed after the fifth crash.
+const ALLOWED: usize = 3;
+
+/// How the fleet and its requests are made up.
+#[derive(Clone, Copy, Debug)]
+struct Scenario {
+    routers: usize,
+    /// Steps between two requests with the part.
+    interval: u64,
+    /// Time allowed after the fifth crash, in milliseconds.
+    contact: u64,
+    /// Whether the first router receives no updates and is not heard.
+    cut: bool,
+    /// Time at which the last router loses what it knows, in milliseconds.
+    restart: Option<u64>,
+}
+
+/// A request that will crash its target.
+struct Flight {
+    router: usize,
+    target: u64,
+    sent: u64,
+}
+
+struct Fleet {
+    scenario: Scenario,
+    rng: SmallRng,
+    routers: Vec<CrashParts>,
+    flights: Vec<Flight>,
+    crashes: Vec<u64>,
+    late: usize,
+    sound_refused: usize,
+}
+
+fn at(millis: u64) -> Mono {
+    Mono(millis * 1_000)
+}
+
+fn service() -> ServiceId {
+    "model".parse().expect("an id")
+}
+
+impl Fleet {
+    fn new(scenario: Scenario, seed: u64) -> Self {
+        Self {
+            scenario,
+            rng: SmallRng::seed_from_u64(seed),
+            routers: vec![CrashParts::default(); scenario.routers],
+            flights: Vec::new(),
+            crashes: Vec::new(),
+            late: 0,
+            sound_refused: 0,
+        }
+    }
+
+    fn run(&mut self, millis: u64) {
+        for step in 20..millis / STEP {
+            let now = step * STEP;
+            if self.scenario.restart == Some(now) {
+                *self.routers.last_mut().expect("a router") = CrashParts::default();
+            }
+            self.answer(now);
+            if step % self.scenario.interval == 0 {
+                self.send_deadly(now);
+            }
+            self.crash(now);
+            if step % ROUND == 0 {
+                self.exchange(now);
+            }
+        }
+    }
+
+    /// Lets sound requests begin that share parts with the others.
+    fn answer(&mut self, now: u64) {
+        for router in &mut self.routers {
+            let own = PartHash(self.rng.random_range(100..200));
+            let parts = match self.rng.random_range(0..8) {
+                0 => vec![FIRST, SECOND],
+                1..4 => vec![FIRST, own],
+                4..6 => vec![own],
+                _ => continue,
+            };
+            let refused = router.refuses(at(now), parts.iter().copied(), 1, 0.5);
+            self.sound_refused += usize::from(refused.is_some());
+            if refused.is_none() && now > 600 {
+                let parts = parts.into_iter();
+                router.record_answered(at(now), &service(), at(now - 500), parts);
+            }
+        }
+    }
+
+    fn send_deadly(&mut self, now: u64) {
+        let router = self.rng.random_range(0..self.routers.len());
+        let parts = [FIRST, SECOND, DEADLY].into_iter();
+        let count = self.scenario.routers as u32;
+        let random = self.rng.random();
+        let refused = self.routers[router].refuses(at(now), parts, count, random);
+        if refused.is_some() {
+            return;
+        }
+        let fifth = self.crashes.get(4);
+        let over = fifth.is_some_and(|fifth| now > fifth + self.scenario.contact);
+        self.late += usize::from(over);
+        let target = self.rng.random_range(0..10_000);
+        self.flights.push(Flight {
+            router,
+            target,
+            sent: now,
+        });
+    }
+
+    /// Crashes the targets of requests with the part. Routers with other requests
+    /// there, which are not answered yet, see the crash too.
+    fn crash(&mut self, now: u64) {
+        let (due, waiting) = std::mem::take(&mut self.flights)
+            .into_iter()
+            .partition(|flight| flight.sent + CRASH_TIME <= now);
+        self.flights = waiting;
+        let due: Vec<Flight> = due;
+        for flight in due {
+            self.crashes.push(now);
+            let parts = [FIRST, SECOND, DEADLY];
+            self.record(now, flight.router, flight.target, flight.sent, &parts);
+            for _ in 0..3 {
+                let router = self.rng.random_range(0..self.routers.len());
+                let own = PartHash(self.rng.random_range(100..200));
+                let second = if self.rng.random() { SECOND } else { own };
+                self.record(now, router, flight.target, now - 150, &[FIRST, second]);
+            }
+        }
+    }
+
+    fn record(&mut self, now: u64, router: usize, target: u64, sent: u64, parts: &[PartHash]) {
+        let sent = at(sent);
+        let suspects = (0..).zip(parts);
+        let suspects = suspects.map(|(index, part)| (*part, Suspect { index, sent }));
+        let crash = Crash {
+            target,
+            service: service(),
+            at: at(now),
+            suspects: suspects.collect(),
+        };
+        self.routers[router].record_crash(at(now), crash);
+    }
+
+    fn exchange(&mut self, now: u64) {
+        for sender in 0..self.routers.len() {
+            self.routers[sender].evaluate(at(now));
+            let report = self.routers[sender].report(at(now));
+            let mut update = Update::default();
+            let round = usize::try_from(now / STEP / ROUND).expect("a number");
+            crash_reports::write(&mut update, at(now), &report, round);
+            let datagram = update.encode_to_vec();
+            for _ in 0..FANOUT {
+                let receiver = self.rng.random_range(0..self.routers.len());
+                let is_cut = self.scenario.cut && (sender == 0 || receiver == 0);
+                if !is_cut && self.rng.random::<f64>() >= LOSS {
+                    let update = Update::decode(&datagram[..]).expect("an update");
+                    let report = crash_reports::read(&update, at(now));
+                    self.routers[receiver].merge(at(now), report);
+                }
+            }
+        }
+        if self.scenario.cut {
+            self.exchange_stored(now);
+        }
+    }
+
+    /// Gives the first router what the others have stored in the table.
+    fn exchange_stored(&mut self, now: u64) {
+        let stored: Vec<_> = self.routers[1..]
+            .iter()
+            .flat_map(CrashParts::refused)
+            .collect();
+        for part in stored {
+            self.routers[0].adopt_stored(at(now), part);
+        }
+    }
+}
+
+fn play(scenario: Scenario) {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(scenario, seed);
+        fleet.run(30_000);
+        let label = format!("{scenario:?}, seed {seed}");
+        assert!(fleet.late <= ALLOWED, "{label}: {} sent", fleet.late);
+        assert_eq!(fleet.sound_refused, 0, "{label}");
+        let crashes = fleet.crashes.len();
+        assert!(crashes >= 3, "{label}: {crashes} crashes");
+    }
+}
+
+const SMALL: Scenario = Scenario {
+    routers: 4,
+    interval: 20,
+    contact: 3_000,
+    cut: false,
+    restart: None,
+};
+
+#[test]
+fn few_routers() {
+    play(SMALL);
+}
+
+#[test]
+fn hundred_routers() {
+    play(Scenario {
+        routers: 103,
+        interval: 4,
+        contact: 5_000,
+        ..SMALL
+    });
+}
+
+/// The requests come so often that many of them are sent before the first crash
+/// is known.
+#[test]
+fn many_requests() {
+    play(Scenario {
+        routers: 29,
+        interval: 1,
+        contact: 4_000,
+        ..SMALL
+    });
+}
+
+/// A router that exchanges no updates with the others learns from the table.
+#[test]
+fn cut_router() {
+    play(Scenario { cut: true, ..SMALL });
+}
+
+#[test]
+fn restarted_router() {
+    for restart in [6_000, 15_000] {
+        play(Scenario {
+            restart: Some(restart),
+            ..SMALL
+        });
+    }
+}
+
+/// A single router sees all crashes and hears of none.
+#[test]
+fn single_router() {
+    play(Scenario {
+        routers: 1,
+        ..SMALL
+    });
+}
+
+/// Messages of any size and content leave out what does not fit.
+#[test]
+fn full_update() {
+    let mut tracker = CrashParts::default();
+    for target in 0..60 {
+        let suspects = (0..40).map(|part| {
+            let sent = at(900);
+            (PartHash(target * 100 + part), Suspect { index: 0, sent })
+        });
+        let crash = Crash {
+            target,
+            service: service(),
+            at: at(1_000 + target),
+            suspects: BTreeMap::from_iter(suspects),
+        };
+        tracker.record_crash(at(2_000), crash);
+    }
+    for part in 0..100 {
+        tracker.adopt_stored(at(2_000), PartHash(10_000 + part));
+    }
+    let report = tracker.report(at(2_000));
+    let mut seen = std::collections::BTreeSet::new();
+    for round in 0..13 {
+        let mut update = Update::default();
+        crash_reports::write(&mut update, at(2_000), &report, round);
+        assert!(update.encoded_len() < 1_000, "{}", update.encoded_len());
+        let read = crash_reports::read(&update, at(2_000));
+        seen.extend(read.refused.into_iter().map(|refused| refused.part));
+    }
+    assert_eq!(seen.len(), 100, "the refused parts take turns");
+}
--- a/crates/edge/tests/crashing_part.rs
+++ b/crates/edge/tests/crashing_part.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use edge::fleet;
 use fakes::{
     rows::Rows,
     runner::{Behaviour, Runner},
@@ -102,4 +103,30 @@
     }
     assert!(late <= ALLOWED, "{late} requests with the part were sent");
     assert!(served >= 90, "{served} of 100 sound requests were served");
+    assert_eq!(site.table.keys("refusals").len(), 1);
+}
+
+/// A router that starts when all others have lost their memory, or that receives
+/// no updates, finds the refused part in the table only.
+#[tokio::test]
+async fn stored_refusal() {
+    let site = Site::start();
+    let part = fleet::part_hash(DEADLY).to_string();
+    site.table.put("refusals", &part, b"router-1");
+    site.table.put("refusals", "not a hash", b"");
+    let router = site.router().await;
+    let refuses = || router.shared.crash_parts().refused().count() == 1;
+    site::until("the row is read", refuses).await;
+    let response = deadly(&router, 1).await;
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers.contains_key("retry-after"));
+    assert_eq!(site.deadly_runs(), 0);
+    assert_eq!(sound(&router, 2).await.status, StatusCode::OK);
+    for target in &site.targets {
+        target.crash_on(None);
+    }
+    site.table.remove("refusals", &part);
+    let admits = || router.shared.crash_parts().refused().count() == 0;
+    site::until("the removal is read", admits).await;
+    assert_eq!(deadly(&router, 3).await.status, StatusCode::OK);
 }
