Do not take targets that crash together for successive crashes

A refusal in defence must not become the outage.

Cause: routers notice such crashes within some 10 ms one after the other and send to targets that they have not noticed yet, so that one crash seemed to follow another. A request has to be sent 0.25 s after a crash now for its crash to count as the next one.

all_targets_down, with such requests, fails without this and passes.

--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -21,6 +21,11 @@
 /// Number of successive crashes from which a part is refused.
 const CRASH_LIMIT: usize = 3;
 
+/// Time after a crash from which a request has to be sent for another crash to
+/// follow the first one. Routers notice targets that crash together one after the
+/// other, and send to those that they have not noticed yet.
+const SEPARATION: span::Span = span::Span::from_millis(250);
+
 /// Time after the first event of a response from which the request is not the
 /// cause of a crash, and shows that its parts are sound.
 pub const SURVIVAL_TIME: span::Span = span::Span::from_millis(500);
@@ -409,7 +414,9 @@
                 .suspects
                 .keys()
                 .any(|other| *other != part && self.refused.contains_key(other));
-            let follows = counted.last().is_none_or(|last| suspect.sent > last.at);
+            let follows = counted
+                .last()
+                .is_none_or(|last| suspect.sent >= last.at + SEPARATION);
             if crash.at > survived && !explained && follows {
                 counted.push(crash);
             }
--- a/crates/admit/tests/crash_parts.rs
+++ b/crates/admit/tests/crash_parts.rs
@@ -112,15 +112,18 @@
 }
 
 /// All targets crash together: every part was in use at many crashes, and those
-/// that are answered first afterwards say nothing of the others.
+/// that are answered first afterwards say nothing of the others. Some requests
+/// were sent to targets whose crash had not been noticed yet.
 #[test]
 fn all_targets_down() {
     let mut tracker = CrashParts::default();
     for target in 0..50 {
-        tracker.record_crash(
-            at(1_000 + target),
-            crash(1_000 + target, target, &[FIRST, SECOND]),
-        );
+        let millis = 1_000 + target * 3;
+        let mut crash = crash(millis, target, &[FIRST, SECOND]);
+        for suspect in crash.suspects.values_mut() {
+            suspect.sent = at(millis - 1);
+        }
+        tracker.record_crash(at(millis), crash);
     }
     tracker.evaluate(at(3_000));
     answer_others(&mut tracker, 4_000);
