Count successive crashes by what the sending router knew

Cause: busy routers read the reports of crashes up to seconds late, and took the time of a crash from its age in the report. Crashes at one moment seemed to be seconds apart, and one crash to be several of the same target.

Each request carries how many successive crashes of its parts its router had known for 0.1 s when it was sent; a crash follows the others only then, and the time of its report does not matter. A crash is identified by the run of its target (id and start time). late_reports and answered_between are new.

--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -14,17 +14,18 @@
 use std::{
     cmp,
     collections::{BTreeMap, VecDeque},
+    iter,
 };
 
 use base::{id, span, time};
 
 /// Number of successive crashes from which a part is refused.
-const CRASH_LIMIT: usize = 3;
+const CRASH_LIMIT: u32 = 3;
 
-/// Time after a crash from which a request has to be sent for another crash to
-/// follow the first one. Routers notice targets that crash together one after the
-/// other, and send to those that they have not noticed yet.
-const SEPARATION: span::Span = span::Span::from_millis(250);
+/// Time for which a crash has to be known at a router for another crash to follow
+/// it. A router notices targets that crash together one after the other, and sends
+/// to those that it has not noticed yet.
+const SEPARATION: span::Span = span::Span::from_millis(100);
 
 /// Time after the first event of a response from which the request is not the
 /// cause of a crash, and shows that its parts are sound.
@@ -51,9 +52,9 @@
 /// Time for which crashes are remembered.
 const CRASH_MEMORY: span::Span = span::Span::from_secs(300);
 
-/// Two reports of a crash of one target within this time are of the same crash. A
-/// target takes longer to come back.
-const SAME_CRASH: span::Span = span::Span::from_secs(1);
+/// Two reports of a crash of one run of a target within this time are of the same
+/// crash; a busy router reads reports late.
+const SAME_CRASH: span::Span = span::Span::from_secs(10);
 
 /// Time for which a crash or a cleared part is sent to other routers.
 const GOSSIP_TIME: span::Span = span::Span::from_secs(3);
@@ -88,7 +89,7 @@
 /// A crash of a target, and the parts that may be its cause.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
-    /// Hash of the target's id.
+    /// Hash that identifies the run of the target.
     pub target: u64,
     /// Service of the target.
     pub service: id::ServiceId,
@@ -106,6 +107,9 @@
     pub index: u32,
     /// When the latest request with the part was sent to the target.
     pub sent: time::Mono,
+    /// How many crashes of the part had followed one another with this one, as far
+    /// as the router knew that sent the request.
+    pub level: u32,
 }
 
 /// A part that is refused.
@@ -147,16 +151,33 @@
         /// The part.
         part: id::PartHash,
         /// Number of crashes that this router knows of at which it was in use.
-        crashes: usize,
+        crashes: u32,
     },
     /// A part is no longer refused.
     Admitted(id::PartHash),
 }
 
+/// A crash that a router knows of.
+#[derive(Clone, Debug)]
+struct KnownCrash {
+    crash: Crash,
+    /// When the router came to know of it.
+    known: time::Mono,
+}
+
+/// The crashes at which a part was in use and which it may have caused.
+#[derive(Clone, Copy, Debug)]
+struct Counted<'a> {
+    first: &'a KnownCrash,
+    latest: &'a KnownCrash,
+    /// When the crash became known that reached the limit.
+    reached: Option<time::Mono>,
+}
+
 /// How often a part was in use at crashes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct Uses {
-    crashes: usize,
+    crashes: u32,
     /// Largest index of the part in a prompt.
     index: u32,
 }
@@ -196,9 +217,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashParts {
     /// In the order of their times.
-    crashes: VecDeque<Crash>,
-    /// Time until which the crash of a target is sent to other routers.
-    announced: BTreeMap<(u64, time::Mono), time::Mono>,
+    crashes: VecDeque<KnownCrash>,
+    /// Time until which a crash is sent to other routers, by the run of the target.
+    announced: BTreeMap<u64, time::Mono>,
     refused: BTreeMap<id::PartHash, Refusal>,
     cleared: Vec<(time::Mono, ClearedPart)>,
     survivors: Survivors,
@@ -276,7 +297,8 @@
         if before >= cleared.answered {
             return;
         }
-        let counted = self.counted(cleared.part, before).len();
+        let suspected = self.unexplained(cleared.part);
+        let suspected = suspected.map(|crash| self.level(crash, cleared.part)).max();
         self.survivors.record(cleared.part, cleared.answered);
         let refusal = self.refused.get(&cleared.part);
         let lifted = refusal.is_some_and(|refusal| refusal.crashed < cleared.answered);
@@ -284,40 +306,100 @@
             self.refused.remove(&cleared.part);
             self.changes.push(Change::Admitted(cleared.part));
         }
-        if lifted || counted + 1 >= CRASH_LIMIT {
+        if lifted || suspected.is_some_and(|level| level + 1 >= CRASH_LIMIT) {
             self.cleared.retain(|(_, known)| known.part != cleared.part);
             self.cleared.push((now + GOSSIP_TIME, cleared));
         }
     }
 
-    /// Records a crash; returns whether it added anything.
-    pub fn record_crash(&mut self, now: time::Mono, crash: Crash) -> bool {
+    /// Returns for each part the [`Suspect::level`] of a request with it that is
+    /// sent now.
+    pub fn levels(&self, now: time::Mono, parts: impl Iterator<Item = id::PartHash>) -> Vec<u32> {
+        if self.crashes.is_empty() {
+            return Vec::new();
+        }
+        let level = |part| {
+            let known = |crash: &&KnownCrash| crash.known + SEPARATION <= now;
+            let levels = self.unexplained(part).filter(known);
+            levels.map(|crash| self.level(crash, part)).max()
+        };
+        parts.map(|part| level(part).unwrap_or(0) + 1).collect()
+    }
+
+    /// Records a crash that this router noticed. Parts that it sent to the target
+    /// after another router had noticed the crash are not its cause.
+    pub fn record_crash(&mut self, now: time::Mono, mut crash: Crash) {
+        if let Some(index) = self.position(&crash) {
+            let noticed = self.crashes[index].crash.at;
+            crash.suspects.retain(|_, suspect| suspect.sent <= noticed);
+        }
+        self.add_crash(now, crash);
+    }
+
+    /// Returns the index of a crash, if it is known.
+    fn position(&self, crash: &Crash) -> Option<usize> {
+        self.crashes.iter().position(|known| {
+            let known = &known.crash;
+            let apart = known.at.since(crash.at).max(crash.at.since(known.at));
+            known.target == crash.target && apart < SAME_CRASH
+        })
+    }
+
+    fn add_crash(&mut self, now: time::Mono, crash: Crash) {
         self.forget(now);
         if now.since(crash.at) >= CRASH_MEMORY || crash.suspects.is_empty() {
-            return false;
+            return;
         }
         for part in crash.suspects.keys() {
             self.renew(now, *part, crash.at);
         }
-        let known = self.crashes.iter_mut().find(|known| {
-            let apart = known.at.since(crash.at).max(crash.at.since(known.at));
-            known.target == crash.target && apart < SAME_CRASH
-        });
-        let (added, key) = match known {
-            Some(known) => (merge(known, &crash.suspects), (known.target, known.at)),
+        let target = crash.target;
+        let added = match self.position(&crash) {
+            Some(index) => self.merge_crash(index, crash),
             None => {
-                let key = (crash.target, crash.at);
-                let place = self.crashes.partition_point(|known| known.at <= crash.at);
-                self.crashes.insert(place, crash);
-                if self.crashes.len() > MAX_CRASHES {
-                    self.crashes.pop_front();
-                }
-                (true, key)
+                self.insert_crash(KnownCrash { crash, known: now });
+                true
             }
         };
         if added {
-            self.announced.insert(key, now + GOSSIP_TIME);
+            self.announced.insert(target, now + GOSSIP_TIME);
+        }
+    }
+
+    fn insert_crash(&mut self, known: KnownCrash) {
+        let earlier = |other: &KnownCrash| other.crash.at <= known.crash.at;
+        let place = self.crashes.partition_point(earlier);
+        self.crashes.insert(place, known);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+    }
+
+    /// Adds a report to a known crash; returns whether it added a suspect.
+    fn merge_crash(&mut self, index: usize, report: Crash) -> bool {
+        let Some(mut known) = self.crashes.remove(index) else {
+            return false;
+        };
+        let crash = &mut known.crash;
+        let mut added = false;
+        for (part, suspect) in report.suspects {
+            let is_full = crash.suspects.len() >= MAX_SUSPECTS;
+            match crash.suspects.get_mut(&part) {
+                Some(suspected) => {
+                    added |= suspect.level > suspected.level;
+                    suspected.index = suspected.index.max(suspect.index);
+                    suspected.sent = suspected.sent.max(suspect.sent);
+                    suspected.level = suspected.level.max(suspect.level);
+                }
+                None if !is_full => {
+                    crash.suspects.insert(part, suspect);
+                    added = true;
+                }
+                None => {}
+            }
         }
+        crash.at = crash.at.min(report.at);
+        self.insert_crash(known);
         added
     }
 
@@ -335,7 +417,7 @@
 
     fn forget(&mut self, now: time::Mono) {
         self.crashes
-            .retain(|crash| now.since(crash.at) < CRASH_MEMORY);
+            .retain(|known| now.since(known.crash.at) < CRASH_MEMORY);
         self.announced.retain(|_, until| *until > now);
         self.cleared.retain(|(until, _)| *until > now);
         let over = |refusal: &Refusal| refusal.until + TRIAL_TERM <= now;
@@ -355,7 +437,7 @@
     pub fn evaluate(&mut self, now: time::Mono) {
         self.forget(now);
         let latest = self.crashes.back();
-        if latest.is_none_or(|latest| now.since(latest.at) > EVALUATION_TIME) {
+        if latest.is_none_or(|latest| now.since(latest.crash.at) > EVALUATION_TIME) {
             return;
         }
         let mut candidates: Vec<_> = self
@@ -379,8 +461,8 @@
     /// Returns for each part at how many crashes it was in use.
     fn uses(&self) -> BTreeMap<id::PartHash, Uses> {
         let mut uses: BTreeMap<id::PartHash, Uses> = BTreeMap::new();
-        for crash in &self.crashes {
-            for (part, suspect) in &crash.suspects {
+        for known in &self.crashes {
+            for (part, suspect) in &known.crash.suspects {
                 let uses = uses.entry(*part).or_default();
                 uses.crashes += 1;
                 uses.index = uses.index.max(suspect.index);
@@ -391,46 +473,60 @@
 
     /// Returns the time of the latest crash of a part, if its crashes suffice.
     fn sufficient(&self, now: time::Mono, part: id::PartHash) -> Option<time::Mono> {
-        let survived = self.survivors.latest(part).unwrap_or_default();
-        let counted = self.counted(part, survived);
-        let first = counted.first()?;
-        let reached = counted.get(CRASH_LIMIT - 1)?;
+        let counted = self.counted(part)?;
+        let reached = counted.reached?;
+        let first = &counted.first.crash;
         let answered = self.answered.get(&first.service)?;
         let others = answered.iter().filter(|at| **at >= first.at).count();
-        let settled = now >= reached.at + SETTLE_TIME;
-        (settled && others >= MIN_SURVIVALS).then(|| counted.last().map_or(first.at, |c| c.at))
+        let settled = now >= reached + SETTLE_TIME;
+        (settled && others >= MIN_SURVIVALS).then_some(counted.latest.crash.at)
     }
 
-    /// Returns the successive crashes at which a part was in use since it was last
-    /// answered: at each of them, a request with the part had been sent after the
-    /// crash before. Those at which a refused part was in use do not count.
-    fn counted(&self, part: id::PartHash, survived: time::Mono) -> Vec<&Crash> {
-        let mut counted: Vec<&Crash> = Vec::new();
-        for crash in &self.crashes {
-            let Some(suspect) = crash.suspects.get(&part) else {
-                continue;
-            };
-            let explained = crash
-                .suspects
-                .keys()
-                .any(|other| *other != part && self.refused.contains_key(other));
-            let follows = counted
-                .last()
-                .is_none_or(|last| suspect.sent >= last.at + SEPARATION);
-            if crash.at > survived && !explained && follows {
-                counted.push(crash);
+    /// Returns the crashes at which a part was in use since requests with it were
+    /// last answered.
+    fn counted(&self, part: id::PartHash) -> Option<Counted<'_>> {
+        let mut crashes = self.unexplained(part);
+        let first = crashes.next()?;
+        let mut counted = Counted {
+            first,
+            latest: first,
+            reached: None,
+        };
+        for crash in iter::once(first).chain(crashes) {
+            counted.latest = crash;
+            if self.level(crash, part) >= CRASH_LIMIT && counted.reached.is_none() {
+                counted.reached = Some(crash.known);
             }
         }
-        counted
+        Some(counted)
     }
 
-    fn insert(
-        &mut self,
-        part: id::PartHash,
-        crashed: time::Mono,
-        until: time::Mono,
-        crashes: usize,
-    ) {
+    /// Returns the crashes at which a part was in use since requests with it were
+    /// last answered, without those at which a refused part was in use.
+    fn unexplained(&self, part: id::PartHash) -> impl Iterator<Item = &KnownCrash> {
+        let survived = self.survivors.latest(part).unwrap_or_default();
+        self.crashes.iter().filter(move |known| {
+            let suspects = &known.crash.suspects;
+            let explained =
+                |other: &id::PartHash| *other != part && self.refused.contains_key(other);
+            known.crash.at > survived
+                && suspects.contains_key(&part)
+                && !suspects.keys().any(explained)
+        })
+    }
+
+    /// Returns how many crashes of the part followed one another with this one,
+    /// without those before requests with the part were last answered.
+    fn level(&self, crash: &KnownCrash, part: id::PartHash) -> u32 {
+        let level = |known: &KnownCrash| known.crash.suspects.get(&part).map(|it| it.level);
+        let survived = self.survivors.latest(part).unwrap_or_default();
+        let answered = |known: &&KnownCrash| known.crash.at <= survived;
+        let before = self.crashes.iter().filter(answered).filter_map(level).max();
+        let own = level(crash).unwrap_or_default();
+        own.saturating_sub(before.unwrap_or_default())
+    }
+
+    fn insert(&mut self, part: id::PartHash, crashed: time::Mono, until: time::Mono, crashes: u32) {
         let refusal = Refusal {
             crashed,
             until,
@@ -492,7 +588,7 @@
             self.clear(now, cleared);
         }
         for crash in report.crashes {
-            self.record_crash(now, crash);
+            self.add_crash(now, crash);
         }
         for refused in report.refused {
             self.adopt(now, refused);
@@ -508,8 +604,8 @@
         };
         let crashes = self.crashes.iter().rev();
         let crashes = crashes
-            .filter(|crash| self.announced.contains_key(&(crash.target, crash.at)))
-            .map(|crash| reported(crash, &uses));
+            .filter(|known| self.announced.contains_key(&known.crash.target))
+            .map(|known| reported(&known.crash, &uses));
         let refused = self.refused.iter().map(|(part, refusal)| RefusedPart {
             part: *part,
             crashed: refusal.crashed,
@@ -544,23 +640,3 @@
         ..crash.clone()
     }
 }
-
-/// Adds suspects to a crash; returns whether any was new.
-fn merge(crash: &mut Crash, suspects: &BTreeMap<id::PartHash, Suspect>) -> bool {
-    let mut added = false;
-    for (part, suspect) in suspects {
-        let is_full = crash.suspects.len() >= MAX_SUSPECTS;
-        match crash.suspects.get_mut(part) {
-            Some(known) => {
-                known.index = known.index.max(suspect.index);
-                known.sent = known.sent.max(suspect.sent);
-            }
-            None if !is_full => {
-                crash.suspects.insert(*part, *suspect);
-                added = true;
-            }
-            None => {}
-        }
-    }
-    added
-}
--- a/crates/admit/tests/crash_parts.rs
+++ b/crates/admit/tests/crash_parts.rs
@@ -1,8 +1,8 @@
 //! Tests that a prompt part which crashes targets is refused, and no other.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, iter};
 
-use admit::crash_parts::{Change, Crash, CrashParts, RefusedPart, Suspect};
+use admit::crash_parts::{Change, Crash, CrashParts, RefusedPart, Report, Suspect};
 use base::{
     id::{PartHash, ServiceId},
     time::Mono,
@@ -28,18 +28,29 @@
     "model".parse().expect("an id")
 }
 
-/// A crash of a target with the parts of requests sent 50 ms before it.
-fn crash(millis: u64, target: u64, parts: &[u64]) -> Crash {
-    let suspects = (0..).zip(parts).map(|(index, part)| {
-        let sent = at(millis - 50);
-        (PartHash(*part), Suspect { index, sent })
+/// Records a crash of a target with the parts of a request that the tracker's
+/// router sent at `sent`.
+fn crash_sent(tracker: &mut CrashParts, sent: u64, millis: u64, target: u64, parts: &[u64]) {
+    let sent = at(sent);
+    let levels = tracker.levels(sent, parts.iter().map(|part| PartHash(*part)));
+    let levels = levels.into_iter().chain(iter::repeat(1));
+    let suspects = (0..).zip(parts).zip(levels);
+    let suspects = suspects.map(|((index, part), level)| {
+        let suspect = Suspect { index, sent, level };
+        (PartHash(*part), suspect)
     });
-    Crash {
+    let crash = Crash {
         target,
         service: service(),
         at: at(millis),
         suspects: suspects.collect(),
-    }
+    };
+    tracker.record_crash(at(millis), crash);
+}
+
+/// Records a crash 50 ms after the request was sent.
+fn crash(tracker: &mut CrashParts, millis: u64, target: u64, parts: &[u64]) {
+    crash_sent(tracker, millis - 50, millis, target, parts);
 }
 
 fn answer(tracker: &mut CrashParts, begun: u64, parts: &[u64]) {
@@ -64,7 +75,7 @@
     let mut tracker = CrashParts::default();
     for number in 0..3 {
         let millis = 1_000 + number * 1_000;
-        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, SECOND, DEADLY]));
+        crash(&mut tracker, millis, number, &[FIRST, SECOND, DEADLY]);
         answer_others(&mut tracker, millis + 100);
         answer(&mut tracker, millis + 200, &[FIRST, SECOND]);
     }
@@ -87,7 +98,7 @@
     let mut tracker = CrashParts::default();
     for number in 1..3 {
         let millis = number * 1_000;
-        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, DEADLY]));
+        crash(&mut tracker, millis, number, &[FIRST, DEADLY]);
         answer_others(&mut tracker, millis + 100);
     }
     tracker.evaluate(at(10_000));
@@ -101,7 +112,7 @@
     let mut tracker = CrashParts::default();
     for number in 0..5 {
         let millis = 1_000 + number * 100;
-        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, 100 + number]));
+        crash(&mut tracker, millis, number, &[FIRST, 100 + number]);
         tracker.evaluate(at(millis));
     }
     answer_others(&mut tracker, 1_300);
@@ -118,12 +129,8 @@
 fn all_targets_down() {
     let mut tracker = CrashParts::default();
     for target in 0..50 {
-        let millis = 1_000 + target * 3;
-        let mut crash = crash(millis, target, &[FIRST, SECOND]);
-        for suspect in crash.suspects.values_mut() {
-            suspect.sent = at(millis - 1);
-        }
-        tracker.record_crash(at(millis), crash);
+        let millis = 1_000 + target;
+        crash_sent(&mut tracker, millis - 1, millis, target, &[FIRST, SECOND]);
     }
     tracker.evaluate(at(3_000));
     answer_others(&mut tracker, 4_000);
@@ -131,6 +138,49 @@
     assert_eq!(tracker.refused().count(), 0);
 }
 
+/// A busy router reads reports seconds late, so that targets which crashed together
+/// seem to have crashed one after the other.
+#[test]
+fn late_reports() {
+    let mut tracker = CrashParts::default();
+    for target in 0..10 {
+        let millis = 1_000 + target * 700;
+        let suspect = Suspect {
+            index: 0,
+            sent: at(millis - 50),
+            level: 1,
+        };
+        let crash = Crash {
+            target,
+            service: service(),
+            at: at(millis),
+            suspects: BTreeMap::from([(PartHash(FIRST), suspect)]),
+        };
+        let report = Report {
+            crashes: vec![crash],
+            ..Report::default()
+        };
+        tracker.merge(at(millis), report);
+        answer_others(&mut tracker, millis + 100);
+    }
+    tracker.evaluate(at(9_000));
+    assert_eq!(tracker.refused().count(), 0);
+}
+
+/// A request with the part is answered after the second of three crashes.
+#[test]
+fn answered_between() {
+    let mut tracker = CrashParts::default();
+    for number in 1..4 {
+        let millis = number * 1_000;
+        crash(&mut tracker, millis, number, &[FIRST, SECOND]);
+        answer_others(&mut tracker, millis + 100);
+    }
+    answer(&mut tracker, 2_500, &[FIRST, SECOND]);
+    tracker.evaluate(at(4_500));
+    assert_eq!(tracker.refused().count(), 0);
+}
+
 /// Targets that crash whatever they run answer no request of the service, so that
 /// no part is the cause.
 #[test]
@@ -139,7 +189,7 @@
     answer_others(&mut tracker, 200);
     for target in 0..50 {
         let millis = 1_000 + target * 300;
-        tracker.record_crash(at(millis), crash(millis, target, &[FIRST, SECOND]));
+        crash(&mut tracker, millis, target, &[FIRST, SECOND]);
         tracker.evaluate(at(millis));
     }
     tracker.evaluate(at(18_000));
@@ -153,7 +203,7 @@
     let mut tracker = CrashParts::default();
     for number in 1..6 {
         let millis = number * 1_000;
-        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, SECOND, DEADLY]));
+        crash(&mut tracker, millis, number, &[FIRST, SECOND, DEADLY]);
         answer_others(&mut tracker, millis + 100);
         tracker.evaluate(at(millis + 900));
     }
@@ -169,7 +219,7 @@
     answer(&mut tracker, 900, &[FIRST, DEADLY]);
     for number in 1..4 {
         let millis = number * 1_000;
-        tracker.record_crash(at(millis), crash(millis, number, &[FIRST, DEADLY]));
+        crash(&mut tracker, millis, number, &[FIRST, DEADLY]);
         answer_others(&mut tracker, millis + 100);
         answer(&mut tracker, millis + 200, &[FIRST]);
     }
@@ -188,7 +238,7 @@
         refuses(&mut tracker, 64_002, &[DEADLY]),
         "a trial is under way"
     );
-    tracker.record_crash(at(64_500), crash(64_500, 7, &[FIRST, DEADLY]));
+    crash(&mut tracker, 64_500, 7, &[FIRST, DEADLY]);
     assert!(refuses(&mut tracker, 80_000, &[DEADLY]));
     assert!(!refuses(&mut tracker, 124_501, &[DEADLY]));
     answer(&mut tracker, 124_700, &[FIRST, DEADLY]);
@@ -251,7 +301,7 @@
     for target in 0..2_000 {
         let millis = 1_000 + target * 10;
         let parts: Vec<u64> = (0..50).map(|part| target * 50 + part).collect();
-        tracker.record_crash(at(millis), crash(millis, target, &parts));
+        crash(&mut tracker, millis, target, &parts);
     }
     let refused = (0..5_000).map(|part| RefusedPart {
         part: PartHash(part),
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,12 +1,12 @@
 //! One attempt: sends a request to a target and validates the response.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, iter, sync::Arc};
 
 use admit::{
     crash_parts::{Crash, SURVIVAL_TIME, Suspect},
     poison::CrashReport,
 };
-use base::{id, span, time};
+use base::{hash, id, span, time};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
@@ -40,6 +40,9 @@
     pub flight: InFlight,
     /// When the request was sent.
     pub sent: time::Mono,
+    /// For each shared part of the prompt, the level that a crash at the target
+    /// would have, see [`Suspect::level`].
+    pub levels: Vec<u32>,
     /// Estimated number of requests at the target at that time.
     pub load: u32,
     /// Work that the request causes at the target, or `None` if a part of it cannot
@@ -86,11 +89,12 @@
         let remaining = self.deadline.since(now);
         let (flight, learned) = target.begin(now, &self.chain, selection.missing);
         self.shared.announce_parts(target, learned.into_iter());
+        let levels = self.shared.crash_parts().levels(now, self.chain.shared());
         let request = self.build_request(selection, remaining, last_event);
         let sent = target.pool.send(request);
         let (response, lease) = match timer::timeout(remaining.duration(), sent).await {
             Ok(Ok(sent)) => sent,
-            Ok(Err(error)) => return Err(self.send_failed(target, now, error)),
+            Ok(Err(error)) => return Err(self.send_failed(target, now, &levels, error)),
             Err(_) => {
                 self.log_missed(target, "timeout");
                 return Err(AttemptError::Timeout);
@@ -104,6 +108,7 @@
             lease,
             flight,
             sent: now,
+            levels,
             load: selection.load,
             // The time for a transfer of prompt parts cannot be estimated.
             task: selection.source.is_none().then_some(selection.task),
@@ -138,6 +143,7 @@
         &self,
         target: &Arc<Target>,
         sent: time::Mono,
+        levels: &[u32],
         error: SendError,
     ) -> AttemptError {
         let now = self.shared.clock.now();
@@ -145,7 +151,8 @@
             // A closed connection shows that the target's host is running.
             SendError::Closed(_) => {
                 target.update_breaker(Breaker::record_error);
-                self.check_crash(target, sent, None);
+                let suspects = self.suspects(sent, levels);
+                self.check_crash(target, suspects, None);
             }
             SendError::NotSent(_) | SendError::Unresponsive(_) => {
                 target.update_breaker(|breaker| breaker.record_no_response(now));
@@ -166,20 +173,25 @@
     /// Checks whether a target that closed the connection during the request has
     /// crashed. If it cannot be reached, the crash is recorded against the
     /// request's content and the parts of its prompt, which may be the cause.
-    /// `sent` is when the request was sent, `answering` the time since the first
-    /// event of the response, if there was one.
+    /// `answering` is the time since the first event of the response, if there was
+    /// one.
     pub fn check_crash(
         &self,
         target: &Arc<Target>,
-        sent: time::Mono,
+        suspects: BTreeMap<id::PartHash, Suspect>,
         answering: Option<span::Span>,
     ) {
         let (shared, target) = (self.shared.clone(), target.clone());
+        let has_survived = answering.is_some_and(|time| time >= SURVIVAL_TIME);
         let crash = Crash {
-            target: target.hash.0,
+            target: hash::mix(target.hash.0, target.row.started_at as u64),
             service: self.service.clone(),
             at: shared.clock.now(),
-            suspects: self.suspects(sent, answering),
+            suspects: if has_survived {
+                BTreeMap::new()
+            } else {
+                suspects
+            },
         };
         let attempt = self.head.attempt.clone();
         let fingerprint = self.fingerprint;
@@ -213,19 +225,13 @@
         });
     }
 
-    /// Returns the parts of the prompt that may have crashed the target: none, if
-    /// the target had been answering for some time.
-    fn suspects(
-        &self,
-        sent: time::Mono,
-        answering: Option<span::Span>,
-    ) -> BTreeMap<id::PartHash, Suspect> {
-        if answering.is_some_and(|time| time >= SURVIVAL_TIME) {
-            return BTreeMap::new();
-        }
-        let parts = (0..).zip(self.chain.shared());
+    /// Returns the parts of the prompt that may crash the target to which it was
+    /// sent.
+    pub fn suspects(&self, sent: time::Mono, levels: &[u32]) -> BTreeMap<id::PartHash, Suspect> {
+        let levels = levels.iter().copied().chain(iter::repeat(1));
+        let parts = (0..).zip(self.chain.shared()).zip(levels);
         parts
-            .map(|(index, part)| (part, Suspect { index, sent }))
+            .map(|((index, part), level)| (part, Suspect { index, sent, level }))
             .collect()
     }
 
@@ -301,6 +307,7 @@
             lease,
             flight,
             sent,
+            levels,
             task,
             ..
         } = response;
@@ -316,7 +323,8 @@
                     ReadError::TooLarge(_) => breaker.record_no_response(now),
                     _ => breaker.record_error(),
                 });
-                self.check_crash(&target, sent, None);
+                let suspects = self.suspects(sent, &levels);
+                self.check_crash(&target, suspects, None);
                 tracing::info!(event = "lost", id = %self.head.attempt, target = %target.row.id, %error);
                 return Err(AttemptError::OutcomeUnknown);
             }
--- a/crates/edge/src/crash_reports.rs
+++ b/crates/edge/src/crash_reports.rs
@@ -25,6 +25,7 @@
                 part: part.0,
                 index: suspect.index,
                 age: millis(now.since(suspect.sent)),
+                level: suspect.level,
             })
             .collect();
         space -= entry.suspects.len();
@@ -91,6 +92,7 @@
     let entry = Suspect {
         index: suspect.index,
         sent: before(now, suspect.age),
+        level: suspect.level,
     };
     (id::PartHash(suspect.part), entry)
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -88,8 +88,9 @@
                     target.update_breaker(|breaker| breaker.record_error());
                     let now = self.request.shared.clock.now();
                     let answering = self.begun.map(|begun| now.since(begun));
-                    self.request
-                        .check_crash(&target, self.response.sent, answering);
+                    let response = &self.response;
+                    let suspects = self.request.suspects(response.sent, &response.levels);
+                    self.request.check_crash(&target, suspects, answering);
                     let id = &self.request.head.attempt;
                     let last = self.events.last_id();
                     tracing::info!(event = "stream_broken", %id, target = %target.row.id, last, %fault);
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -131,7 +131,7 @@
 /// A crash of a target, and the prompt parts that may be its cause.
 #[derive(Clone, PartialEq, Message)]
 pub struct PartCrash {
-    /// Hash of the target's id.
+    /// Hash that identifies the run of the target.
     #[prost(fixed64, tag = "1")]
     pub target: u64,
     /// Service of the target.
@@ -158,6 +158,10 @@
     /// milliseconds.
     #[prost(uint32, tag = "3")]
     pub age: u32,
+    /// How many crashes of the part had followed one another with this one, as far
+    /// as the router knew that sent the request.
+    #[prost(uint32, tag = "4")]
+    pub level: u32,
 }
 
 /// A prompt part that is refused.
--- a/crates/edge/tests/crash_reports.rs
+++ b/crates/edge/tests/crash_reports.rs
@@ -1,7 +1,7 @@
 //! A fleet of routers in which each sees at most one of the crashes that a prompt
 //! part causes.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, iter};
 
 use admit::crash_parts::{Crash, CrashParts, Suspect};
 use base::{
@@ -54,6 +54,7 @@
     router: usize,
     target: u64,
     sent: u64,
+    levels: Vec<u32>,
 }
 
 struct Fleet {
@@ -136,10 +137,13 @@
         let over = fifth.is_some_and(|fifth| now > fifth + self.scenario.contact);
         self.late += usize::from(over);
         let target = self.rng.random_range(0..10_000);
+        let parts = [FIRST, SECOND, DEADLY].into_iter();
+        let levels = self.routers[router].levels(at(now), parts);
         self.flights.push(Flight {
             router,
             target,
             sent: now,
+            levels,
         });
     }
 
@@ -153,28 +157,39 @@
         let due: Vec<Flight> = due;
         for flight in due {
             self.crashes.push(now);
-            let parts = [FIRST, SECOND, DEADLY];
-            self.record(now, flight.router, flight.target, flight.sent, &parts);
+            self.record(now, &flight, &[FIRST, SECOND, DEADLY]);
             for _ in 0..3 {
                 let router = self.rng.random_range(0..self.routers.len());
                 let own = PartHash(self.rng.random_range(100..200));
                 let second = if self.rng.random() { SECOND } else { own };
-                self.record(now, router, flight.target, now - 150, &[FIRST, second]);
+                let parts = [FIRST, second];
+                let sent = now - 150;
+                let other = Flight {
+                    router,
+                    sent,
+                    levels: self.routers[router].levels(at(sent), parts.into_iter()),
+                    ..flight
+                };
+                self.record(now, &other, &parts);
             }
         }
     }
 
-    fn record(&mut self, now: u64, router: usize, target: u64, sent: u64, parts: &[PartHash]) {
-        let sent = at(sent);
-        let suspects = (0..).zip(parts);
-        let suspects = suspects.map(|(index, part)| (*part, Suspect { index, sent }));
+    fn record(&mut self, now: u64, flight: &Flight, parts: &[PartHash]) {
+        let sent = at(flight.sent);
+        let levels = flight.levels.iter().copied().chain(iter::repeat(1));
+        let suspects = (0..).zip(parts).zip(levels);
+        let suspects = suspects.map(|((index, part), level)| {
+            let suspect = Suspect { index, sent, level };
+            (*part, suspect)
+        });
         let crash = Crash {
-            target,
+            target: flight.target,
             service: service(),
             at: at(now),
             suspects: suspects.collect(),
         };
-        self.routers[router].record_crash(at(now), crash);
+        self.routers[flight.router].record_crash(at(now), crash);
     }
 
     fn exchange(&mut self, now: u64) {
@@ -291,7 +306,12 @@
     for target in 0..60 {
         let suspects = (0..40).map(|part| {
             let sent = at(900);
-            (PartHash(target * 100 + part), Suspect { index: 0, sent })
+            let suspect = Suspect {
+                index: 0,
+                sent,
+                level: 1,
+            };
+            (PartHash(target * 100 + part), suspect)
         });
         let crash = Crash {
             target,
