Tell other routers which parts of crashes were answered

A router announces a part now as soon as a request with it is answered after a crash, the most suspected first.

answered_elsewhere fails without this and passes.

--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -76,6 +76,9 @@
 /// it. The time of its crashes is not stored, as routers share no clock.
 const STORED_AGE: span::Span = span::Span::from_secs(5);
 
+/// Maximum number of cleared parts that are sent to other routers.
+const MAX_CLEARED: usize = 64;
+
 /// Maximum number of refused parts.
 const MAX_REFUSED: usize = 1_024;
 
@@ -139,7 +142,7 @@
     pub crashes: Vec<Crash>,
     /// Refused parts.
     pub refused: Vec<RefusedPart>,
-    /// Parts that were cleared recently.
+    /// Parts that were cleared recently, the most suspected first.
     pub cleared: Vec<ClearedPart>,
 }
 
@@ -165,6 +168,14 @@
     known: time::Mono,
 }
 
+/// A cleared part that is sent to other routers.
+#[derive(Clone, Copy, Debug)]
+struct Announcement {
+    level: u32,
+    until: time::Mono,
+    part: ClearedPart,
+}
+
 /// The crashes at which a part was in use and which it may have caused.
 #[derive(Clone, Copy, Debug)]
 struct Counted<'a> {
@@ -221,7 +232,8 @@
     /// Time until which a crash is sent to other routers, by the run of the target.
     announced: BTreeMap<u64, time::Mono>,
     refused: BTreeMap<id::PartHash, Refusal>,
-    cleared: Vec<(time::Mono, ClearedPart)>,
+    /// In the order in which they are sent.
+    cleared: Vec<Announcement>,
     survivors: Survivors,
     /// Times at which the latest answered requests of each service began to be
     /// answered.
@@ -306,12 +318,27 @@
             self.refused.remove(&cleared.part);
             self.changes.push(Change::Admitted(cleared.part));
         }
-        if lifted || suspected.is_some_and(|level| level + 1 >= CRASH_LIMIT) {
-            self.cleared.retain(|(_, known)| known.part != cleared.part);
-            self.cleared.push((now + GOSSIP_TIME, cleared));
+        if lifted {
+            self.announce(now, cleared, CRASH_LIMIT);
+        } else if let Some(level) = suspected {
+            self.announce(now, cleared, level);
         }
     }
 
+    /// Sends a cleared part to other routers for some time; those that were in use
+    /// at most successive crashes go first.
+    fn announce(&mut self, now: time::Mono, cleared: ClearedPart, level: u32) {
+        self.cleared.retain(|known| known.part.part != cleared.part);
+        self.cleared.push(Announcement {
+            level,
+            until: now + GOSSIP_TIME,
+            part: cleared,
+        });
+        self.cleared
+            .sort_by_key(|known| cmp::Reverse((known.level, known.until)));
+        self.cleared.truncate(MAX_CLEARED);
+    }
+
     /// Returns for each part the [`Suspect::level`] of a request with it that is
     /// sent now.
     pub fn levels(&self, now: time::Mono, parts: impl Iterator<Item = id::PartHash>) -> Vec<u32> {
@@ -419,7 +446,7 @@
         self.crashes
             .retain(|known| now.since(known.crash.at) < CRASH_MEMORY);
         self.announced.retain(|_, until| *until > now);
-        self.cleared.retain(|(until, _)| *until > now);
+        self.cleared.retain(|cleared| cleared.until > now);
         let over = |refusal: &Refusal| refusal.until + TRIAL_TERM <= now;
         let expired: Vec<_> = self
             .refused
@@ -547,8 +574,7 @@
                 part,
                 answered: survived,
             };
-            self.cleared.retain(|(_, known)| known.part != part);
-            self.cleared.push((now + GOSSIP_TIME, cleared));
+            self.announce(now, cleared, CRASH_LIMIT);
             return;
         }
         let until = refused.until.min(now + REFUSAL_TERM);
@@ -614,7 +640,7 @@
         Report {
             crashes: crashes.collect(),
             refused: refused.collect(),
-            cleared: self.cleared.iter().rev().map(|(_, part)| *part).collect(),
+            cleared: self.cleared.iter().map(|known| known.part).collect(),
         }
     }
 
--- a/crates/admit/tests/crash_parts.rs
+++ b/crates/admit/tests/crash_parts.rs
@@ -177,6 +177,7 @@
         answer_others(&mut tracker, millis + 100);
     }
     answer(&mut tracker, 2_500, &[FIRST, SECOND]);
+    answer_others(&mut tracker, 3_200);
     tracker.evaluate(at(4_500));
     assert_eq!(tracker.refused().count(), 0);
 }
@@ -294,6 +295,25 @@
     assert!(!refuses(&mut other, 5_701, &[SECOND]));
 }
 
+/// Targets crash for another reason, and requests with a part are answered between
+/// the crashes at another router only.
+#[test]
+fn answered_elsewhere() {
+    let mut tracker = CrashParts::default();
+    let mut other = CrashParts::default();
+    for number in 1..4 {
+        let millis = number * 1_000;
+        crash(&mut tracker, millis, number, &[FIRST, SECOND]);
+        answer_others(&mut tracker, millis + 100);
+        other.merge(at(millis + 100), tracker.report(at(millis + 100)));
+        answer(&mut other, millis + 200, &[SECOND]);
+        tracker.merge(at(millis + 800), other.report(at(millis + 800)));
+    }
+    tracker.evaluate(at(4_500));
+    let refused: Vec<_> = tracker.refused().collect();
+    assert_eq!(refused, [PartHash(FIRST)]);
+}
+
 /// What is remembered is limited, whatever crashes and whatever is told.
 #[test]
 fn limited_memory() {
