Take no unnamed response on a kept connection for that of a request

A caller would be told 'not run' with 503 for a request that the target runs, or another target runs it too.

Cause: a response without an attempt id counted as the response to the request at hand, on any connection. Bytes that were left over from an earlier request come first on a kept connection and may carry no id. Such a response counts on a new connection only now; on a kept one the outcome is unknown (502), as for a response with another id. A refusal with the id of another attempt was already taken for foreign.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -258,10 +258,10 @@
     ) -> Result<TargetResponse, AttemptError> {
         let now = self.shared.clock.now();
         let head = &response.head;
-        let is_own = head
-            .attempt
-            .as_ref()
-            .is_none_or(|id| *id == self.head.attempt);
+        let is_own = match &head.attempt {
+            Some(id) => *id == self.head.attempt,
+            None => !response.lease.is_reused(),
+        };
         if !is_own {
             target.update_breaker(|breaker| breaker.record_error());
             self.log_missed(target, "foreign-response");
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -87,6 +87,8 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Whether it was idle before, as a rule after an earlier response.
+    reused: bool,
     _task: ConnectionTask,
 }
 
@@ -105,6 +107,14 @@
 #[derive(Debug)]
 pub struct Lease(Connection);
 
+impl Lease {
+    /// Returns whether an earlier request was answered on the connection. Bytes
+    /// that belong to that one may come before the response to the present one.
+    pub fn is_reused(&self) -> bool {
+        self.0.reused
+    }
+}
+
 impl Pool {
     /// Creates an empty pool.
     pub fn new(address: SocketAddr) -> Self {
@@ -140,7 +150,10 @@
                 continue;
             }
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, Lease(connection))),
+                Ok(response) => {
+                    connection.reused = !fresh;
+                    return Ok((response, Lease(connection)));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if !fresh => request = unsent,
                     Some(_) => {
@@ -224,6 +237,7 @@
         });
         Ok(Connection {
             sender,
+            reused: false,
             _task: ConnectionTask(task.abort_handle()),
         })
     }
--- a/crates/edge/tests/forwarding.rs
+++ b/crates/edge/tests/forwarding.rs
@@ -259,6 +259,63 @@
     assert!(!response.whole);
 }
 
+/// A target writes an earlier refusal once more on a kept connection, in place of
+/// the response to the next request, which it runs. The refusal does not belong to
+/// that request, whether or not it names an attempt.
+#[tokio::test]
+async fn repeated_refusal() {
+    const BUSY: &str =
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n";
+    const DONE: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n";
+    for named in ["X-Attempt-Id: a0\r\n", ""] {
+        let table = Rows::start().expect("a table");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        fakes::site::configure(&table, 1, &[site::KEY]);
+        let address = listener.local_addr().expect("bound");
+        fakes::site::list(&table, "i-1", address, "ready", 1);
+        let router = site::router(site::settings(table.address(), &[])).await;
+        router.ready().await;
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepts");
+            let mut request = vec![0; 4_096];
+            for response in [DONE, &format!("{BUSY}{named}\r\n")] {
+                let read = stream.read(&mut request).await.expect("reads");
+                assert!(read > 0);
+                stream.write_all(response.as_bytes()).await.expect("writes");
+            }
+            // The request runs until the connection is closed.
+            let closed = stream.read(&mut request).await;
+            assert!(closed.is_err() || closed.is_ok_and(|read| read == 0));
+        });
+        let first = router.call("/once/a", "a1").await;
+        assert_eq!(first.status, StatusCode::OK);
+        let response = router.call("/once/a", "a2").await;
+        assert_eq!(response.status, StatusCode::BAD_GATEWAY, "named {named:?}");
+    }
+}
+
+/// A stream breaks off, and the next target responds with an error. The caller
+/// must see neither the error's text nor a complete stream.
+#[tokio::test]
+async fn error_while_resuming() {
+    for behaviour in [Behaviour::Fail, Behaviour::Echo, Behaviour::Busy] {
+        let site = start(behaviour).await;
+        site.first.set(Behaviour::Break(2));
+        let mut broken = 0;
+        for number in 0..6 {
+            let response = site.router.call("/resume/a", &format!("a{number}")).await;
+            if response.headers.contains_key("content-type")
+                && response.headers["content-type"] == "text/event-stream"
+            {
+                broken += 1;
+                assert_eq!(response.body, events(1, 2), "{behaviour:?}");
+                assert!(!response.whole, "{behaviour:?}");
+            }
+        }
+        assert!(broken > 0, "no stream began before the error");
+    }
+}
+
 /// When a caller disconnects, the request at the target is cancelled soon after.
 #[tokio::test]
 async fn caller_disconnected() {
