Test odd entries of other writers among the targets

Report of another operator: an entry that is very deeply nested, has a number too large or a port out of range ended routers that read the list, or kept them from following it.

--- a/crates/edge/tests/table.rs
+++ b/crates/edge/tests/table.rs
@@ -102,6 +102,34 @@
     assert_eq!(router.call("/once/a", "a1").await.status, StatusCode::OK);
 }
 
+/// Another writer's entry among the targets must not end the router, nor keep it
+/// from following the other entries, also when it starts again.
+#[tokio::test]
+async fn odd_entries() {
+    const VALID: &str = r#"{"service":"s1","address":"127.0.0.1:9","zone":"z1","batch_slots":4,"state":"ready","born":1}"#;
+    let table = Rows::start().expect("a table");
+    fakes::site::configure(&table, 1, &[site::KEY]);
+    let [first, _second] = targets(&table);
+    let running = start(&table).await;
+    let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    table.put("servers", "i-3", nested.as_bytes());
+    let rows = [
+        VALID.replace("4", &nested),
+        VALID.replace("4", "1e999"),
+        VALID.replace("4", "99999999999999999999"),
+        VALID.replace(":9", ":70000"),
+    ];
+    for (number, row) in rows.iter().enumerate() {
+        table.put("servers", &format!("i-{}", number + 4), row.as_bytes());
+    }
+    let started = start(&table).await;
+    fakes::site::list_runner(&table, &first, "draining");
+    for router in [&running, &started] {
+        site::until("one target left", || open(router) == 1).await;
+        assert_eq!(router.call("/once/a", "a1").await.status, StatusCode::OK);
+    }
+}
+
 /// A router that cannot read the table gets configuration and targets from a
 /// peer.
 #[tokio::test]
