Follow what targets say in responses: leaving, and Retry-After

Neither header was read. A target that leaves says so in all responses (Server-Leaving: 1); from the first one on this router sends it nothing, whatever its row says, for one run of the target and ten minutes at most. Both enter Candidate::accepting, the choice of every attempt: first ones, retries, resumed streams, probes of blocked targets. If all targets ask for a pause, callers get 503 at once with the time until the first one ends, spread over a third of what they still wait.

Not built: the headers in the lab and the soak.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -20,6 +20,7 @@
     body::{self, Body},
     decide::Selection,
     fleet::{InFlight, SharedParts, Target},
+    metrics::Counter,
     request::CallerRequest,
     upstream::{Lease, Reachability, SendError},
 };
@@ -246,6 +247,19 @@
         }
     }
 
+    /// Records what the target says of its further use.
+    fn record_notices(&self, target: &Target, now: time::Mono, head: &ResponseHead) {
+        if head.leaving && target.report_leaving(now) {
+            self.shared.metrics.count(Counter::LeavesSeen);
+            tracing::info!(event = "target_leaving", id = %self.head.attempt, target = %target.row.id);
+        }
+        if let Some(pause) = head.pause {
+            target.report_pause(now, pause);
+            self.shared.metrics.count(Counter::Pauses);
+            tracing::info!(event = "target_pause", id = %self.head.attempt, target = %target.row.id, %pause);
+        }
+    }
+
     fn log_missed(&self, target: &Target, outcome: &'static str) {
         tracing::info!(event = "missed", id = %self.head.attempt, target = %target.row.id, outcome);
     }
@@ -270,6 +284,7 @@
         if let Some(load) = head.load {
             target.report(now, load);
         }
+        self.record_notices(target, now, head);
         if head.not_run {
             if head.status == StatusCode::MISDIRECTED_REQUEST {
                 target.update_breaker(|breaker| breaker.record_no_response(now));
--- a/crates/edge/src/decide.rs
+++ b/crates/edge/src/decide.rs
@@ -126,6 +126,13 @@
         })
     }
 
+    /// Returns the time until the first of the targets that asked for no requests
+    /// gets some again.
+    pub fn pause(&self, now: time::Mono) -> Option<span::Span> {
+        let paused = self.targets.iter();
+        paused.filter_map(|target| target.paused_for(now)).min()
+    }
+
     /// Returns the work that a request causes at a candidate that has to process
     /// `read` prompt tokens.
     fn task(&self, candidate: cost::Candidate, read: u32) -> Task {
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -29,6 +29,10 @@
 /// Number of requests that other routers may have sent since a fresh report.
 const REPORT_MARGIN: u32 = 1;
 
+/// Time after which a target that said that it is leaving and is still there is
+/// sent to again, in case it was mistaken.
+const LEAVING_TERM: span::Span = span::Span::from_secs(600);
+
 /// Time after which the load that a peer reported is ignored.
 pub const PEER_LOAD_TTL: span::Span = span::Span::from_millis(1_500);
 
@@ -69,6 +73,10 @@
     peers: BTreeMap<u64, PeerLoad>,
     breaker: Breaker,
     slowdown: Slowdown,
+    /// Until when the target gets no requests because it asked for that.
+    pause: Option<time::Mono>,
+    /// Until when the target counts as leaving because it said so in a response.
+    leaving: Option<time::Mono>,
     parts: BTreeMap<id::PartHash, CacheEntry>,
 }
 
@@ -284,7 +292,7 @@
             penalty: state.breaker.penalty(),
             slowdown: ((factor - 1.0) * 100.0) as u32,
             local: self.row.centre == *centre,
-            accepting: !self.row.leaving,
+            accepting: !self.row.leaving && state.accepts(now),
             unblocked: state.breaker.admits(now),
         }
     }
@@ -377,6 +385,31 @@
         state.since = 0;
     }
 
+    /// Records that the target said that it is leaving. Returns whether that was
+    /// not known.
+    pub fn report_leaving(&self, now: time::Mono) -> bool {
+        let mut state = self.state();
+        let is_new = !state.says_leaving(now);
+        state.leaving = Some(now + LEAVING_TERM);
+        is_new
+    }
+
+    /// Records that the target wants no requests for some time.
+    pub fn report_pause(&self, now: time::Mono, pause: span::Span) {
+        let mut state = self.state();
+        let until = now + pause;
+        state.pause = Some(state.pause.map_or(until, |known| known.max(until)));
+    }
+
+    /// Returns for how much longer the target gets no requests because it asked for
+    /// that, unless it is leaving.
+    pub fn paused_for(&self, now: time::Mono) -> Option<span::Span> {
+        let state = self.state();
+        let pause = state.pause.filter(|until| *until > now)?;
+        let is_leaving = self.row.leaving || state.says_leaving(now);
+        (!is_leaving).then(|| pause.since(now))
+    }
+
     /// Updates the circuit breaker after the outcome of a request.
     pub fn update_breaker(&self, update: impl FnOnce(&mut Breaker)) {
         update(&mut self.state().breaker);
@@ -411,6 +444,17 @@
 }
 
 impl State {
+    /// Returns whether the target said in a response that it is leaving.
+    fn says_leaving(&self, now: time::Mono) -> bool {
+        self.leaving.is_some_and(|until| until > now)
+    }
+
+    /// Returns whether the target may get requests, as far as it said.
+    fn accepts(&self, now: time::Mono) -> bool {
+        let is_paused = self.pause.is_some_and(|until| until > now);
+        !is_paused && !self.says_leaving(now)
+    }
+
     /// Returns the estimated number of requests at the target.
     ///
     /// A request whose response was lost is counted until it times out, even if
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -138,7 +138,10 @@
             seed: hash::bytes(self.head.attempt.as_str().as_bytes()),
         };
         let Some(selection) = state.select(now, query) else {
-            return Next::Stop;
+            return match state.pause(now) {
+                Some(after) if attempts.runs == 0 => Next::Refuse(Reason::Busy, self.spread(after)),
+                _ => Next::Stop,
+            };
         };
         if attempts.targets.is_empty()
             && let Some(after) = self.shed(now, &state, &selection)
@@ -219,6 +222,14 @@
         }
     }
 
+    /// Extends a time by up to a third of what the caller has left, so that callers
+    /// do not all return at the same moment.
+    fn spread(&self, after: span::Span) -> span::Span {
+        let left = self.deadline.since(self.shared.clock.now()).as_micros() / 3;
+        let spread = left as f64 * rand::rng().random::<f64>();
+        span::Span::from_micros(after.as_micros() + spread as u64)
+    }
+
     /// Returns the time after which the caller should retry if the request is shed,
     /// and `None` if it is accepted.
     fn shed(
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -52,6 +52,10 @@
     Resumed,
     /// Prompt parts that were refused because they crash targets.
     RefusedParts,
+    /// Targets that said in a response that they are leaving.
+    LeavesSeen,
+    /// Refusals of targets that asked for no requests for some time.
+    Pauses,
     /// Calls to the table.
     TableCalls,
     /// Calls to the table that failed.
@@ -61,7 +65,7 @@
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 16] = [
+    const ALL: [(Self, &'static str); 18] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -75,6 +79,8 @@
         (Self::RetriesDenied, "repeats_denied"),
         (Self::Resumed, "streams_resumed"),
         (Self::RefusedParts, "parts_refused"),
+        (Self::LeavesSeen, "target_leaves_seen"),
+        (Self::Pauses, "target_pauses"),
         (Self::TableCalls, "table_calls"),
         (Self::TableFailures, "table_failures"),
         (Self::UpdatesReceived, "news_received"),
--- a/crates/fakes/src/runner.rs
+++ b/crates/fakes/src/runner.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -102,7 +102,11 @@
     kept: Mutex<Vec<(String, u32)>>,
     /// Prompt part whose requests crash the target.
     deadly: Mutex<Option<String>>,
+    leaving: AtomicBool,
+    /// `Retry-After` of refusals.
+    pause: Mutex<Option<String>>,
     lists: AtomicUsize,
+    refusals: AtomicUsize,
     streams: Arc<AtomicUsize>,
     power: Power,
 }
@@ -129,7 +133,10 @@
             runs: Mutex::default(),
             kept: Mutex::default(),
             deadly: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            pause: Mutex::default(),
             lists: AtomicUsize::new(0),
+            refusals: AtomicUsize::new(0),
             streams: Arc::default(),
             power: port.power(),
         });
@@ -178,11 +185,26 @@
         *lock(&self.shared.deadly) = part.map(str::to_owned);
     }
 
+    /// Makes the target say in all responses that it is leaving.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Sets the `Retry-After` of refusals.
+    pub fn pause(&self, value: &str) {
+        *lock(&self.shared.pause) = Some(value.to_owned());
+    }
+
     /// Returns how often the target was asked what it keeps.
     pub fn lists(&self) -> usize {
         self.shared.lists.load(Ordering::Relaxed)
     }
 
+    /// Returns how many requests the target refused.
+    pub fn refusals(&self) -> usize {
+        self.shared.refusals.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of streams that are being sent.
     pub fn streams(&self) -> usize {
         self.shared.streams.load(Ordering::Relaxed)
@@ -243,6 +265,9 @@
             }
         };
         set("x-attempt-id", attempt);
+        if self.leaving.load(Ordering::Relaxed) {
+            set("server-leaving", "1");
+        }
         if behaviour != Behaviour::Unsigned {
             set("x-response-signature", &format!("signed-by-{}", self.id));
         }
@@ -332,6 +357,11 @@
             if let Ok(value) = "1".parse() {
                 response.headers_mut().insert("x-not-executed", value);
             }
+            let pause = lock(&self.pause).clone();
+            if let Some(Ok(value)) = pause.map(|pause| pause.parse()) {
+                response.headers_mut().insert("retry-after", value);
+            }
+            self.refusals.fetch_add(1, Ordering::Relaxed);
             return Ok(response);
         }
         let path = head.uri.path_and_query().map(ToString::to_string);
