Compare parts by crashes that all routers have had time to report

One router had heard of the latest crash from a request beside the cause only, counted 10 crashes for the part that both share and 9 for the cause, and took the former for the explanation.

partial_reports fails without this and passes.

--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -467,8 +467,10 @@
         if latest.is_none_or(|latest| now.since(latest.crash.at) > EVALUATION_TIME) {
             return;
         }
+        // Not all routers may have reported later crashes yet.
+        let reported = time::Mono(now.0.saturating_sub(SETTLE_TIME.as_micros()));
         let mut candidates: Vec<_> = self
-            .uses()
+            .uses(reported)
             .into_iter()
             .filter(|(part, uses)| uses.crashes >= CRASH_LIMIT && !self.refused.contains_key(part))
             .map(|(part, uses)| (uses, part))
@@ -485,10 +487,11 @@
         }
     }
 
-    /// Returns for each part at how many crashes it was in use.
-    fn uses(&self) -> BTreeMap<id::PartHash, Uses> {
+    /// Returns for each part at how many crashes it was in use that have been known
+    /// since `before`.
+    fn uses(&self, before: time::Mono) -> BTreeMap<id::PartHash, Uses> {
         let mut uses: BTreeMap<id::PartHash, Uses> = BTreeMap::new();
-        for known in &self.crashes {
+        for known in self.crashes.iter().filter(|known| known.known <= before) {
             for (part, suspect) in &known.crash.suspects {
                 let uses = uses.entry(*part).or_default();
                 uses.crashes += 1;
@@ -626,7 +629,7 @@
         self.forget(now);
         let uses = match self.announced.is_empty() {
             true => BTreeMap::new(),
-            false => self.uses(),
+            false => self.uses(now),
         };
         let crashes = self.crashes.iter().rev();
         let crashes = crashes
--- a/crates/admit/tests/crash_parts.rs
+++ b/crates/admit/tests/crash_parts.rs
@@ -213,6 +213,23 @@
     assert_eq!(refused, [PartHash(DEADLY)]);
 }
 
+/// Of the latest crash only a request beside the one that caused it is known, which
+/// has another of its parts.
+#[test]
+fn partial_reports() {
+    let mut tracker = CrashParts::default();
+    for number in 1..4 {
+        let millis = number * 1_000;
+        crash(&mut tracker, millis, number, &[FIRST, SECOND, DEADLY]);
+        answer_others(&mut tracker, millis + 100);
+    }
+    crash(&mut tracker, 3_900, 4, &[FIRST, SECOND]);
+    answer_others(&mut tracker, 3_910);
+    tracker.evaluate(at(4_000));
+    let refused: Vec<_> = tracker.refused().collect();
+    assert_eq!(refused, [PartHash(DEADLY)]);
+}
+
 /// The part begins to crash targets after it was sound for a long time.
 #[test]
 fn sound_before() {
