--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -108,8 +108,6 @@
 pub struct Suspect {
     /// Index of the part in the prompt.
     pub index: u32,
-    /// When the latest request with the part was sent to the target.
-    pub sent: time::Mono,
     /// How many crashes of the part had followed one another with this one, as far
     /// as the router knew that sent the request.
     pub level: u32,
@@ -353,14 +351,14 @@
         parts.map(|part| level(part).unwrap_or(0) + 1).collect()
     }
 
-    /// Records a crash that this router noticed. Parts that it sent to the target
-    /// after another router had noticed the crash are not its cause.
-    pub fn record_crash(&mut self, now: time::Mono, mut crash: Crash) {
-        if let Some(index) = self.position(&crash) {
-            let noticed = self.crashes[index].crash.at;
-            crash.suspects.retain(|_, suspect| suspect.sent <= noticed);
+    /// Records a crash that this router noticed by a request sent at `sent`. A
+    /// request that was sent after another router had noticed the crash is not its
+    /// cause.
+    pub fn record_crash(&mut self, now: time::Mono, sent: time::Mono, crash: Crash) {
+        let known = self.position(&crash);
+        if known.is_none_or(|index| sent <= self.crashes[index].crash.at) {
+            self.add_crash(now, crash);
         }
-        self.add_crash(now, crash);
     }
 
     /// Returns the index of a crash, if it is known.
@@ -415,7 +413,6 @@
                 Some(suspected) => {
                     added |= suspect.level > suspected.level;
                     suspected.index = suspected.index.max(suspect.index);
-                    suspected.sent = suspected.sent.max(suspect.sent);
                     suspected.level = suspected.level.max(suspect.level);
                 }
                 None if !is_full => {
--- a/crates/admit/tests/crash_parts.rs
+++ b/crates/admit/tests/crash_parts.rs
@@ -36,7 +36,7 @@
     let levels = levels.into_iter().chain(iter::repeat(1));
     let suspects = (0..).zip(parts).zip(levels);
     let suspects = suspects.map(|((index, part), level)| {
-        let suspect = Suspect { index, sent, level };
+        let suspect = Suspect { index, level };
         (PartHash(*part), suspect)
     });
     let crash = Crash {
@@ -45,7 +45,7 @@
         at: at(millis),
         suspects: suspects.collect(),
     };
-    tracker.record_crash(at(millis), crash);
+    tracker.record_crash(at(millis), sent, crash);
 }
 
 /// Records a crash 50 ms after the request was sent.
@@ -145,11 +145,7 @@
     let mut tracker = CrashParts::default();
     for target in 0..10 {
         let millis = 1_000 + target * 700;
-        let suspect = Suspect {
-            index: 0,
-            sent: at(millis - 50),
-            level: 1,
-        };
+        let suspect = Suspect { index: 0, level: 1 };
         let crash = Crash {
             target,
             service: service(),
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -152,8 +152,7 @@
             // A closed connection shows that the target's host is running.
             SendError::Closed(_) => {
                 target.update_breaker(Breaker::record_error);
-                let suspects = self.suspects(sent, levels);
-                self.check_crash(target, suspects, None);
+                self.check_crash(target, sent, levels, None);
             }
             SendError::NotSent(_) | SendError::Unresponsive(_) => {
                 target.update_breaker(|breaker| breaker.record_no_response(now));
@@ -174,24 +173,24 @@
     /// Checks whether a target that closed the connection during the request has
     /// crashed. If it cannot be reached, the crash is recorded against the
     /// request's content and the parts of its prompt, which may be the cause.
-    /// `answering` is the time since the first event of the response, if there was
-    /// one.
+    /// `sent` and `levels` are those of the [`TargetResponse`], `answering` is the
+    /// time since the first event of the response, if there was one.
     pub fn check_crash(
         &self,
         target: &Arc<Target>,
-        suspects: BTreeMap<id::PartHash, Suspect>,
+        sent: time::Mono,
+        levels: &[u32],
         answering: Option<span::Span>,
     ) {
         let (shared, target) = (self.shared.clone(), target.clone());
-        let has_survived = answering.is_some_and(|time| time >= SURVIVAL_TIME);
+        let is_suspect = answering.is_none_or(|time| time < SURVIVAL_TIME);
         let crash = Crash {
             target: hash::mix(target.hash.0, target.row.started_at as u64),
             service: self.service.clone(),
             at: shared.clock.now(),
-            suspects: if has_survived {
-                BTreeMap::new()
-            } else {
-                suspects
+            suspects: match is_suspect {
+                true => self.suspects(levels),
+                false => BTreeMap::new(),
             },
         };
         let attempt = self.head.attempt.clone();
@@ -205,7 +204,7 @@
             let now = shared.clock.now();
             target.update_breaker(|breaker| breaker.record_no_response(now));
             if reachability == Reachability::Refused && !shared.is_leaving(&target) {
-                shared.crash_parts().record_crash(now, crash);
+                shared.crash_parts().record_crash(now, sent, crash);
             }
             let report = CrashReport {
                 fingerprint,
@@ -226,13 +225,12 @@
         });
     }
 
-    /// Returns the parts of the prompt that may crash the target to which it was
-    /// sent.
-    pub fn suspects(&self, sent: time::Mono, levels: &[u32]) -> BTreeMap<id::PartHash, Suspect> {
+    /// Returns the parts of the prompt that may be the cause of a crash.
+    fn suspects(&self, levels: &[u32]) -> BTreeMap<id::PartHash, Suspect> {
         let levels = levels.iter().copied().chain(iter::repeat(1));
         let parts = (0..).zip(self.chain.shared()).zip(levels);
         parts
-            .map(|((index, part), level)| (part, Suspect { index, sent, level }))
+            .map(|((index, part), level)| (part, Suspect { index, level }))
             .collect()
     }
 
@@ -338,8 +336,7 @@
                     ReadError::TooLarge(_) => breaker.record_no_response(now),
                     _ => breaker.record_error(),
                 });
-                let suspects = self.suspects(sent, &levels);
-                self.check_crash(&target, suspects, None);
+                self.check_crash(&target, sent, &levels, None);
                 tracing::info!(event = "lost", id = %self.head.attempt, target = %target.row.id, %error);
                 return Err(AttemptError::OutcomeUnknown);
             }
--- a/crates/edge/src/crash_reports.rs
+++ b/crates/edge/src/crash_reports.rs
@@ -24,7 +24,6 @@
             .map(|(part, suspect)| SuspectPart {
                 part: part.0,
                 index: suspect.index,
-                age: millis(now.since(suspect.sent)),
                 level: suspect.level,
             })
             .collect();
@@ -64,11 +63,7 @@
                     target: entry.target,
                     service: entry.service.parse().ok()?,
                     at: before(now, entry.age),
-                    suspects: entry
-                        .suspects
-                        .iter()
-                        .map(|suspect| suspected(now, suspect))
-                        .collect(),
+                    suspects: entry.suspects.iter().map(suspected).collect(),
                 })
             })
             .collect(),
@@ -88,10 +83,9 @@
     }
 }
 
-fn suspected(now: time::Mono, suspect: &SuspectPart) -> (id::PartHash, Suspect) {
+fn suspected(suspect: &SuspectPart) -> (id::PartHash, Suspect) {
     let entry = Suspect {
         index: suspect.index,
-        sent: before(now, suspect.age),
         level: suspect.level,
     };
     (id::PartHash(suspect.part), entry)
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -89,8 +89,8 @@
                     let now = self.request.shared.clock.now();
                     let answering = self.begun.map(|begun| now.since(begun));
                     let response = &self.response;
-                    let suspects = self.request.suspects(response.sent, &response.levels);
-                    self.request.check_crash(&target, suspects, answering);
+                    self.request
+                        .check_crash(&target, response.sent, &response.levels, answering);
                     let id = &self.request.head.attempt;
                     let last = self.events.last_id();
                     tracing::info!(event = "stream_broken", %id, target = %target.row.id, last, %fault);
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -154,13 +154,9 @@
     /// Index of the part in the prompt.
     #[prost(uint32, tag = "2")]
     pub index: u32,
-    /// Time since the latest request with the part was sent to the target, in
-    /// milliseconds.
-    #[prost(uint32, tag = "3")]
-    pub age: u32,
     /// How many crashes of the part had followed one another with this one, as far
     /// as the router knew that sent the request.
-    #[prost(uint32, tag = "4")]
+    #[prost(uint32, tag = "3")]
     pub level: u32,
 }
 
--- a/crates/edge/tests/crash_reports.rs
+++ b/crates/edge/tests/crash_reports.rs
@@ -180,7 +180,7 @@
         let levels = flight.levels.iter().copied().chain(iter::repeat(1));
         let suspects = (0..).zip(parts).zip(levels);
         let suspects = suspects.map(|((index, part), level)| {
-            let suspect = Suspect { index, sent, level };
+            let suspect = Suspect { index, level };
             (*part, suspect)
         });
         let crash = Crash {
@@ -189,7 +189,7 @@
             at: at(now),
             suspects: suspects.collect(),
         };
-        self.routers[flight.router].record_crash(at(now), crash);
+        self.routers[flight.router].record_crash(at(now), sent, crash);
     }
 
     fn exchange(&mut self, now: u64) {
@@ -305,12 +305,7 @@
     let mut tracker = CrashParts::default();
     for target in 0..60 {
         let suspects = (0..40).map(|part| {
-            let sent = at(900);
-            let suspect = Suspect {
-                index: 0,
-                sent,
-                level: 1,
-            };
+            let suspect = Suspect { index: 0, level: 1 };
             (PartHash(target * 100 + part), suspect)
         });
         let crash = Crash {
@@ -319,7 +314,7 @@
             at: at(1_000 + target),
             suspects: BTreeMap::from_iter(suspects),
         };
-        tracker.record_crash(at(2_000), crash);
+        tracker.record_crash(at(2_000), at(900), crash);
     }
     for part in 0..100 {
         tracker.adopt_stored(at(2_000), PartHash(10_000 + part));
