Announce a quarantine entry again when its content is refused

Cause: an agent sends a new entry in 12 messages and then never again. If they are lost, the agent refuses the content, nothing crashes any more, and no new entry arises; routers and operators never learn that it is refused.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -304,9 +304,14 @@
         !self.parts.is_empty() && budget.available(now) > burst
     }
 
-    /// Adds or changes a quarantine entry of this process.
+    /// Adds or changes a quarantine entry of this process. An entry that is known
+    /// already is sent again, because all messages with it may have been lost.
     pub fn suspect(&mut self, now: time::Mono, entry: msg::Suspect) {
+        let fingerprint = entry.fingerprint;
         self.merge_suspect(now, entry);
+        if let Some(known) = self.suspects.get_mut(&fingerprint) {
+            known.sends_left = SUSPECT_SENDS;
+        }
     }
 
     /// Returns the quarantine entries that have not expired, by fingerprint.
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -5,6 +5,7 @@
 use base::{id, time};
 use common::{address, agent, at, exchange, router};
 use fleet::{budget, exchange as ex, member};
+use wire::msg;
 
 /// Runs one exchange that `from` starts with `to`.
 fn exchange_once(now: time::Mono, from: &mut ex::Exchange, to: &mut ex::Exchange) -> ex::Applied {
@@ -249,3 +250,35 @@
     let spent = budget.spent();
     assert!(spent < 5_000 * SECONDS, "{spent} bytes in {SECONDS} s");
 }
+
+#[test]
+fn lost_quarantine() {
+    // Guards against a content that an agent refuses without end while the routers
+    // and operators never learn of it: all messages with its entry were lost.
+    let mut one = exchange(agent(1, "crew"), address(2));
+    let mut two = exchange(router(2), address(1));
+    exchange_once(at(1), &mut one, &mut two);
+    let entry = msg::Suspect {
+        fingerprint: 7,
+        service: "crew".to_owned(),
+        crashes: vec![msg::Crash {
+            target: "engine-1".to_owned(),
+            number: 1,
+            repeated: false,
+        }],
+        excused: Vec::new(),
+        remaining: 600_000,
+    };
+    one.suspect(at(2), entry.clone());
+    let lost = ex::Partner {
+        process: None,
+        address: address(3),
+    };
+    for second in 2..40 {
+        let mut budget = budget::Budget::joining(at(second));
+        one.compose(at(second), &mut budget, &lost);
+    }
+    one.suspect(at(40), entry);
+    exchange_once(at(40), &mut one, &mut two);
+    assert_eq!(two.suspects(at(40)).len(), 1);
+}
--- a/crates/roles/src/agent_offers.rs
+++ b/crates/roles/src/agent_offers.rs
@@ -162,7 +162,10 @@
         };
         let verdict = self.quarantine.check(now, open.fingerprint);
         if let quarantine::Verdict::Refused { remaining } = verdict {
+            let fingerprint = open.fingerprint;
             self.parts.metrics.count("quarantine.refused");
+            // The router does not know that the content is refused.
+            self.spread(now, fingerprint);
             let actions = self
                 .ledger
                 .refused(now, id, Refusal::Quarantine, Some(remaining));
