--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -197,7 +197,7 @@
         let (part, after) = crash_parts.refuses(now, parts, routers, rand::rng().random())?;
         drop(crash_parts);
         tracing::info!(event = "part_refused", id = %self.head.attempt, %part, %after);
-        Some(after)
+        Some(self.spread(after))
     }
 
     /// Returns this router's current view of the request's service.
