--- a/crates/edge/tests/forwarding.rs
+++ b/crates/edge/tests/forwarding.rs
@@ -231,12 +231,8 @@
     assert_eq!(site.runs(), 1);
 }
 
-/// A target that closes the connection before the last chunk has not completed
-/// the stream, so the caller's response is aborted.
-#[tokio::test]
-async fn stream_truncated() {
-    const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n\
-        Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// Starts a router before a single target whose bytes the test writes.
+async fn listening_target() -> (Rows, TcpListener, Router) {
     let table = Rows::start().expect("a table");
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
     fakes::site::configure(&table, 1, &[site::KEY]);
@@ -244,6 +240,16 @@
     fakes::site::list(&table, "i-1", address, "ready", 1);
     let router = site::router(site::settings(table.address(), &[])).await;
     router.ready().await;
+    (table, listener, router)
+}
+
+/// A target that closes the connection before the last chunk has not completed
+/// the stream, so the caller's response is aborted.
+#[tokio::test]
+async fn stream_truncated() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n\
+        Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let (_table, listener, router) = listening_target().await;
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("accepts");
         let mut request = vec![0; 4_096];
@@ -268,13 +274,7 @@
         "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n";
     const DONE: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n";
     for named in ["X-Attempt-Id: a0\r\n", ""] {
-        let table = Rows::start().expect("a table");
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
-        fakes::site::configure(&table, 1, &[site::KEY]);
-        let address = listener.local_addr().expect("bound");
-        fakes::site::list(&table, "i-1", address, "ready", 1);
-        let router = site::router(site::settings(table.address(), &[])).await;
-        router.ready().await;
+        let (_table, listener, router) = listening_target().await;
         tokio::spawn(async move {
             let (mut stream, _) = listener.accept().await.expect("accepts");
             let mut request = vec![0; 4_096];
