Refuse parts that cannot be told apart only together

Cause: of parts that were in use at the same crashes, CrashParts took the one with the larger index.

Change: a refusal is of a set of parts, those that were in the same prompts at all crashes, and holds for requests with all of them. An answer takes a part out of the set, a crash without it too, and the narrower of two sets wins in the exchange. Crashes carry their prompts, so that parts of different requests are not taken for one prompt.

The test always_together asserted the fault: of parts that are always together "the one that fewer prompts have is refused". It now asserts that requests with all parts are refused and requests with any one of them are not.

--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -9,16 +9,21 @@
 //! Routers exchange which parts were in use when a target crashed. A part is
 //! refused if it was in use at several crashes, one after the other, and no
 //! request with it has begun to be answered since, while other requests of the
-//! service have. See [the design page](../../../docs/design.md), section 6.3.
+//! service have. Of parts that were in the same prompts at all of these crashes,
+//! any may be the cause: only prompts with all of them are refused, until a crash
+//! or an answer tells them apart. See [the design page](../../../docs/design.md),
+//! section 6.3.
 
 use std::{
     cmp,
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     iter,
 };
 
 use base::{id, span, time};
 
+use crate::part_set::PartSet;
+
 /// Number of successive crashes from which a part is refused.
 const CRASH_LIMIT: u32 = 3;
 
@@ -68,6 +73,12 @@
 /// Maximum number of parts that are reported for one crash.
 const MAX_REPORTED: usize = 24;
 
+/// Maximum number of prompts that are remembered for one crash.
+const MAX_PROMPTS: usize = 32;
+
+/// Maximum number of parts that are refused together.
+const MAX_TOGETHER: usize = 8;
+
 /// Time after the latest crash in which parts may reach the limit, because
 /// requests are answered again.
 const EVALUATION_TIME: span::Span = span::Span::from_secs(30);
@@ -79,7 +90,7 @@
 /// Maximum number of cleared parts that are sent to other routers.
 const MAX_CLEARED: usize = 64;
 
-/// Maximum number of refused parts.
+/// Maximum number of refused sets of parts.
 const MAX_REFUSED: usize = 1_024;
 
 /// Number of answered parts after which the older ones are forgotten, about
@@ -101,6 +112,59 @@
     /// Parts of the requests at the target that had not been answered for
     /// [`SURVIVAL_TIME`].
     pub suspects: BTreeMap<id::PartHash, Suspect>,
+    /// The parts of each of these requests.
+    pub prompts: BTreeSet<PartSet>,
+}
+
+impl Crash {
+    /// Adds a request that may be the cause; `levels` has the [`Suspect::level`] of
+    /// each of its parts.
+    pub fn add_prompt(&mut self, parts: impl Iterator<Item = id::PartHash>, levels: &[u32]) {
+        let levels = levels.iter().copied().chain(iter::repeat(1));
+        let suspects = (0..).zip(parts).zip(levels);
+        let suspects = suspects.map(|((index, part), level)| (part, Suspect { index, level }));
+        let suspects: BTreeMap<_, _> = suspects.collect();
+        if !suspects.is_empty() {
+            self.prompts.insert(suspects.keys().copied().collect());
+            self.suspects.extend(suspects);
+        }
+    }
+
+    /// Returns the crash with at most `max` suspects, those of the prompts whose
+    /// parts have the highest rank. Prompts that fit are kept or left out as a whole,
+    /// as their parts would otherwise seem to be in use without one another.
+    #[must_use]
+    pub fn limited<R: Ord>(&self, max: usize, rank: impl Fn(id::PartHash) -> R) -> Self {
+        if self.suspects.len() <= max {
+            return self.clone();
+        }
+        let mut prompts: Vec<_> = self.prompts.iter().collect();
+        prompts.sort_by_cached_key(|prompt| cmp::Reverse(prompt.parts().map(&rank).max()));
+        let mut crash = Self {
+            suspects: BTreeMap::new(),
+            prompts: BTreeSet::new(),
+            service: self.service.clone(),
+            ..*self
+        };
+        for prompt in prompts {
+            let mut prompt = prompt.clone();
+            if prompt.len() > max && crash.prompts.is_empty() {
+                let mut parts: Vec<_> = prompt.parts().collect();
+                parts.sort_by_cached_key(|part| cmp::Reverse(rank(*part)));
+                prompt = parts.into_iter().take(max).collect();
+            }
+            let added = prompt
+                .parts()
+                .filter(|part| !crash.suspects.contains_key(part));
+            if crash.suspects.len() + added.count() > max {
+                continue;
+            }
+            let known = |part| Some((part, *self.suspects.get(&part)?));
+            crash.suspects.extend(prompt.parts().filter_map(known));
+            crash.prompts.insert(prompt);
+        }
+        crash
+    }
 }
 
 /// A part of a prompt that may be the cause of a crash.
@@ -113,11 +177,11 @@
     pub level: u32,
 }
 
-/// A part that is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RefusedPart {
-    /// The part.
-    pub part: id::PartHash,
+/// Parts of which one crashes targets; prompts with all of them are refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedParts {
+    /// The parts.
+    pub parts: PartSet,
     /// Time of the latest crash that counted.
     pub crashed: time::Mono,
     /// When its refusal term ends.
@@ -139,23 +203,23 @@
     /// Recent crashes, newest first.
     pub crashes: Vec<Crash>,
     /// Refused parts.
-    pub refused: Vec<RefusedPart>,
+    pub refused: Vec<RefusedParts>,
     /// Parts that were cleared recently, the most suspected first.
     pub cleared: Vec<ClearedPart>,
 }
 
 /// A change of what is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// A part is refused from now on.
+    /// Prompts with all of these parts are refused from now on.
     Refused {
-        /// The part.
-        part: id::PartHash,
-        /// Number of crashes that this router knows of at which it was in use.
+        /// The parts.
+        parts: PartSet,
+        /// Number of crashes that this router knows of at which they were in use.
         crashes: u32,
     },
-    /// A part is no longer refused.
-    Admitted(id::PartHash),
+    /// Prompts with these parts are no longer refused.
+    Admitted(PartSet),
 }
 
 /// A crash that a router knows of.
@@ -183,10 +247,16 @@
     reached: Option<time::Mono>,
 }
 
-/// How often a part was in use at crashes.
+/// How often a part was in use at crashes. The part that compares as the largest is
+/// the most likely cause.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct Uses {
     crashes: u32,
+    /// Whether no request with the part is known to have been answered.
+    unanswered: bool,
+    /// Number of parts that would be refused together with this one: the more, the
+    /// fewer requests a mistake refuses.
+    together: usize,
     /// Largest index of the part in a prompt.
     index: u32,
 }
@@ -229,7 +299,7 @@
     crashes: VecDeque<KnownCrash>,
     /// Time until which a crash is sent to other routers, by the run of the target.
     announced: BTreeMap<u64, time::Mono>,
-    refused: BTreeMap<id::PartHash, Refusal>,
+    refused: BTreeMap<PartSet, Refusal>,
     /// In the order in which they are sent.
     cleared: Vec<Announcement>,
     survivors: Survivors,
@@ -243,7 +313,7 @@
     /// Returns the time after which the caller of a request with these parts
     /// should retry, if the request is refused.
     ///
-    /// When the term of a part is over, about one request of the whole fleet at a
+    /// When the term of a refusal is over, about one request of the whole fleet at a
     /// time is let through: `random`, between 0 and 1, decides whether it is this
     /// one, and `routers` is the number of routers.
     pub fn refuses(
@@ -252,28 +322,27 @@
         parts: impl Iterator<Item = id::PartHash>,
         routers: u32,
         random: f64,
-    ) -> Option<(id::PartHash, span::Span)> {
+    ) -> Option<(PartSet, span::Span)> {
         if self.refused.is_empty() {
             return None;
         }
+        let prompt: PartSet = parts.collect();
         let mut trials = Vec::new();
-        for part in parts {
-            let Some(refusal) = self.refused.get(&part) else {
+        for (parts, refusal) in &mut self.refused {
+            if !prompt.includes(parts) {
                 continue;
-            };
+            }
             if refusal.until > now {
-                return Some((part, refusal.until.since(now)));
+                return Some((parts.clone(), refusal.until.since(now)));
             }
             let is_trial = random * f64::from(routers.max(1)) < 1.0;
             if refusal.trial.is_some_and(|until| until > now) || !is_trial {
-                return Some((part, TRIAL_TIME));
+                return Some((parts.clone(), TRIAL_TIME));
             }
-            trials.push(part);
+            trials.push(refusal);
         }
-        for part in trials {
-            if let Some(refusal) = self.refused.get_mut(&part) {
-                refusal.trial = Some(now + TRIAL_TIME);
-            }
+        for refusal in trials {
+            refusal.trial = Some(now + TRIAL_TIME);
         }
         None
     }
@@ -310,19 +379,31 @@
         let suspected = self.unexplained(cleared.part);
         let suspected = suspected.map(|crash| self.level(crash, cleared.part)).max();
         self.survivors.record(cleared.part, cleared.answered);
-        let refusal = self.refused.get(&cleared.part);
-        let lifted = refusal.is_some_and(|refusal| refusal.crashed < cleared.answered);
-        if lifted {
-            self.refused.remove(&cleared.part);
-            self.changes.push(Change::Admitted(cleared.part));
-        }
-        if lifted {
+        if self.narrow(cleared) {
             self.announce(now, cleared, CRASH_LIMIT);
         } else if let Some(level) = suspected {
             self.announce(now, cleared, level);
         }
     }
 
+    /// Takes an answered part out of the refused sets, another part of which has to
+    /// be the cause. Returns whether it was in any.
+    fn narrow(&mut self, cleared: ClearedPart) -> bool {
+        let is_narrowed = |parts: &PartSet, refusal: &mut Refusal| {
+            parts.contains(cleared.part) && refusal.crashed < cleared.answered
+        };
+        let narrowed: Vec<_> = self.refused.extract_if(.., is_narrowed).collect();
+        for (mut parts, refusal) in narrowed.iter().cloned() {
+            let before = parts.clone();
+            parts.0.remove(&cleared.part);
+            if !parts.is_empty() {
+                self.insert(parts, refusal, 0);
+            }
+            self.changes.push(Change::Admitted(before));
+        }
+        !narrowed.is_empty()
+    }
+
     /// Sends a cleared part to other routers for some time; those that were in use
     /// at most successive crashes go first.
     fn announce(&mut self, now: time::Mono, cleared: ClearedPart, level: u32) {
@@ -375,9 +456,7 @@
         if now.since(crash.at) >= CRASH_MEMORY || crash.suspects.is_empty() {
             return;
         }
-        for part in crash.suspects.keys() {
-            self.renew(now, *part, crash.at);
-        }
+        self.renew(now, &crash);
         let target = crash.target;
         let added = match self.position(&crash) {
             Some(index) => self.merge_crash(index, crash),
@@ -407,6 +486,9 @@
         };
         let crash = &mut known.crash;
         let mut added = false;
+        for prompt in report.prompts {
+            added |= crash.prompts.len() < MAX_PROMPTS && crash.prompts.insert(prompt);
+        }
         for (part, suspect) in report.suspects {
             let is_full = crash.suspects.len() >= MAX_SUSPECTS;
             match crash.suspects.get_mut(&part) {
@@ -427,15 +509,15 @@
         added
     }
 
-    /// Starts the term of a refused part again after a crash during a trial.
-    fn renew(&mut self, now: time::Mono, part: id::PartHash, crashed: time::Mono) {
-        if let Some(refusal) = self.refused.get_mut(&part)
-            && refusal.until <= now
-            && crashed > refusal.until
-        {
-            refusal.crashed = crashed;
-            refusal.until = now + REFUSAL_TERM;
-            refusal.trial = None;
+    /// Starts the term of refused parts again after a crash during a trial.
+    fn renew(&mut self, now: time::Mono, crash: &Crash) {
+        for (parts, refusal) in &mut self.refused {
+            let is_trial = refusal.until <= now && crash.at > refusal.until;
+            if is_trial && crash.prompts.iter().any(|prompt| prompt.includes(parts)) {
+                refusal.crashed = crash.at;
+                refusal.until = now + REFUSAL_TERM;
+                refusal.trial = None;
+            }
         }
     }
 
@@ -444,16 +526,9 @@
             .retain(|known| now.since(known.crash.at) < CRASH_MEMORY);
         self.announced.retain(|_, until| *until > now);
         self.cleared.retain(|cleared| cleared.until > now);
-        let over = |refusal: &Refusal| refusal.until + TRIAL_TERM <= now;
-        let expired: Vec<_> = self
-            .refused
-            .iter()
-            .filter(|(_, refusal)| over(refusal))
-            .map(|(part, _)| *part)
-            .collect();
-        for part in expired {
-            self.refused.remove(&part);
-            self.changes.push(Change::Admitted(part));
+        let is_over = |_: &PartSet, refusal: &mut Refusal| refusal.until + TRIAL_TERM <= now;
+        for (parts, _) in self.refused.extract_if(.., is_over) {
+            self.changes.push(Change::Admitted(parts));
         }
     }
 
@@ -469,19 +544,93 @@
         let mut candidates: Vec<_> = self
             .uses(reported)
             .into_iter()
-            .filter(|(part, uses)| uses.crashes >= CRASH_LIMIT && !self.refused.contains_key(part))
+            .filter(|(part, uses)| {
+                let is_refused = || self.refused.contains_key(&PartSet::from(*part));
+                uses.crashes >= CRASH_LIMIT && !is_refused()
+            })
             .map(|(part, uses)| (uses, part))
             .collect();
+        let is_sufficient =
+            |(_, part): &(Uses, id::PartHash)| self.sufficient(now, *part).is_some();
+        if !candidates.iter().any(is_sufficient) {
+            return;
+        }
+        for (uses, part) in &mut candidates {
+            uses.together = self.together(*part, reported).len();
+        }
         candidates.sort_unstable();
-        // The part with the most crashes explains those of the parts beside it. Of
-        // two that were always used together, the later one is in fewer prompts.
+        // The part with the most crashes explains those of the parts beside it, which
+        // may reach the limit sooner.
+        let mut likelier = Vec::new();
         for (uses, part) in candidates.into_iter().rev() {
-            if let Some(crashed) = self.sufficient(now, part)
-                && self.refused.len() < MAX_REFUSED
-            {
-                self.insert(part, crashed, now + REFUSAL_TERM, uses.crashes);
+            let Some(crashed) = self.sufficient(now, part) else {
+                likelier.push(part);
+                continue;
+            };
+            if likelier.iter().any(|other| self.covers(*other, part)) {
+                continue;
+            }
+            let refusal = Refusal {
+                crashed,
+                until: now + REFUSAL_TERM,
+                trial: None,
+            };
+            self.insert(self.together(part, reported), refusal, uses.crashes);
+        }
+    }
+
+    /// Returns whether a part was in use at all crashes that another one may have
+    /// caused, and may have caused them itself.
+    fn covers(&self, part: id::PartHash, other: id::PartHash) -> bool {
+        let mut own = self
+            .unexplained(part)
+            .map(|known| known.crash.at)
+            .peekable();
+        let mut crashes = self.unexplained(other).map(|known| known.crash.at);
+        crashes.all(|at| {
+            while own.next_if(|own| *own < at).is_some() {}
+            own.next_if_eq(&at).is_some()
+        })
+    }
+
+    /// Returns a part with those that were in the same prompts at all crashes known
+    /// since `before`, as far as they have not been answered since: each of them may
+    /// be the cause.
+    fn together(&self, part: id::PartHash, before: time::Mono) -> PartSet {
+        let mut crashes = self.unexplained(part);
+        let Some(first) = crashes.next() else {
+            return part.into();
+        };
+        let with_part = |known: &KnownCrash| -> Vec<PartSet> {
+            let prompts = known.crash.prompts.iter();
+            prompts
+                .filter(|prompt| prompt.contains(part))
+                .cloned()
+                .collect()
+        };
+        let mut sets = with_part(first);
+        for known in crashes.filter(|known| known.known <= before) {
+            let prompts = with_part(known);
+            for set in &mut sets {
+                let common = prompts.iter().map(|prompt| prompt.common(set));
+                *set = common.max_by_key(PartSet::len).unwrap_or(part.into());
             }
         }
+        let mut together = sets
+            .into_iter()
+            .max_by_key(PartSet::len)
+            .unwrap_or_default();
+        let is_answered = |other: &id::PartHash| {
+            let answered = self.survivors.latest(*other);
+            answered.is_some_and(|answered| answered > first.crash.at)
+        };
+        together.0.retain(|other| !is_answered(other));
+        together.0.insert(part);
+        while together.len() > MAX_TOGETHER {
+            let other = together.parts().find(|other| *other != part);
+            together.0.remove(&other.unwrap_or(part));
+        }
+        together
     }
 
     /// Returns for each part at how many crashes it was in use that have been known
@@ -492,6 +641,7 @@
             for (part, suspect) in &known.crash.suspects {
                 let uses = uses.entry(*part).or_default();
                 uses.crashes += 1;
+                uses.unanswered = self.survivors.latest(*part).is_none();
                 uses.index = uses.index.max(suspect.index);
             }
         }
@@ -529,16 +679,20 @@
     }
 
     /// Returns the crashes at which a part was in use since requests with it were
-    /// last answered, without those at which a refused part was in use.
+    /// last answered, without those that refused parts explain which it is not
+    /// among.
     fn unexplained(&self, part: id::PartHash) -> impl Iterator<Item = &KnownCrash> {
         let survived = self.survivors.latest(part).unwrap_or_default();
         self.crashes.iter().filter(move |known| {
-            let suspects = &known.crash.suspects;
-            let explained =
-                |other: &id::PartHash| *other != part && self.refused.contains_key(other);
+            let Crash {
+                suspects, prompts, ..
+            } = &known.crash;
+            let explains = |refused: &PartSet| {
+                !refused.contains(part) && prompts.iter().any(|prompt| prompt.includes(refused))
+            };
             known.crash.at > survived
                 && suspects.contains_key(&part)
-                && !suspects.keys().any(explained)
+                && !self.refused.keys().any(explains)
         })
     }
 
@@ -553,58 +707,69 @@
         own.saturating_sub(before.unwrap_or_default())
     }
 
-    fn insert(&mut self, part: id::PartHash, crashed: time::Mono, until: time::Mono, crashes: u32) {
-        let refusal = Refusal {
-            crashed,
-            until,
-            trial: None,
-        };
-        if self.refused.insert(part, refusal).is_none() {
-            self.changes.push(Change::Refused { part, crashes });
+    /// Refuses parts, unless fewer of them are refused already.
+    fn insert(&mut self, parts: PartSet, refusal: Refusal, crashes: u32) {
+        if self.refused.len() >= MAX_REFUSED || self.refused.keys().any(|it| parts.includes(it)) {
+            return;
         }
+        let wider: Vec<_> = self
+            .refused
+            .extract_if(.., |known, _| known.includes(&parts))
+            .collect();
+        self.refused.insert(parts.clone(), refusal);
+        self.changes.push(Change::Refused { parts, crashes });
+        let admitted = wider.into_iter().map(|(known, _)| Change::Admitted(known));
+        self.changes.extend(admitted);
     }
 
-    /// Adopts a refusal by another router, unless requests with the part were
-    /// answered here since the crash.
-    pub fn adopt(&mut self, now: time::Mono, refused: RefusedPart) {
-        let survived = self.survivors.latest(refused.part).unwrap_or_default();
-        if survived > refused.crashed {
-            let part = refused.part;
-            let cleared = ClearedPart {
-                part,
-                answered: survived,
-            };
-            self.announce(now, cleared, CRASH_LIMIT);
-            return;
+    /// Adopts a refusal by another router, without the parts that requests were
+    /// answered with here since the crash.
+    pub fn adopt(&mut self, now: time::Mono, mut refused: RefusedParts) {
+        for part in refused.parts.clone().parts() {
+            let survived = self.survivors.latest(part).unwrap_or_default();
+            if survived > refused.crashed {
+                refused.parts.0.remove(&part);
+                let cleared = ClearedPart {
+                    part,
+                    answered: survived,
+                };
+                self.announce(now, cleared, CRASH_LIMIT);
+            }
         }
         let until = refused.until.min(now + REFUSAL_TERM);
-        let is_full = self.refused.len() >= MAX_REFUSED;
-        match self.refused.get_mut(&refused.part) {
+        match self.refused.get_mut(&refused.parts) {
             Some(known) if refused.crashed > known.crashed => {
                 known.crashed = refused.crashed;
                 known.until = known.until.max(until);
             }
-            None if !is_full => self.insert(refused.part, refused.crashed, until, 0),
+            None if !refused.parts.is_empty() => {
+                let refusal = Refusal {
+                    crashed: refused.crashed,
+                    until,
+                    trial: None,
+                };
+                self.insert(refused.parts, refusal, 0);
+            }
             _ => {}
         }
     }
 
     /// Adopts a refusal that a router stored.
-    pub fn adopt_stored(&mut self, now: time::Mono, part: id::PartHash) {
-        let refused = RefusedPart {
-            part,
+    pub fn adopt_stored(&mut self, now: time::Mono, parts: PartSet) {
+        let refused = RefusedParts {
+            parts,
             crashed: time::Mono(now.0.saturating_sub(STORED_AGE.as_micros())),
             until: now + REFUSAL_TERM,
         };
-        if !self.refused.contains_key(&part) {
+        if !self.refused.contains_key(&refused.parts) {
             self.adopt(now, refused);
         }
     }
 
-    /// Stops refusing a part that another router no longer refuses.
-    pub fn lift(&mut self, part: id::PartHash) {
-        if self.refused.remove(&part).is_some() {
-            self.changes.push(Change::Admitted(part));
+    /// Stops refusing parts that another router no longer refuses.
+    pub fn lift(&mut self, parts: &PartSet) {
+        if self.refused.remove(parts).is_some() {
+            self.changes.push(Change::Admitted(parts.clone()));
         }
     }
 
@@ -631,9 +796,12 @@
         let crashes = self.crashes.iter().rev();
         let crashes = crashes
             .filter(|known| self.announced.contains_key(&known.crash.target))
-            .map(|known| reported(&known.crash, &uses));
-        let refused = self.refused.iter().map(|(part, refusal)| RefusedPart {
-            part: *part,
+            .map(|known| {
+                let crash = &known.crash;
+                crash.limited(MAX_REPORTED, |part| uses.get(&part).copied())
+            });
+        let refused = self.refused.iter().map(|(parts, refusal)| RefusedParts {
+            parts: parts.clone(),
             crashed: refusal.crashed,
             until: refusal.until,
         });
@@ -645,8 +813,8 @@
     }
 
     /// Returns the refused parts.
-    pub fn refused(&self) -> impl Iterator<Item = id::PartHash> {
-        self.refused.keys().copied()
+    pub fn refused(&self) -> impl Iterator<Item = &PartSet> {
+        self.refused.keys()
     }
 
     /// Returns the changes since the last call, in order.
@@ -654,15 +822,3 @@
         std::mem::take(&mut self.changes)
     }
 }
-
-/// Returns a crash with the suspects that were in use at most crashes.
-fn reported(crash: &Crash, uses: &BTreeMap<id::PartHash, Uses>) -> Crash {
-    let mut suspects: Vec<_> = crash.suspects.iter().collect();
-    suspects.sort_unstable_by_key(|(part, _)| cmp::Reverse(uses.get(part)));
-    suspects.truncate(MAX_REPORTED);
-    let suspects = suspects.into_iter();
-    Crash {
-        suspects: suspects.map(|(part, suspect)| (*part, *suspect)).collect(),
-        ..crash.clone()
-    }
-}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet_retries;
 pub mod group;
 mod jitter;
+pub mod part_set;
 pub mod poison;
 pub mod quarantine;
 pub mod request;
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,12 +1,15 @@
 //! One attempt: sends a request to a target and validates the response.
 
-use std::{collections::BTreeMap, iter, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use admit::{
-    crash_parts::{Crash, SURVIVAL_TIME, Suspect},
+    crash_parts::{Crash, SURVIVAL_TIME},
     poison::CrashReport,
 };
-use base::{hash, id, span, time};
+use base::{hash, span, time};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
@@ -42,7 +45,7 @@
     /// When the request was sent.
     pub sent: time::Mono,
     /// For each shared part of the prompt, the level that a crash at the target
-    /// would have, see [`Suspect::level`].
+    /// would have, see [`admit::crash_parts::Suspect::level`].
     pub levels: Vec<u32>,
     /// Estimated number of requests at the target at that time.
     pub load: u32,
@@ -183,16 +186,16 @@
         answering: Option<span::Span>,
     ) {
         let (shared, target) = (self.shared.clone(), target.clone());
-        let is_suspect = answering.is_none_or(|time| time < SURVIVAL_TIME);
-        let crash = Crash {
+        let mut crash = Crash {
             target: hash::mix(target.hash.0, target.row.started_at as u64),
             service: self.service.clone(),
             at: shared.clock.now(),
-            suspects: match is_suspect {
-                true => self.suspects(levels),
-                false => BTreeMap::new(),
-            },
+            suspects: BTreeMap::new(),
+            prompts: BTreeSet::new(),
         };
+        if answering.is_none_or(|time| time < SURVIVAL_TIME) {
+            crash.add_prompt(self.chain.shared(), levels);
+        }
         let attempt = self.head.attempt.clone();
         let fingerprint = self.fingerprint;
         let parts = self.chain.clone();
@@ -225,15 +228,6 @@
         });
     }
 
-    /// Returns the parts of the prompt that may be the cause of a crash.
-    fn suspects(&self, levels: &[u32]) -> BTreeMap<id::PartHash, Suspect> {
-        let levels = levels.iter().copied().chain(iter::repeat(1));
-        let parts = (0..).zip(self.chain.shared()).zip(levels);
-        parts
-            .map(|((index, part), level)| (part, Suspect { index, level }))
-            .collect()
-    }
-
     /// Records that the request began to be answered at `answered`, and that its
     /// target has not crashed.
     pub fn record_answered(&self, answered: time::Mono) {
--- a/crates/edge/src/crash_reports.rs
+++ b/crates/edge/src/crash_reports.rs
@@ -1,11 +1,16 @@
 //! Converts reports of crashes and refused prompt parts to and from the messages
 //! between routers, which carry ages instead of times.
 
-use admit::crash_parts::{self, Report, Suspect};
+use std::{collections::BTreeSet, iter};
+
+use admit::{
+    crash_parts::{self, Crash, Report, Suspect},
+    part_set::PartSet,
+};
 use base::{id, span, time};
 
 use crate::update::{
-    ClearedPart, MAX_REFUSED, MAX_SUSPECTS, PartCrash, RefusedPart, SuspectPart, Update,
+    ClearedPart, MAX_REFUSED, MAX_SUSPECTS, PartCrash, Prompt, RefusedPart, SuspectPart, Update,
 };
 
 /// Puts a report into an update, as much of it as fits. The refused parts that do
@@ -13,33 +18,24 @@
 pub fn write(update: &mut Update, now: time::Mono, report: &Report, round: usize) {
     let mut space = MAX_SUSPECTS;
     for crash in &report.crashes {
-        let mut entry = PartCrash {
-            target: crash.target,
-            service: crash.service.to_string(),
-            age: millis(now.since(crash.at)),
-            suspects: Vec::new(),
-        };
-        let suspects = crash.suspects.iter().take(space);
-        entry.suspects = suspects
-            .map(|(part, suspect)| SuspectPart {
-                part: part.0,
-                index: suspect.index,
-                level: suspect.level,
-            })
-            .collect();
-        space -= entry.suspects.len();
-        if !entry.suspects.is_empty() {
-            update.part_crashes.push(entry);
+        let crash = crash.limited(space, |part| crash.suspects.get(&part).map(|it| it.level));
+        space -= crash.suspects.len();
+        if !crash.suspects.is_empty() {
+            update.part_crashes.push(write_crash(now, &crash));
         }
     }
     let groups = report.refused.chunks(MAX_REFUSED);
     let group = round % groups.len().max(1);
     let refused = groups.skip(group).take(1).flatten();
     update.refused_parts = refused
-        .map(|refused| RefusedPart {
-            part: refused.part.0,
-            age: millis(now.since(refused.crashed)),
-            remaining: millis(refused.until.since(now)),
+        .map(|refused| {
+            let mut parts = refused.parts.parts().map(|part| part.0);
+            RefusedPart {
+                part: parts.next().unwrap_or_default(),
+                age: millis(now.since(refused.crashed)),
+                remaining: millis(refused.until.since(now)),
+                others: parts.collect(),
+            }
         })
         .collect();
     let cleared = report.cleared.iter().take(MAX_REFUSED);
@@ -64,12 +60,16 @@
                     service: entry.service.parse().ok()?,
                     at: before(now, entry.age),
                     suspects: entry.suspects.iter().map(suspected).collect(),
+                    prompts: read_prompts(entry),
                 })
             })
             .collect(),
         refused: refused
-            .map(|entry| crash_parts::RefusedPart {
-                part: id::PartHash(entry.part),
+            .map(|entry| crash_parts::RefusedParts {
+                parts: iter::once(entry.part)
+                    .chain(entry.others.iter().copied())
+                    .map(id::PartHash)
+                    .collect(),
                 crashed: before(now, entry.age),
                 until: now + span::Span::from_millis(entry.remaining.into()),
             })
@@ -83,6 +83,51 @@
     }
 }
 
+fn write_crash(now: time::Mono, crash: &Crash) -> PartCrash {
+    let index = |part| crash.suspects.keys().position(|known| *known == part);
+    let prompt = |prompt: &PartSet| Prompt {
+        suspects: prompt
+            .parts()
+            .filter_map(|part| u32::try_from(index(part)?).ok())
+            .collect(),
+    };
+    let suspects = crash.suspects.iter();
+    PartCrash {
+        target: crash.target,
+        service: crash.service.to_string(),
+        age: millis(now.since(crash.at)),
+        suspects: suspects
+            .map(|(part, suspect)| SuspectPart {
+                part: part.0,
+                index: suspect.index,
+                level: suspect.level,
+            })
+            .collect(),
+        prompts: crash.prompts.iter().map(prompt).collect(),
+    }
+}
+
+/// Reads the prompts of a crash. Routers of earlier versions send none: then each
+/// part counts as a prompt.
+fn read_prompts(entry: &PartCrash) -> BTreeSet<PartSet> {
+    let part = |suspect: &SuspectPart| id::PartHash(suspect.part);
+    if entry.prompts.is_empty() {
+        return entry.suspects.iter().map(|it| part(it).into()).collect();
+    }
+    let suspect = |index: &u32| entry.suspects.get(usize::try_from(*index).ok()?);
+    let prompts = entry.prompts.iter();
+    prompts
+        .map(|prompt| {
+            prompt
+                .suspects
+                .iter()
+                .filter_map(suspect)
+                .map(part)
+                .collect()
+        })
+        .collect()
+}
+
 fn suspected(suspect: &SuspectPart) -> (id::PartHash, Suspect) {
     let entry = Suspect {
         index: suspect.index,
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -193,10 +193,10 @@
     fn refused_part(&self, now: time::Mono) -> Option<span::Span> {
         let routers = self.shared.routers.load(Ordering::Relaxed);
         let mut crash_parts = self.shared.crash_parts();
-        let parts = self.chain.shared();
-        let (part, after) = crash_parts.refuses(now, parts, routers, rand::rng().random())?;
+        let prompt = self.chain.shared();
+        let (parts, after) = crash_parts.refuses(now, prompt, routers, rand::rng().random())?;
         drop(crash_parts);
-        tracing::info!(event = "part_refused", id = %self.head.attempt, %part, %after);
+        tracing::info!(event = "part_refused", id = %self.head.attempt, part = %parts, %after);
         Some(self.spread(after))
     }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -240,11 +240,11 @@
         drop(crash_parts);
         for change in &changes {
             match change {
-                Change::Refused { part, crashes } => {
+                Change::Refused { parts, crashes } => {
                     self.shared.metrics.count(Counter::RefusedParts);
-                    tracing::warn!(event = "part_crashes_targets", %part, crashes);
+                    tracing::warn!(event = "part_crashes_targets", part = %parts, crashes);
                 }
-                Change::Admitted(part) => tracing::info!(event = "part_admitted", %part),
+                Change::Admitted(parts) => tracing::info!(event = "part_admitted", part = %parts),
             }
         }
         self.shared.queue_refusal_changes(changes);
--- a/crates/edge/src/refusals.rs
+++ b/crates/edge/src/refusals.rs
@@ -7,8 +7,8 @@
     time::Duration,
 };
 
-use admit::crash_parts::Change;
-use base::{fault::Fault, id};
+use admit::{crash_parts::Change, part_set::PartSet};
+use base::fault::Fault;
 use platform::rows::{self, Row, Table};
 use rand::RngExt;
 use store::service::Service;
@@ -25,18 +25,18 @@
 
 /// The parts that have rows, and the changes that have to be written.
 #[derive(Clone, Debug, Default)]
-pub struct StoredParts(Arc<Mutex<BTreeSet<id::PartHash>>>);
+pub struct StoredParts(Arc<Mutex<BTreeSet<PartSet>>>);
 
 impl StoredParts {
-    fn parts(&self) -> MutexGuard<'_, BTreeSet<id::PartHash>> {
+    fn parts(&self) -> MutexGuard<'_, BTreeSet<PartSet>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether a change has to be written.
-    fn needs(&self, change: Change) -> bool {
+    fn needs(&self, change: &Change) -> bool {
         match change {
-            Change::Refused { part, .. } => !self.parts().contains(&part),
-            Change::Admitted(part) => self.parts().contains(&part),
+            Change::Refused { parts, .. } => !self.parts().contains(parts),
+            Change::Admitted(parts) => self.parts().contains(parts),
         }
     }
 
@@ -46,8 +46,8 @@
             self.parts().clear();
         }
         for row in rows {
-            let part = match row.key.parse() {
-                Ok(part) => part,
+            let parts: PartSet = match row.key.parse() {
+                Ok(parts) => parts,
                 Err(error) => {
                     tracing::info!(event = "row_unusable", key = row.key, %error);
                     continue;
@@ -55,11 +55,11 @@
             };
             let now = shared.clock.now();
             if row.value.is_some() {
-                self.parts().insert(part);
-                shared.crash_parts().adopt_stored(now, part);
+                self.parts().insert(parts.clone());
+                shared.crash_parts().adopt_stored(now, parts);
             } else {
-                self.parts().remove(&part);
-                shared.crash_parts().lift(part);
+                self.parts().remove(&parts);
+                shared.crash_parts().lift(&parts);
             }
         }
     }
@@ -71,8 +71,8 @@
             let spread = WRITE_SPREAD.mul_f64(rand::rng().random());
             timer::sleep(spread).await;
             for change in shared.take_refusal_changes() {
-                while self.needs(change) {
-                    match self.write_change(&shared, &service, change).await {
+                while self.needs(&change) {
+                    match self.write_change(&shared, &service, &change).await {
                         Ok(()) => break,
                         Err(fault) => {
                             tracing::info!(event = "refusal_not_stored", %fault);
@@ -88,23 +88,26 @@
         &self,
         shared: &Shared,
         service: &Service,
-        change: Change,
+        change: &Change,
     ) -> Result<(), Fault> {
-        let (part, body) = match change {
-            Change::Refused { part, .. } => {
+        let (parts, body) = match change {
+            Change::Refused { parts, .. } => {
                 let value = shared.settings.process.as_str().as_bytes();
-                let body = rows::write_body(Table::Refusals, &part.to_string(), value);
-                (part, body)
+                let body = rows::write_body(Table::Refusals, &parts.to_string(), value);
+                (parts, body)
             }
-            Change::Admitted(part) => (part, rows::remove_body(Table::Refusals, &part.to_string())),
+            Change::Admitted(parts) => (
+                parts,
+                rows::remove_body(Table::Refusals, &parts.to_string()),
+            ),
         };
-        let body = body.map_err(|error| Fault::new("encode row", part, error))?;
+        let body = body.map_err(|error| Fault::new("encode row", parts, error))?;
         control::transact(service, body).await?;
         match change {
-            Change::Refused { .. } => self.parts().insert(part),
-            Change::Admitted(_) => self.parts().remove(&part),
+            Change::Refused { .. } => self.parts().insert(parts.clone()),
+            Change::Admitted(_) => self.parts().remove(parts),
         };
-        tracing::info!(event = "refusal_stored", %part, refused = self.parts().contains(&part));
+        tracing::info!(event = "refusal_stored", part = %parts, refused = self.parts().contains(parts));
         Ok(())
     }
 }
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -143,6 +143,17 @@
     /// The parts.
     #[prost(message, repeated, tag = "4")]
     pub suspects: Vec<SuspectPart>,
+    /// The requests that may be the cause.
+    #[prost(message, repeated, tag = "5")]
+    pub prompts: Vec<Prompt>,
+}
+
+/// The parts of a request that may be the cause of a crash.
+#[derive(Clone, PartialEq, Message)]
+pub struct Prompt {
+    /// Indexes of the parts in [`PartCrash::suspects`].
+    #[prost(uint32, repeated, tag = "1")]
+    pub suspects: Vec<u32>,
 }
 
 /// A prompt part that may be the cause of a crash.
@@ -161,7 +172,7 @@
 }
 
 /// A prompt part that is refused.
-#[derive(Clone, Copy, PartialEq, Message)]
+#[derive(Clone, PartialEq, Message)]
 pub struct RefusedPart {
     /// Hash of the part's id.
     #[prost(fixed64, tag = "1")]
@@ -172,6 +183,9 @@
     /// Time until the end of the refusal term, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub remaining: u32,
+    /// Hashes of the ids of further parts: only prompts with all are refused.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub others: Vec<u64>,
 }
 
 /// A prompt part that requests were answered with after a crash.
--- a/crates/edge/tests/crashing_part.rs
+++ b/crates/edge/tests/crashing_part.rs
@@ -106,6 +106,31 @@
     assert_eq!(site.table.keys("refusals").len(), 1);
 }
 
+/// A part that crashes targets comes together with a part that sound requests of
+/// the same caller have, too seldom to be answered between the crashes.
+#[tokio::test]
+async fn rare_companion() {
+    let site = Site::start();
+    let router = site.router().await;
+    assert_eq!(
+        call(&router, 0, "first:1000,shared:500").await.status,
+        StatusCode::OK
+    );
+    for step in 1..50 {
+        sound(&router, step).await;
+        if step % 5 == 0 {
+            call(&router, 100 + step, "deadly:50,shared:500").await;
+        }
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    let before = site.deadly_runs();
+    let refused = call(&router, 200, "deadly:50,shared:500").await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(site.deadly_runs(), before);
+    let response = call(&router, 201, "first:1000,shared:500").await;
+    assert_eq!(response.status, StatusCode::OK);
+}
+
 /// A router that starts when all others have lost their memory, or that receives
 /// no updates, finds the refused part in the table only.
 #[tokio::test]
