--- a/crates/edge/tests/crash_reports.rs
+++ b/crates/edge/tests/crash_reports.rs
@@ -157,7 +157,7 @@
         let router = self.rng.random_range(0..self.routers.len());
         let parts = [FIRST, DOCUMENT].into_iter();
         let refused = self.routers[router].refuses(at(now), parts.clone(), 1, 0.5);
-        let last = self.crashes.iter().take(5).last();
+        let last = self.crashes.iter().take(5).next_back();
         if last.is_some_and(|last| now > last + 2 * self.scenario.contact) {
             self.asked += 1;
             self.turned_away += usize::from(refused.is_some());
