Count each crash of a target that keeps its id

Cause: PoisonTracker counted different targets by the hash of their ids, so two targets that keep their ids were never three, however often they crashed. In a test with two such targets all 10 requests crashed one, with new ids the third is refused.

Change: a crash is the run of a target (id and start time) and the time between the sending of the request and the notice. Reports of one run whose times do not overlap are of different crashes, which also covers rows that do not show the new start yet. Reports between routers carry both times.

Before: crashes_under_ids failed on (10 crashes). After: it holds with and without the new rows, 3 or 4 crashes.

--- a/crates/admit/src/poison.rs
+++ b/crates/admit/src/poison.rs
@@ -4,15 +4,16 @@
 //! Load pattern: a request crashes each target that starts to run it, and its
 //! caller sends the same content again, to any router. Routers exchange which
 //! content was in flight at a target that crashed. Content that was in flight
-//! at crashes of several targets is refused by all routers for a limited time.
+//! at several crashes is refused by all routers for a limited time, also if a few
+//! targets crash again and again and start under the same ids.
 //! See [`crate::quarantine`] for the variant in which agents attribute crashes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use base::{id, span, time};
 
-/// Number of crashed targets from which content is refused if routers do not
-/// retry its requests: a second crash means that the caller sent it again.
+/// Number of crashes from which content is refused if routers do not retry its
+/// requests: a second crash means that the caller sent it again.
 const UNRETRIED_LIMIT: usize = 2;
 
 /// The same for content that routers retry: the router's own retry may have
@@ -28,18 +29,38 @@
 /// Maximum number of remembered contents.
 const MAX_RECORDS: usize = 4_096;
 
+/// Maximum number of remembered crashes of one content.
+const MAX_CRASHES: usize = 8;
+
+/// Time after a crash in which a request sent to the same run of the target may
+/// still have been at it: routers notice a crash and read reports of it late.
+const SAME_CRASH: span::Span = span::Span::from_secs(1);
+
 /// Reports that content was in flight at a target when the target crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashReport {
     /// Fingerprint of the content.
     pub fingerprint: id::Fingerprint,
-    /// Hash of the target's id.
+    /// Hash that identifies the run of the target, as far as the router knew.
     pub target: u64,
+    /// When the request was sent; 0 if that is unknown.
+    pub sent: time::Mono,
+    /// When the crash was noticed.
+    pub at: time::Mono,
+}
+
+impl CrashReport {
+    /// Returns whether the reports may be of the same crash. A target that starts
+    /// again under its id can crash again before routers learn of the new run.
+    fn may_be_same(&self, other: &Self) -> bool {
+        let overlaps = self.sent < other.at + SAME_CRASH && other.sent < self.at + SAME_CRASH;
+        self.target == other.target && overlaps
+    }
 }
 
 #[derive(Clone, Debug)]
 struct Record {
-    targets: BTreeSet<u64>,
+    crashes: Vec<CrashReport>,
     expiry: time::Mono,
 }
 
@@ -58,11 +79,18 @@
             self.evict_oldest();
         }
         let record = self.records.entry(report.fingerprint).or_insert(Record {
-            targets: BTreeSet::new(),
+            crashes: Vec::new(),
             expiry: now,
         });
-        let is_new = record.targets.insert(report.target);
+        let is_new = !record
+            .crashes
+            .iter()
+            .any(|known| known.may_be_same(&report));
         if is_new {
+            if record.crashes.len() >= MAX_CRASHES {
+                record.crashes.remove(0);
+            }
+            record.crashes.push(report);
             record.expiry = now + REFUSAL_TERM;
             self.recent.push((now + GOSSIP_TIME, report));
         }
@@ -83,7 +111,7 @@
             UNRETRIED_LIMIT
         };
         let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| record.expiry > now && record.targets.len() >= limit)
+        record.is_some_and(|record| record.expiry > now && record.crashes.len() >= limit)
     }
 
     /// Returns the recent crashes, which other routers may not know yet.
--- a/crates/admit/tests/poison.rs
+++ b/crates/admit/tests/poison.rs
@@ -3,10 +3,17 @@
 use admit::poison::{CrashReport, PoisonTracker};
 use base::{id::Fingerprint, time::Mono};
 
+/// A crash at a time that nothing is known of.
 fn report(content: u64, target: u64) -> CrashReport {
+    crash(content, target, 0, 0)
+}
+
+fn crash(content: u64, target: u64, sent: u64, noticed: u64) -> CrashReport {
     CrashReport {
         fingerprint: Fingerprint(content),
         target,
+        sent: at(sent),
+        at: at(noticed),
     }
 }
 
@@ -45,6 +52,21 @@
     assert!(tracker.is_refused(at(4), Fingerprint(1), true));
 }
 
+/// One target is left, which crashes, is back after seconds and crashes again. The
+/// routers have not read its new row. Two requests at one crash count once.
+#[test]
+fn same_run() {
+    let mut tracker = PoisonTracker::default();
+    assert!(tracker.record_crash(at(1_000), crash(1, 10, 900, 1_000)));
+    assert!(!tracker.record_crash(at(1_100), crash(1, 10, 950, 1_100)));
+    assert!(!tracker.record_crash(at(1_900), crash(1, 10, 1_200, 1_900)));
+    assert!(!tracker.is_refused(at(2_000), Fingerprint(1), false));
+    assert!(tracker.record_crash(at(4_000), crash(1, 10, 3_900, 4_000)));
+    assert!(tracker.is_refused(at(4_001), Fingerprint(1), false));
+    assert!(tracker.record_crash(at(7_000), crash(1, 10, 6_900, 7_000)));
+    assert!(tracker.is_refused(at(7_001), Fingerprint(1), true));
+}
+
 /// Two routers that each recorded one crash refuse the content after they have
 /// exchanged their reports.
 #[test]
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -9,7 +9,7 @@
     crash_parts::{Crash, SURVIVAL_TIME},
     poison::CrashReport,
 };
-use base::{hash, span, time};
+use base::{span, time};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
@@ -187,7 +187,7 @@
     ) {
         let (shared, target) = (self.shared.clone(), target.clone());
         let mut crash = Crash {
-            target: hash::mix(target.hash.0, target.row.started_at as u64),
+            target: target.run(),
             service: self.service.clone(),
             at: shared.clock.now(),
             suspects: BTreeMap::new(),
@@ -196,6 +196,7 @@
         if answering.is_none_or(|time| time < SURVIVAL_TIME) {
             crash.add_prompt(self.chain.shared(), levels);
         }
+        let noticed = crash.at;
         let attempt = self.head.attempt.clone();
         let fingerprint = self.fingerprint;
         let parts = self.chain.clone();
@@ -204,14 +205,18 @@
             if reachability == Reachability::Open {
                 return;
             }
+            let is_refused = reachability == Reachability::Refused;
             let now = shared.clock.now();
             target.update_breaker(|breaker| breaker.record_no_response(now));
-            if reachability == Reachability::Refused && !shared.is_leaving(&target) {
+            if is_refused && !shared.is_leaving(&target) {
                 shared.crash_parts().record_crash(now, sent, crash);
             }
             let report = CrashReport {
                 fingerprint,
-                target: target.hash.0,
+                target: target.run(),
+                // A host that cannot be reached may be the reason for all failures.
+                sent: if is_refused { sent } else { time::Mono(0) },
+                at: noticed,
             };
             if shared.poison().record_crash(now, report) {
                 let target = &target.row.id;
@@ -222,7 +227,7 @@
                     content = %fingerprint,
                     parts = %SharedParts(&parts),
                     answering = answering.map(tracing::field::display),
-                    refused = reachability == Reachability::Refused,
+                    refused = is_refused,
                 );
             }
         });
--- a/crates/edge/src/crash_reports.rs
+++ b/crates/edge/src/crash_reports.rs
@@ -6,13 +6,40 @@
 use admit::{
     crash_parts::{self, Crash, Report, Suspect},
     part_set::PartSet,
+    poison::CrashReport,
 };
 use base::{id, span, time};
 
 use crate::update::{
-    ClearedPart, MAX_REFUSED, MAX_SUSPECTS, PartCrash, Prompt, RefusedPart, SuspectPart, Update,
+    ClearedPart, CrashEntry, MAX_REFUSED, MAX_SUSPECTS, PartCrash, Prompt, RefusedPart,
+    SuspectPart, Update,
 };
 
+/// Encodes a crash of a content.
+pub fn write_content(now: time::Mono, report: &CrashReport) -> CrashEntry {
+    let is_known = report.sent > time::Mono::default();
+    CrashEntry {
+        content: report.fingerprint.0,
+        target: report.target,
+        age: millis(now.since(report.at)),
+        flight: is_known.then(|| millis(report.at.since(report.sent))),
+    }
+}
+
+/// Decodes a crash of a content. Routers of earlier versions do not tell when the
+/// request was sent.
+pub fn read_content(now: time::Mono, entry: &CrashEntry) -> CrashReport {
+    let at = before(now, entry.age);
+    CrashReport {
+        fingerprint: id::Fingerprint(entry.content),
+        target: entry.target,
+        sent: entry
+            .flight
+            .map_or(time::Mono::default(), |flight| before(at, flight)),
+        at,
+    }
+}
+
 /// Puts a report into an update, as much of it as fits. The refused parts that do
 /// not fit in one update are sent in turn; `round` numbers the updates.
 pub fn write(update: &mut Update, now: time::Mono, report: &Report, round: usize) {
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -252,6 +252,12 @@
 }
 
 impl Target {
+    /// Returns a hash that identifies the run of the target: it starts again with
+    /// another start time, mostly under another id.
+    pub fn run(&self) -> u64 {
+        hash::mix(self.hash.0, self.row.started_at as u64)
+    }
+
     fn new(row: row::Target, hash: TargetHash, known: Option<&Arc<Self>>) -> Self {
         let same = known.filter(|known| {
             known.row.id == row.id
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -36,8 +36,8 @@
     target_list::Departure,
     target_status,
     update::{
-        CachedPart, CrashEntry, DepartureEntry, MAX_CACHED, MAX_CRASHES, MAX_DATAGRAM,
-        MAX_DEPARTURES, MAX_JOINED, SnapshotRequest, TargetRow, Update,
+        CachedPart, DepartureEntry, MAX_CACHED, MAX_CRASHES, MAX_DATAGRAM, MAX_DEPARTURES,
+        MAX_JOINED, SnapshotRequest, TargetRow, Update,
     },
     view::View,
 };
@@ -220,7 +220,7 @@
                 .into_iter()
                 .rev()
                 .take(MAX_CRASHES)
-                .map(CrashEntry::from)
+                .map(|report| crash_reports::write_content(now, &report))
                 .collect(),
             ..Update::default()
         };
@@ -289,7 +289,8 @@
         let report = crash_reports::read(update, now);
         self.shared.crash_parts().merge(now, report);
         for crash in &update.crashes {
-            self.shared.poison().record_crash(now, (*crash).into());
+            let report = crash_reports::read_content(now, crash);
+            self.shared.poison().record_crash(now, report);
         }
         let departures = update.departures.iter();
         self.view.apply_peer_changes(
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -7,7 +7,6 @@
 
 use std::io::{self, Read, Write};
 
-use admit::poison::CrashReport;
 use base::{id, span};
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use platform::{rows::Position, target as row};
@@ -230,9 +229,16 @@
     /// Hash of the content.
     #[prost(fixed64, tag = "1")]
     pub content: u64,
-    /// Hash of the target's id.
+    /// Hash that identifies the run of the target.
     #[prost(fixed64, tag = "2")]
     pub target: u64,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age: u32,
+    /// Time from the sending of the request to the crash, in milliseconds; none if
+    /// it is unknown.
+    #[prost(uint32, optional, tag = "4")]
+    pub flight: Option<u32>,
 }
 
 /// A target that is leaving or was removed.
@@ -354,24 +360,6 @@
     Ok(config.into())
 }
 
-impl From<CrashReport> for CrashEntry {
-    fn from(report: CrashReport) -> Self {
-        Self {
-            content: report.fingerprint.0,
-            target: report.target,
-        }
-    }
-}
-
-impl From<CrashEntry> for CrashReport {
-    fn from(report: CrashEntry) -> Self {
-        Self {
-            fingerprint: id::Fingerprint(report.content),
-            target: report.target,
-        }
-    }
-}
-
 impl CachedPart {
     /// Creates an entry for a part at a target.
     pub fn new(target: TargetHash, part: id::PartHash) -> Self {
--- a/crates/edge/tests/forwarding.rs
+++ b/crates/edge/tests/forwarding.rs
@@ -22,7 +22,7 @@
     router: Router,
     first: Runner,
     second: Runner,
-    _table: Rows,
+    table: Rows,
 }
 
 async fn start(usual: Behaviour) -> Site {
@@ -38,7 +38,7 @@
         router,
         first,
         second,
-        _table: table,
+        table,
     }
 }
 
@@ -378,6 +378,31 @@
     assert_eq!(other.status, StatusCode::OK);
 }
 
+/// The targets that are left keep their ids. They crash under a request that may be
+/// repeated, start again and crash again; their rows show the new start or not yet.
+#[tokio::test]
+async fn crashes_under_ids() {
+    for is_listed in [true, false] {
+        let site = start(Behaviour::Crash).await;
+        for number in 0..5 {
+            site.router.call("/again/a", &format!("a{number}")).await;
+            time::sleep(Duration::from_millis(2_100)).await;
+            for target in [&site.first, &site.second] {
+                if is_listed {
+                    let (id, address) = (target.id(), target.address());
+                    fakes::site::list(&site.table, id, address, "ready", 2 + number);
+                }
+            }
+            time::sleep(Duration::from_millis(300)).await;
+        }
+        let crashes = site.runs();
+        assert!((3..=4).contains(&crashes), "{crashes}, listed {is_listed}");
+        let response = site.router.call("/again/a", "last").await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(site.runs(), crashes);
+    }
+}
+
 /// Sends a request head and a long body in pieces, as over a slow link, and
 /// returns the status line of the response.
 async fn long_body(router: SocketAddr, path: &str, key: &str, length: usize) -> String {
