Tell routers that start later which contents crash targets

Cause: PoisonTracker kept the crashes in the memory of each router and sent them for 3 s. In a test the router that started 4 s after the refusal sent the request, the other one refused it. At the end of the term, two or three further crashes were needed everywhere.

Change: contents that may be refused are sent for as long as their term lasts, with the age of the latest crash, and a router that refuses a request stores the crashes in the table refusals. After the term one crash suffices for ten minutes, and each doubles the term.

--- a/crates/admit/tests/poison.rs
+++ b/crates/admit/tests/poison.rs
@@ -96,3 +96,67 @@
     assert!(tracker.is_refused(at(10_000), Fingerprint(9_999), false));
     assert!(!tracker.is_refused(at(10_000), Fingerprint(1), false));
 }
+
+/// After its term a content is let through again. One more crash is enough then, and
+/// the next term is twice as long.
+#[test]
+fn crash_after_term() {
+    let mut tracker = PoisonTracker::default();
+    tracker.record_crash(at(1_000), crash(1, 10, 900, 1_000));
+    tracker.record_crash(at(2_000), crash(1, 11, 1_900, 2_000));
+    assert!(tracker.is_refused(at(61_999), Fingerprint(1), false));
+    assert!(!tracker.is_refused(at(62_001), Fingerprint(1), false));
+    tracker.record_crash(at(63_000), crash(1, 12, 62_900, 63_000));
+    assert!(tracker.is_refused(at(182_999), Fingerprint(1), false));
+    assert!(!tracker.is_refused(at(183_001), Fingerprint(1), false));
+    assert_eq!(
+        tracker.take_unstored(Fingerprint(1)),
+        Some(vec![10, 11, 12])
+    );
+    assert_eq!(tracker.take_unstored(Fingerprint(1)), None);
+    tracker.recent_crashes(at(782_999));
+    assert!(tracker.take_forgotten().is_empty());
+    tracker.recent_crashes(at(783_000));
+    assert_eq!(tracker.take_forgotten(), [Fingerprint(1)]);
+}
+
+/// A router that has just started learns of earlier crashes from another one, once,
+/// and remembers them no longer than that one.
+#[test]
+fn started_router() {
+    let mut tracker = PoisonTracker::default();
+    for content in 1..30 {
+        tracker.record_crash(at(1_000), crash(content, 10, 900, 1_000));
+        tracker.record_crash(at(2_000), crash(content, 11, 1_900, 2_000));
+    }
+    let mut started = PoisonTracker::default();
+    for _ in 0..15 {
+        for refused in tracker.refused(at(40_000), 2) {
+            started.adopt(at(40_000), refused);
+        }
+    }
+    for content in 1..30 {
+        assert!(started.is_refused(at(61_999), Fingerprint(content), false));
+        assert!(!started.is_refused(at(62_001), Fingerprint(content), false));
+    }
+    assert!(tracker.refused(at(62_001), 2).is_empty());
+    started.record_crash(at(63_000), crash(1, 12, 62_900, 63_000));
+    assert!(started.is_refused(at(64_000), Fingerprint(1), false));
+}
+
+/// The refusal is lifted, and routers that have not learned of that still send the
+/// crashes.
+#[test]
+fn lifted_refusal() {
+    let mut tracker = PoisonTracker::default();
+    tracker.record_crash(at(1_000), crash(1, 10, 900, 1_000));
+    tracker.record_crash(at(2_000), crash(1, 11, 1_900, 2_000));
+    let mut other = tracker.clone();
+    tracker.lift(at(5_000), Fingerprint(1));
+    for refused in other.refused(at(6_000), 2) {
+        tracker.adopt(at(6_000), refused);
+    }
+    tracker.record_crash(at(6_000), crash(1, 11, 1_900, 2_000));
+    assert!(!tracker.is_refused(at(6_001), Fingerprint(1), false));
+    assert_eq!(tracker.take_unstored(Fingerprint(1)), None);
+}
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -27,7 +27,7 @@
     metrics::Counter,
     peers::Peers,
     readers,
-    refusals::StoredParts,
+    refusals::StoredRefusals,
     shared::Shared,
     target_list::TargetList,
     view::{self, View},
@@ -69,7 +69,7 @@
     let service = Arc::new(client(&shared, CALL_TIMEOUT));
     let waiting = [CONFIG_WAIT, RELAYED_WAIT]
         .map(|wait| (wait, Arc::new(client(&shared, add(wait, CALL_TIMEOUT)))));
-    let stored = StoredParts::default();
+    let stored = StoredRefusals::default();
     tokio::spawn(follow_refusals(
         shared.clone(),
         service.clone(),
@@ -282,12 +282,12 @@
     }
 }
 
-/// Follows the rows of the prompt parts that routers refuse.
+/// Follows the rows of what routers refuse because it crashes targets.
 async fn follow_refusals(
     shared: Arc<Shared>,
     service: Arc<Service>,
     waiting: Arc<Service>,
-    stored: StoredParts,
+    stored: StoredRefusals,
 ) {
     let mut follower = Follower::new(shared.clone(), service, Table::Refusals);
     follower.waiting = waiting;
--- a/crates/edge/src/crash_reports.rs
+++ b/crates/edge/src/crash_reports.rs
@@ -6,12 +6,12 @@
 use admit::{
     crash_parts::{self, Crash, Report, Suspect},
     part_set::PartSet,
-    poison::CrashReport,
+    poison::{CrashReport, RefusedContent},
 };
 use base::{id, span, time};
 
 use crate::update::{
-    ClearedPart, CrashEntry, MAX_REFUSED, MAX_SUSPECTS, PartCrash, Prompt, RefusedPart,
+    self, ClearedPart, CrashEntry, MAX_REFUSED, MAX_SUSPECTS, PartCrash, Prompt, RefusedPart,
     SuspectPart, Update,
 };
 
@@ -40,6 +40,24 @@
     }
 }
 
+/// Encodes a content that may be refused.
+pub fn write_refused(now: time::Mono, refused: &RefusedContent) -> update::RefusedContent {
+    update::RefusedContent {
+        content: refused.fingerprint.0,
+        targets: refused.targets.clone(),
+        age: millis(now.since(refused.crashed)),
+    }
+}
+
+/// Decodes a content that may be refused.
+pub fn read_refused(now: time::Mono, entry: &update::RefusedContent) -> RefusedContent {
+    RefusedContent {
+        fingerprint: id::Fingerprint(entry.content),
+        targets: entry.targets.clone(),
+        crashed: before(now, entry.age),
+    }
+}
+
 /// Puts a report into an update, as much of it as fits. The refused parts that do
 /// not fit in one update are sent in turn; `round` numbers the updates.
 pub fn write(update: &mut Update, now: time::Mono, report: &Report, round: usize) {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -30,14 +30,15 @@
     lag::{Lag, VersionState},
     metrics::Counter,
     readers::{self, Router},
+    refusals::{RefusalKey, RowChange},
     relays::{self, CentreHash},
     shared::Shared,
     snapshot,
     target_list::Departure,
     target_status,
     update::{
-        CachedPart, DepartureEntry, MAX_CACHED, MAX_CRASHES, MAX_DATAGRAM, MAX_DEPARTURES,
-        MAX_JOINED, SnapshotRequest, TargetRow, Update,
+        self, CachedPart, CrashEntry, DepartureEntry, MAX_CACHED, MAX_CONTENTS, MAX_CRASHES,
+        MAX_DATAGRAM, MAX_DEPARTURES, MAX_JOINED, SnapshotRequest, TargetRow, Update,
     },
     view::View,
 };
@@ -205,7 +206,7 @@
         let joined = joined.collect();
         let last_change = target_list.last_change().0;
         drop(target_list);
-        let crashes = self.shared.poison().recent_crashes(now);
+        let (crashes, refused_contents) = self.report_contents(now);
         let mut update = Update {
             process: self.shared.settings.process.to_string(),
             version: self.shared.version().0,
@@ -216,12 +217,8 @@
             slow: status.slow,
             reads_table: self.shared.reads_table.load(Ordering::Relaxed),
             cache_synced: self.cache_sync().can_answer(now),
-            crashes: crashes
-                .into_iter()
-                .rev()
-                .take(MAX_CRASHES)
-                .map(|report| crash_reports::write_content(now, &report))
-                .collect(),
+            crashes,
+            refused_contents,
             ..Update::default()
         };
         let report = self.report_crashes(now);
@@ -247,10 +244,31 @@
                 Change::Admitted(parts) => tracing::info!(event = "part_admitted", part = %parts),
             }
         }
-        self.shared.queue_refusal_changes(changes);
+        let changes = changes.into_iter().map(RowChange::from);
+        self.shared.queue_refusal_changes(changes.collect());
         report
     }
 
+    /// Returns crashes of contents that the other routers may not know yet, and has
+    /// the rows of forgotten ones removed.
+    fn report_contents(&self, now: time::Mono) -> (Vec<CrashEntry>, Vec<update::RefusedContent>) {
+        let mut poison = self.shared.poison();
+        let crashes = poison.recent_crashes(now);
+        let refused = poison.refused(now, MAX_CONTENTS);
+        let forgotten = poison.take_forgotten();
+        drop(poison);
+        let removed = forgotten.into_iter().map(|content| RowChange {
+            key: RefusalKey::Content(content),
+            targets: None,
+        });
+        self.shared.queue_refusal_changes(removed.collect());
+        let crashes = crashes.iter().rev().take(MAX_CRASHES);
+        let crashes = crashes.map(|report| crash_reports::write_content(now, report));
+        let refused = refused.iter();
+        let refused = refused.map(|refused| crash_reports::write_refused(now, refused));
+        (crashes.collect(), refused.collect())
+    }
+
     async fn receive(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut buffer = vec![0; 64 * 1024];
         loop {
@@ -292,6 +310,10 @@
             let report = crash_reports::read_content(now, crash);
             self.shared.poison().record_crash(now, report);
         }
+        for refused in &update.refused_contents {
+            let refused = crash_reports::read_refused(now, refused);
+            self.shared.poison().adopt(now, refused);
+        }
         let departures = update.departures.iter();
         self.view.apply_peer_changes(
             departures.filter_map(|entry| Departure::try_from(entry).ok()),
@@ -412,6 +434,7 @@
         reads_table: common.reads_table,
         cache_synced: common.cache_synced,
         crashes: common.crashes.clone(),
+        refused_contents: common.refused_contents.clone(),
         part_crashes: common.part_crashes.clone(),
         refused_parts: common.refused_parts.clone(),
         cleared_parts: common.cleared_parts.clone(),
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -122,8 +122,7 @@
         let body = body.map_err(refusal)?;
         let fingerprint = fingerprint(&head, &parts.uri, &body);
         let repeatable = route.rule.class.is_repeatable();
-        let now = shared.clock.now();
-        if shared.poison().is_refused(now, fingerprint, repeatable) {
+        if shared.refuses_content(fingerprint, repeatable) {
             return Err(refusal(Reason::CrashesTargets));
         }
         Ok(Self {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -9,7 +9,7 @@
 };
 
 use admit::{
-    crash_parts::{Change, CrashParts},
+    crash_parts::CrashParts,
     fleet_retries::{FleetRetryBudget, RetryLimit},
     poison::PoisonTracker,
     shares::TeamShares,
@@ -25,6 +25,7 @@
     exchange::LoadFreshness,
     fleet::{Fleet, Target},
     metrics::Metrics,
+    refusals::{RefusalKey, RowChange},
     routes::Routes,
     timing::ServiceLatencies,
     update::CachedPart,
@@ -57,12 +58,12 @@
     pub metrics: Metrics,
     /// Bounds, which may change while the process runs.
     pub bounds: ArcSwap<Bounds>,
-    /// Signals that other prompt parts are refused than before.
+    /// Signals that rows of refusals have to be written or removed.
     pub refusals_changed: Notify,
     retry_budget: Mutex<FleetRetryBudget>,
     poison: Mutex<PoisonTracker>,
     crash_parts: Mutex<CrashParts>,
-    refusal_changes: Mutex<Vec<Change>>,
+    refusal_changes: Mutex<Vec<RowChange>>,
     speeds: Mutex<BTreeMap<id::ServiceId, ServiceLatencies>>,
     shares: Mutex<TeamShares>,
     announcements: Mutex<Vec<CachedPart>>,
@@ -185,6 +186,23 @@
         self.poison.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether a request with this content is refused because it crashes
+    /// targets. A refusal that is used is stored, for routers that start later.
+    pub fn refuses_content(&self, content: id::Fingerprint, may_retry: bool) -> bool {
+        let mut poison = self.poison();
+        if !poison.is_refused(self.clock.now(), content, may_retry) {
+            return false;
+        }
+        if let Some(targets) = poison.take_unstored(content) {
+            drop(poison);
+            self.queue_refusal_changes(vec![RowChange {
+                key: RefusalKey::Content(content),
+                targets: Some(targets),
+            }]);
+        }
+        true
+    }
+
     /// Returns the prompt parts that were in use at crashes.
     pub fn crash_parts(&self) -> MutexGuard<'_, CrashParts> {
         self.crash_parts
@@ -227,8 +245,8 @@
         announcements.drain(..count).collect()
     }
 
-    /// Queues changes of the refused prompt parts, which the table has to hold.
-    pub fn queue_refusal_changes(&self, changes: Vec<Change>) {
+    /// Queues changes of the refusals, which the table has to hold.
+    pub fn queue_refusal_changes(&self, changes: Vec<RowChange>) {
         let mut queued = self
             .refusal_changes
             .lock()
@@ -239,8 +257,8 @@
         }
     }
 
-    /// Removes and returns the queued changes of the refused prompt parts.
-    pub fn take_refusal_changes(&self) -> Vec<Change> {
+    /// Removes and returns the queued changes of the refusals.
+    pub fn take_refusal_changes(&self) -> Vec<RowChange> {
         let mut queued = self
             .refusal_changes
             .lock()
@@ -279,7 +297,7 @@
 /// announced; at worst they are read again by another target.
 const MAX_ANNOUNCEMENTS: usize = 1_024;
 
-/// Number of queued changes of the refused prompt parts from which further ones
+/// Number of queued changes of the refusals from which further ones
 /// are not stored.
 const MAX_REFUSAL_CHANGES: usize = 1_024;
 
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -30,6 +30,9 @@
 /// Maximum number of crashes in one datagram.
 pub const MAX_CRASHES: usize = 10;
 
+/// Maximum number of refused contents in one datagram.
+pub const MAX_CONTENTS: usize = 2;
+
 /// Maximum number of suspected parts of crashes in one datagram.
 pub const MAX_SUSPECTS: usize = 32;
 
@@ -125,6 +128,9 @@
     /// Prompt parts of crashes that requests were answered with later.
     #[prost(message, repeated, tag = "27")]
     pub cleared_parts: Vec<ClearedPart>,
+    /// Contents that the sender may refuse, some of them in turn.
+    #[prost(message, repeated, tag = "28")]
+    pub refused_contents: Vec<RefusedContent>,
 }
 
 /// A crash of a target, and the prompt parts that may be its cause.
@@ -241,6 +247,20 @@
     pub flight: Option<u32>,
 }
 
+/// A content that may be refused because it crashes targets.
+#[derive(Clone, PartialEq, Message)]
+pub struct RefusedContent {
+    /// Hash of the content.
+    #[prost(fixed64, tag = "1")]
+    pub content: u64,
+    /// For each crash, a hash that identifies the run of the target.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub targets: Vec<u64>,
+    /// Time since the latest crash, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age: u32,
+}
+
 /// A target that is leaving or was removed.
 #[derive(Clone, PartialEq, Message)]
 pub struct DepartureEntry {
--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -132,6 +132,13 @@
         let keys = state.rows.keys().filter(|(name, _)| name == table);
         keys.map(|(_, key)| key.clone()).collect()
     }
+
+    /// Returns the value of a row, if there is one that can be decoded.
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.state();
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        STANDARD.decode(row.value.as_ref()?).ok()
+    }
 }
 
 impl State {
