Refuse requests that a stopping router cannot finish

Reported by another operator: in a planned stop, requests that came late in the grace were passed on and cut with no answer at its end.

It could happen here: after 2.6 s the listener and idle connections are closed, but a connection that has sent a part of a request is kept, and its request was passed on whenever it was complete, until the process exits 0.2 s before the end of the grace. Requests that were accepted before and last longer were cut with no answer.

Change: from the close on, a request whose deadline is after the exit is refused with 503 before it is sent, and one that fits is served. Requests in progress get 504 0.2 s before the exit. The shutdown moves from process to server, where tests can play it.

--- a/crates/edge/src/error_response.rs
+++ b/crates/edge/src/error_response.rs
@@ -24,6 +24,9 @@
     /// Earlier requests with the same content, or with the same part of a prompt,
     /// crashed several targets; the request was not sent to a target.
     CrashesTargets,
+    /// The router is shutting down, and the request may take longer than that; it was
+    /// not sent to a target.
+    Stopping,
     /// No target accepts the request, or the router has too little memory left for
     /// its body; no target processed the request.
     Busy,
@@ -49,6 +52,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NotReady
             | Self::CrashesTargets
+            | Self::Stopping
             | Self::Busy
             | Self::Overloaded
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
@@ -63,6 +67,7 @@
         match self {
             Self::NotReady => Some(NOT_READY_RETRY),
             Self::CrashesTargets => Some(CRASHES_RETRY),
+            Self::Stopping => Some(STOPPING_RETRY),
             Self::Busy | Self::Expired => Some(BUSY_RETRY),
             _ => None,
         }
@@ -78,6 +83,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::NotReady => "not-ready",
             Self::CrashesTargets => "crashes-targets",
+            Self::Stopping => "stopping",
             Self::Busy => "busy",
             Self::Overloaded => "overloaded",
             Self::Expired => "expired-unsent",
@@ -96,6 +102,10 @@
 /// so an earlier retry would fail again.
 const CRASHES_RETRY: span::Span = span::Span::from_secs(60);
 
+/// Mean delay before a retry while the router is shutting down: the next connection
+/// goes to another router.
+const STOPPING_RETRY: span::Span = span::Span::from_millis(100);
+
 /// Mean delay before a retry when no target accepts the request. Within this time
 /// a few requests usually finish, so that slots become free.
 const BUSY_RETRY: span::Span = span::Span::from_millis(500);
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -8,32 +8,20 @@
 };
 
 use anyhow::Context;
-use base::span;
 use platform::settings::{self, Settings};
 use tokio::{
     runtime::{Builder, Runtime},
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
-    time::{Instant, sleep},
+    time::sleep,
 };
 
 use crate::{control, logs, metrics, ready, server::Server, shared::Shared};
 
-/// Time after SIGTERM in which the platform may still send new callers: it takes
-/// the router out of rotation after two failed readiness checks, one per second,
-/// and requests already on their way need some time to arrive.
-const ROTATION_DELAY: Duration = Duration::from_millis(2_600);
-
-/// Time before SIGKILL at which the process exits by itself.
-const GRACE_MARGIN: span::Span = span::Span::from_millis(200);
-
 /// Interval at which the settings file is read again, because it may change without
 /// a SIGHUP.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Interval at which the server is checked for open connections during a stop.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Runs the router with the platform's settings file; `filter` selects the log
 /// events that are written.
 ///
@@ -115,19 +103,11 @@
             () = sleep(RELOAD_INTERVAL) => reload_settings(&shared),
         }
     }
-    let stopped = Instant::now();
     tracing::info!(
         event = "stop",
         active = server.active.load(Ordering::Relaxed)
     );
-    shared.stopping.store(true, Ordering::Relaxed);
-    sleep(ROTATION_DELAY).await;
-    close.send_replace(true);
-    let grace = shared.bounds.load().grace.as_micros() - GRACE_MARGIN.as_micros();
-    let end = stopped + Duration::from_micros(grace);
-    while server.connections.load(Ordering::Relaxed) > 0 && Instant::now() < end {
-        sleep(POLL_INTERVAL).await;
-    }
+    server.stop(&close).await;
     tracing::info!(
         event = "stopped",
         active = server.active.load(Ordering::Relaxed)
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -84,8 +84,8 @@
     /// # Errors
     ///
     /// When the request is malformed, no rule allows it, its body is too long or
-    /// does not fit in memory, its deadline has passed or its content has crashed
-    /// targets.
+    /// does not fit in memory, its deadline has passed or is after the process's exit,
+    /// or its content has crashed targets.
     pub async fn read(
         shared: &Arc<Shared>,
         started: time::Mono,
@@ -120,6 +120,9 @@
         let memory = &shared.room;
         let body = read_body(&parts.headers, body, limit, remaining, memory).await;
         let body = body.map_err(refusal)?;
+        if shared.exits_before(deadline) {
+            return Err(refusal(Reason::Stopping));
+        }
         let fingerprint = fingerprint(&head, &parts.uri, &body);
         let repeatable = route.rule.class.is_repeatable();
         if shared.refuses_content(fingerprint, repeatable) {
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -20,7 +20,28 @@
 use platform::config::Limits;
 use tokio::{net::TcpListener, net::TcpStream, sync::watch, time as timer};
 
-use crate::{body::Body, handler, listen::ACCEPT_RETRY_DELAY, shared::Shared, upstream};
+use crate::{
+    body::Body,
+    error_response::{self, Reason},
+    handler,
+    listen::ACCEPT_RETRY_DELAY,
+    shared::Shared,
+    upstream,
+};
+
+/// Time after the start of a shutdown in which the platform may still send new
+/// callers: it takes the router out of rotation after two failed readiness checks,
+/// one per second, and requests already on their way need some time to arrive.
+const ROTATION_DELAY: Duration = Duration::from_millis(2_600);
+
+/// Time before the end of the grace period at which the process exits by itself.
+const GRACE_MARGIN: span::Span = span::Span::from_millis(200);
+
+/// Time before the exit at which requests in progress get their final response.
+const RESPONSE_MARGIN: span::Span = span::Span::from_millis(200);
+
+/// Interval at which the server is checked for open connections during a shutdown.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval at which a connection is checked for its idle timeout.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -45,6 +66,8 @@
     /// Becomes true when the server must accept no more callers and close idle
     /// connections.
     closing: watch::Receiver<bool>,
+    /// Becomes true when the process is about to exit.
+    ending: watch::Sender<bool>,
     /// Number of requests in progress.
     pub active: AtomicU32,
     /// Number of open connections.
@@ -92,6 +115,7 @@
         let server = Arc::new(Self {
             shared,
             closing,
+            ending: watch::Sender::new(false),
             active: AtomicU32::new(0),
             connections: AtomicU32::new(0),
         });
@@ -99,6 +123,33 @@
         Ok(server)
     }
 
+    /// Ends the server within the platform's grace period: stays in rotation for some
+    /// time, then accepts no more callers and waits for requests in progress. Those
+    /// that last longer get a final response before the process exits.
+    pub async fn stop(&self, close: &watch::Sender<bool>) {
+        let shared = &self.shared;
+        let stopped = shared.clock.now();
+        let margin = GRACE_MARGIN.as_micros() + RESPONSE_MARGIN.as_micros();
+        let grace = shared.bounds.load().grace.as_micros();
+        let exit = stopped + span::Span::from_micros(grace.saturating_sub(margin));
+        shared.stopping.store(true, Ordering::Relaxed);
+        timer::sleep(ROTATION_DELAY).await;
+        // Has to be known before callers are told to close: a request that arrives
+        // then may not be finished before the exit.
+        let _ = shared.exit.set(exit);
+        close.send_replace(true);
+        self.wait_closed(exit).await;
+        self.ending.send_replace(true);
+        self.wait_closed(exit + RESPONSE_MARGIN).await;
+    }
+
+    /// Waits until no connection is open, until `end` at most.
+    async fn wait_closed(&self, end: time::Mono) {
+        while self.connections.load(Ordering::Relaxed) > 0 && self.shared.clock.now() < end {
+            timer::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Accepts callers until the server is closing. A request that arrived later
     /// might not finish before the process has to exit.
     async fn accept(self: Arc<Self>, listener: TcpListener) {
@@ -186,7 +237,14 @@
         usage: Arc<Usage>,
     ) -> Result<Response<Body>, Infallible> {
         let active = ActiveRequest::new(self.clone(), usage);
-        let mut response = handler::handle(&self.shared, request, active).await;
+        let mut ending = self.ending.subscribe();
+        let mut response = tokio::select! {
+            response = handler::handle(&self.shared, request, active) => response,
+            _ = ending.wait_for(|ending| *ending) => {
+                tracing::info!(event = "cut_at_exit");
+                error_response::response(Reason::Timeout)
+            }
+        };
         if self.shared.stopping.load(Ordering::Relaxed) {
             response
                 .headers_mut()
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
 };
@@ -44,6 +44,8 @@
     pub fleet: ArcSwapOption<Fleet>,
     /// Whether the process is shutting down.
     pub stopping: AtomicBool,
+    /// When the process exits, from the time on at which it accepts no more callers.
+    pub exit: OnceLock<time::Mono>,
     /// Whether this process can read the table.
     pub reads_table: AtomicBool,
     /// Whether the feed of the configuration works.
@@ -115,6 +117,7 @@
             routes: ArcSwapOption::empty(),
             fleet: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
+            exit: OnceLock::new(),
             reads_table: AtomicBool::new(false),
             feed_works: AtomicBool::new(false),
             routers: AtomicU32::new(INITIAL_ROUTERS),
@@ -273,6 +276,12 @@
         known.is_none_or(|known| known.row.leaving)
     }
 
+    /// Returns whether the process exits before a deadline. Requests may still arrive
+    /// on connections that were open or have sent a part of one.
+    pub fn exits_before(&self, deadline: time::Mono) -> bool {
+        self.exit.get().is_some_and(|exit| *exit < deadline)
+    }
+
     /// Returns whether this router is ready for requests.
     pub fn is_ready(&self) -> bool {
         let is_configured = self.routes.load().is_some() && self.fleet.load().is_some();
--- a/crates/edge/tests/site/mod.rs
+++ b/crates/edge/tests/site/mod.rs
@@ -29,6 +29,7 @@
 pub struct Router {
     /// State shared by the router's threads.
     pub shared: Arc<Shared>,
+    server: Arc<Server>,
     close: watch::Sender<bool>,
 }
 
@@ -58,14 +59,18 @@
 pub async fn router(settings: Settings) -> Router {
     let shared = Shared::new(settings);
     let (close, closing) = watch::channel(false);
-    Server::serve(shared.clone(), closing)
+    let server = Server::serve(shared.clone(), closing)
         .await
         .expect("callers' address");
     ready::serve(shared.clone())
         .await
         .expect("readiness address");
     tokio::spawn(control::run(shared.clone()));
-    Router { shared, close }
+    Router {
+        shared,
+        server,
+        close,
+    }
 }
 
 impl Router {
@@ -77,6 +82,11 @@
         self.close.send_replace(true);
     }
 
+    /// Stops the router as after a SIGTERM.
+    pub async fn stop(&self) {
+        self.server.stop(&self.close).await;
+    }
+
     /// Waits until the router is ready for callers.
     pub async fn ready(&self) {
         until("the router is ready", || self.shared.is_ready()).await;
