--- a/crates/edge/tests/endless.rs
+++ b/crates/edge/tests/endless.rs
@@ -185,6 +185,42 @@
     site::until("no stream is open", || runner.streams() == 0).await;
 }
 
+/// Parts of a response that the HTTP library consumes without passing them on never
+/// end, slowly enough for the router to do other work: its memory stays bounded, and
+/// the caller gets a final answer.
+#[tokio::test]
+async fn endless_framing() {
+    let chunked = "HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\nx-response-signature: s\r\n\
+                   transfer-encoding: chunked\r\n\r\n";
+    let trailers = "HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\nx-response-signature: s\r\n\
+                    transfer-encoding: chunked\r\n\r\n0\r\n";
+    let extension = "HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\nx-response-signature: s\r\n\
+                     transfer-encoding: chunked\r\n\r\n1;a=";
+    let filler = "0123456789abcdef0123456789abcdef";
+    for (first, piece) in [
+        ("", filler),
+        ("HTTP/1.1 200 OK\r\nx-a: ", filler),
+        ("HTTP/1.1 200 ", filler),
+        (trailers, "x-a: 0123456789\r\n"),
+        (extension, filler),
+        (chunked, "00000000"),
+        ("HTTP/1.1 100 Continue\r\n", "x-a: 0123456789\r\n"),
+    ] {
+        let (address, sent) = raw_target(Reply {
+            start: first,
+            piece,
+            pause: Duration::ZERO,
+        })
+        .await;
+        let site = start(address).await;
+        let response = site.router.call("/once/a", "a1").await;
+        let label = format!("{first:?}, {piece:?}");
+        assert!(response.status.is_server_error(), "{label}");
+        assert!(stopped(&sent).await < BUFFERS, "{label}");
+        assert_eq!(site.router.shared.room.used(), 0, "{label}");
+    }
+}
+
 /// A stream whose event never ends is aborted.
 #[tokio::test]
 async fn endless_event() {
