--- a/crates/edge/tests/stopping.rs
+++ b/crates/edge/tests/stopping.rs
@@ -20,9 +20,6 @@
     time,
 };
 
-/// Time from the start of the stop to SIGKILL.
-const GRACE: Span = Span::from_millis(4_200);
-
 struct Site {
     router: Arc<Router>,
     target: Runner,
