Count crashes of targets whose listener closes last

Change: a connection that is opened to find out whether a target runs has to stay open for 50 ms, or another one is tried.

Before: closing_listener failed on (Open). After: it holds, and a running target gets one connection as before.

--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -43,6 +43,13 @@
 /// announces none.
 const IDLE_TIMEOUT: span::Span = span::Span::from_secs(4);
 
+/// Time for which a new connection has to stay open to show that the target is
+/// running.
+const PROBE_TIME: Duration = Duration::from_millis(50);
+
+/// Maximum number of connections opened to find out whether the target is running.
+const MAX_PROBES: u32 = 2;
+
 /// Time before the target's announced idle timeout at which a connection is no
 /// longer used, because a request sent later could arrive after the target has
 /// closed it.
@@ -176,22 +183,26 @@
     }
 
     /// Opens a new connection to the target, to find out whether it is running.
+    ///
+    /// While a process ends, its listener may accept connections for some
+    /// milliseconds after the others were closed; these are closed with it.
     pub async fn probe(&self) -> Reachability {
-        match self.connect().await {
-            Ok(connection) => {
-                self.release(Lease(connection), None, 1);
-                Reachability::Open
-            }
-            Err(fault) => {
-                tracing::debug!(event = "target_unreachable", %fault);
-                match fault.cause.downcast_ref::<io::Error>() {
-                    Some(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                        Reachability::Refused
+        for _ in 0..MAX_PROBES {
+            match self.connect().await {
+                Ok(connection) => {
+                    time::sleep(PROBE_TIME).await;
+                    if !connection.sender.is_closed() {
+                        self.release(Lease(connection), None, 1);
+                        return Reachability::Open;
                     }
-                    _ => Reachability::Silent,
+                }
+                Err(fault) => {
+                    tracing::debug!(event = "target_unreachable", %fault);
+                    return reachability(&fault);
                 }
             }
         }
+        Reachability::Open
     }
 
     /// Returns a connection to the pool after its response has been read completely.
@@ -250,6 +261,14 @@
     matches!(ready.await, Ok(Ok(())))
 }
 
+/// Returns what a failed connection attempt says of the target.
+fn reachability(fault: &Fault) -> Reachability {
+    match fault.cause.downcast_ref::<io::Error>() {
+        Some(error) if error.kind() == io::ErrorKind::ConnectionRefused => Reachability::Refused,
+        _ => Reachability::Silent,
+    }
+}
+
 /// Returns whether an error was caused by a timeout of the connection.
 fn is_timeout(error: &hyper::Error) -> bool {
     let mut source = error.source();
--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use edge::upstream::Pool;
+use edge::upstream::{Pool, Reachability};
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use tokio::{
@@ -45,3 +45,28 @@
     let (response, _lease) = next.await.expect("in time").expect("a response");
     assert_eq!(response.status(), 200);
 }
+
+/// A process that crashes has closed the connection of the request and still accepts
+/// new ones for some milliseconds: it does not count as running.
+#[tokio::test]
+async fn closing_listener() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let pool = Pool::new(listener.local_addr().expect("bound"));
+    let ended = tokio::spawn(async move {
+        time::sleep(Duration::from_millis(10)).await;
+        drop(listener);
+    });
+    assert_eq!(pool.probe().await, Reachability::Refused);
+    ended.await.expect("ends");
+}
+
+/// A target that runs is reachable, and a connection is opened once.
+#[tokio::test]
+async fn running_target() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let pool = Pool::new(listener.local_addr().expect("bound"));
+    assert_eq!(pool.probe().await, Reachability::Open);
+    listener.accept().await.expect("accepts");
+    let second = time::timeout(Duration::from_millis(50), listener.accept());
+    assert!(second.await.is_err());
+}
