Suspect parts that were never answered first

Cause: at the first crash only a sound request with the document was known (the router with the other one found the listener still open), so the document was in use at one crash more than the part at fault and reached the limit before it.

Change: a part that was never answered comes before those that were, and one that was answered waits while a never answered one is in use at most of its crashes. Routers send which suspects were answered before a crash.

--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -241,6 +241,7 @@
 /// The crashes at which a part was in use and which it may have caused.
 #[derive(Clone, Copy, Debug)]
 struct Counted<'a> {
+    crashes: u32,
     first: &'a KnownCrash,
     latest: &'a KnownCrash,
     /// When the crash became known that reached the limit.
@@ -251,9 +252,9 @@
 /// the most likely cause.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct Uses {
-    crashes: u32,
     /// Whether no request with the part is known to have been answered.
     unanswered: bool,
+    crashes: u32,
     /// Number of parts that would be refused together with this one: the more, the
     /// fewer requests a mistake refuses.
     together: usize,
@@ -418,6 +419,20 @@
         self.cleared.truncate(MAX_CLEARED);
     }
 
+    /// Tells other routers which suspects of a crash were answered before it, as the
+    /// others may have had no requests with them.
+    fn announce_answered(&mut self, now: time::Mono, crash: &Crash) {
+        for part in crash.suspects.keys() {
+            let mut announced = self.cleared.iter();
+            if let Some(answered) = self.survivors.latest(*part)
+                && !announced.any(|known| known.part.part == *part)
+            {
+                let part = *part;
+                self.announce(now, ClearedPart { part, answered }, 0);
+            }
+        }
+    }
+
     /// Returns for each part the [`Suspect::level`] of a request with it that is
     /// sent now.
     pub fn levels(&self, now: time::Mono, parts: impl Iterator<Item = id::PartHash>) -> Vec<u32> {
@@ -457,6 +472,7 @@
             return;
         }
         self.renew(now, &crash);
+        self.announce_answered(now, &crash);
         let target = crash.target;
         let added = match self.position(&crash) {
             Some(index) => self.merge_crash(index, crash),
@@ -567,7 +583,7 @@
                 likelier.push(part);
                 continue;
             };
-            if likelier.iter().any(|other| self.covers(*other, part)) {
+            if likelier.iter().any(|other| self.covers(*other, part)) || self.has_suspect(part) {
                 continue;
             }
             let refusal = Refusal {
@@ -593,6 +609,26 @@
         })
     }
 
+    /// Returns whether a part that was answered earlier was in use together with one
+    /// that never was, at most of its crashes. The others may have another cause, or
+    /// not all requests at them may be known.
+    fn has_suspect(&self, part: id::PartHash) -> bool {
+        if self.survivors.latest(part).is_none() {
+            return false;
+        }
+        let mut crashes = 0;
+        let mut unanswered: BTreeMap<id::PartHash, u32> = BTreeMap::new();
+        for known in self.unexplained(part) {
+            crashes += 1;
+            for other in known.crash.suspects.keys() {
+                *unanswered.entry(*other).or_default() += 1;
+            }
+        }
+        unanswered
+            .retain(|other, count| *count * 2 > crashes && self.survivors.latest(*other).is_none());
+        !unanswered.is_empty()
+    }
+
     /// Returns a part with those that were in the same prompts at all crashes known
     /// since `before`, as far as they have not been answered since: each of them may
     /// be the cause.
@@ -651,7 +687,7 @@
     /// Returns the time of the latest crash of a part, if its crashes suffice.
     fn sufficient(&self, now: time::Mono, part: id::PartHash) -> Option<time::Mono> {
         let counted = self.counted(part)?;
-        let reached = counted.reached?;
+        let reached = counted.reached.filter(|_| counted.crashes >= CRASH_LIMIT)?;
         let first = &counted.first.crash;
         let answered = self.answered.get(&first.service)?;
         let others = answered.iter().filter(|at| **at >= first.at).count();
@@ -665,11 +701,13 @@
         let mut crashes = self.unexplained(part);
         let first = crashes.next()?;
         let mut counted = Counted {
+            crashes: 0,
             first,
             latest: first,
             reached: None,
         };
         for crash in iter::once(first).chain(crashes) {
+            counted.crashes += 1;
             counted.latest = crash;
             if self.level(crash, part) >= CRASH_LIMIT && counted.reached.is_none() {
                 counted.reached = Some(crash.known);
--- a/crates/admit/tests/crash_parts.rs
+++ b/crates/admit/tests/crash_parts.rs
@@ -274,6 +274,53 @@
     assert_eq!(refused, [&set(&[DEADLY])]);
 }
 
+/// Of the first crash only a sound request beside the one that caused it is known. It
+/// shares a part with those that crash targets later, which was answered before; the
+/// router itself, or another one, knows that.
+#[test]
+fn partial_first_report() {
+    for elsewhere in [false, true] {
+        let mut tracker = CrashParts::default();
+        let mut other = CrashParts::default();
+        let knowing = if elsewhere { &mut other } else { &mut tracker };
+        answer(knowing, 100, &[FIRST, SECOND]);
+        for number in 1..6 {
+            let millis = number * 450;
+            let parts = match number {
+                1 => [FIRST, SECOND],
+                _ => [DEADLY, SECOND],
+            };
+            crash(&mut tracker, millis, number, &parts);
+            answer_others(&mut tracker, millis + 20);
+            for step in 0..2 {
+                let now = millis + 100 + step * 200;
+                other.merge(at(now), tracker.report(at(now)));
+                tracker.merge(at(now), other.report(at(now)));
+                tracker.evaluate(at(now));
+            }
+        }
+        tracker.evaluate(at(4_000));
+        assert!(refuses(&mut tracker, 4_001, &[DEADLY, SECOND]));
+        assert!(!refuses(&mut tracker, 4_001, &[FIRST, SECOND]));
+    }
+}
+
+/// A part begins to crash targets after it was sound, in prompts of several chats
+/// that were never answered.
+#[test]
+fn new_chats() {
+    let mut tracker = CrashParts::default();
+    answer(&mut tracker, 100, &[FIRST, DEADLY]);
+    for number in 1..5 {
+        let millis = number * 1_000;
+        crash(&mut tracker, millis, number, &[DEADLY, 20 + number / 2]);
+        answer_others(&mut tracker, millis + 100);
+        tracker.evaluate(at(millis + 900));
+    }
+    tracker.evaluate(at(6_000));
+    assert!(refuses(&mut tracker, 6_001, &[DEADLY, OTHER]));
+}
+
 /// A router that knows fewer of the crashes sends the refusal of more parts: the
 /// refusal of fewer parts stays, and replaces the other one there.
 #[test]
