--- a/crates/edge/tests/crash_reports.rs
+++ b/crates/edge/tests/crash_reports.rs
@@ -60,6 +60,9 @@
     /// Steps between two sound requests with the document, which all requests
     /// with the deadly part have then in place of other parts.
     document: Option<u64>,
+    /// Whether crashes begin after a calm time only, and of the first one only a sound
+    /// request with the document is known.
+    partial: bool,
 }
 
 impl Scenario {
@@ -124,7 +127,7 @@
                 *self.routers.last_mut().expect("a router") = CrashParts::default();
             }
             self.answer(now);
-            let is_calm = self.scenario.document.is_some() && now < CALM;
+            let is_calm = self.scenario.partial && now < CALM;
             if step % self.scenario.interval == 0 && !is_calm {
                 self.send_deadly(now);
             }
@@ -205,7 +208,7 @@
         let due: Vec<Flight> = due;
         for flight in due {
             self.crashes.push(now);
-            let is_first = self.scenario.document.is_some() && self.crashes.len() == 1;
+            let is_first = self.scenario.partial && self.crashes.len() == 1;
             let is_shared = self.scenario.document.is_some() && self.rng.random_bool(BYSTANDERS);
             if is_first || is_shared {
                 self.record(now, &flight, &[FIRST, DOCUMENT]);
@@ -303,6 +306,7 @@
     cut: false,
     restart: None,
     document: None,
+    partial: false,
 };
 
 #[test]
@@ -357,18 +361,17 @@
     });
 }
 
-/// Sound requests share a part with those that crash targets, and are too rare to be
-/// answered between the crashes. At some crashes a sound one is in flight, and at the
-/// first one it is the only one with these parts that is known.
-#[test]
-fn rare_document() {
+/// Plays 1, 4 and 29 routers with sound requests at these intervals, and crashing ones
+/// ten times, twice and once in two seconds.
+fn play_documents(documents: &[u64], partial: bool) {
     for routers in [1, 4, 29] {
-        for document in [30, 90] {
+        for document in documents {
             for interval in [2, 9, 40] {
                 play(Scenario {
                     routers,
                     interval,
-                    document: Some(document),
+                    document: Some(*document),
+                    partial,
                     ..SMALL
                 });
             }
@@ -376,6 +379,26 @@
     }
 }
 
+/// Sound requests share a part with those that crash targets, and are too rare to be
+/// answered between the crashes. At some crashes a sound one is in flight.
+#[test]
+fn rare_document() {
+    play_documents(&[30, 100, 250], false);
+}
+
+/// The sound requests were answered before the first crash, of which only one of them
+/// is known.
+#[test]
+fn partial_first_crash() {
+    play_documents(&[30, 90], true);
+}
+
+/// The same, but no request with the document was answered before.
+#[test]
+fn partial_unanswered() {
+    play_documents(&[250], true);
+}
+
 /// Messages of any size and content leave out what does not fit.
 #[test]
 fn full_update() {
