Decode cold times, evacuations, regions and the pace of targets

Cause: nothing decoded these parts of the platform's rows, settings and responses, so that no decision could use them. Change: platform decodes them with caps; nothing uses them yet. Measured: the tests of platform pass; behaviour is unchanged.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -112,6 +112,8 @@
     ProcessId;
     /// A data centre.
     DataCentre;
+    /// A region: a group of data centres.
+    Region;
     /// An operator.
     OperatorId;
     /// A planned change.
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -476,6 +476,7 @@
             service: self.service.parse()?,
             centre: self.centre.parse()?,
             slots: self.slots,
+            cold: span::Span::ZERO,
             leaving: self.leaving,
             started_at: self.born,
         };
--- a/crates/edge/tests/fleet.rs
+++ b/crates/edge/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use base::{id::DataCentre, time::Mono};
+use base::{id::DataCentre, span::Span, time::Mono};
 use edge::fleet::{Fleet, PrefixChain, Target};
 use platform::{load::Load, request::Part, target as row};
 
@@ -13,6 +13,7 @@
         service: "s".parse().expect("an id"),
         centre: "c".parse().expect("an id"),
         slots: 64,
+        cold: Span::ZERO,
         leaving: false,
         started_at: 1,
     };
@@ -56,6 +57,7 @@
         running: 2,
         waiting: 0,
         slots: 64,
+        pace: None,
     };
     target.report(at(200), report);
     assert_eq!(load(&target, at(210)), 3);
--- a/crates/edge/tests/scale.rs
+++ b/crates/edge/tests/scale.rs
@@ -30,6 +30,7 @@
         service: "service".parse().expect("an id"),
         centre: "north".parse().expect("an id"),
         slots: 64,
+        cold: Span::ZERO,
         leaving: false,
         started_at: 1,
     }
--- a/crates/edge/tests/simulation/mod.rs
+++ b/crates/edge/tests/simulation/mod.rs
@@ -163,6 +163,7 @@
         service: "service".parse().expect("an id"),
         centre: centre(number % centres),
         slots: 64,
+        cold: Span::ZERO,
         leaving: false,
         started_at: 1,
     }
--- a/crates/edge/tests/slow_targets.rs
+++ b/crates/edge/tests/slow_targets.rs
@@ -87,6 +87,7 @@
         service: "service".parse().expect("an id"),
         centre: "centre".parse().expect("an id"),
         slots: 64,
+        cold: Span::ZERO,
         leaving: false,
         started_at: 1,
     };
--- a/crates/edge/tests/target_list.rs
+++ b/crates/edge/tests/target_list.rs
@@ -13,6 +13,7 @@
         service: "s".parse().expect("an id"),
         centre: "c".parse().expect("an id"),
         slots: 1,
+        cold: Span::ZERO,
         leaving,
         started_at: 1,
     }
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -95,6 +95,7 @@
                 service: service_id(index),
                 centre: centre(number % site.routers.centres),
                 slots: service.slots,
+                cold: span::Span::ZERO,
                 leaving: false,
                 started_at: 1,
             });
