Evacuate data centres and restrict requests to regions

Cause: no router knew the operator's rows that evacuate a data centre, and the regions of routes and teams had no effect. Change: the set of evacuations is read with the configuration's feed, merged with what peers announce and evaluated in each choice; regions likewise.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -271,7 +271,12 @@
         let change = follower.next(*wait).await;
         shared.feed_works.store(change.is_ok(), Ordering::Relaxed);
         match change {
-            Ok(Change::All(rows) | Change::Some(rows)) => {
+            Ok(change) => {
+                let full = matches!(change, Change::All(_)).then_some(follower.position);
+                let full = full.map(Option::unwrap_or_default);
+                // Before the configuration, which makes the router ready.
+                view.apply_evacuation_rows(change.rows(), full);
+                let (Change::All(rows) | Change::Some(rows)) = change;
                 let values = rows.into_iter().filter(|row| row.key == rows::CONFIG_KEY);
                 for value in values.filter_map(|row| row.value) {
                     view.adopt(&value, "table");
--- a/crates/edge/src/decide.rs
+++ b/crates/edge/src/decide.rs
@@ -13,6 +13,7 @@
 use place::{
     cost,
     latency::{self, LatencyModel, Task},
+    region::Placement,
 };
 
 use crate::fleet::{PrefixChain, Target};
@@ -46,6 +47,8 @@
     pub staleness: span::Span,
     /// Highest load that a target may have, relative to the mean.
     pub load_factor: f64,
+    /// Data centres in which the request may run.
+    pub placement: Placement<'a>,
 }
 
 /// The properties of a request that affect the choice.
@@ -93,6 +96,8 @@
         for target in self.targets {
             let mut candidate = target.candidate(now, query.chain, self.centre);
             candidate.accepting &= !query.tried.contains(&target.row.id);
+            candidate.excluded = self.excludes(target);
+            candidate.accepting &= !candidate.excluded;
             candidates.push(candidate);
         }
         let prompt = cost::Prompt {
@@ -129,10 +134,22 @@
     /// Returns the time until the first of the targets that asked for no requests
     /// gets some again.
     pub fn pause(&self, now: time::Mono) -> Option<span::Span> {
-        let paused = self.targets.iter();
+        let paused = self.targets.iter().filter(|target| !self.excludes(target));
         paused.filter_map(|target| target.paused_for(now)).min()
     }
 
+    /// Returns whether the request may not run in the data centre of a target.
+    fn excludes(&self, target: &Target) -> bool {
+        self.placement.exclusion(&target.row.centre).is_some()
+    }
+
+    /// Returns whether the service has targets, and the request may run in the data
+    /// centre of none.
+    pub fn excludes_all(&self) -> bool {
+        let mut targets = self.targets.iter();
+        !self.targets.is_empty() && targets.all(|target| self.excludes(target))
+    }
+
     /// Returns the work that a request causes at a candidate that has to process
     /// `read` prompt tokens.
     fn task(&self, candidate: cost::Candidate, read: u32) -> Task {
--- a/crates/edge/src/error_response.rs
+++ b/crates/edge/src/error_response.rs
@@ -27,6 +27,10 @@
     /// The router is shutting down, and the request may take longer than that; it was
     /// not sent to a target.
     Stopping,
+    /// The request may run in none of the data centres that have targets of its
+    /// service: they are evacuated or outside the allowed regions. It was not sent to
+    /// a target.
+    NoPermittedTarget,
     /// No target accepts the request, or the router has too little memory left for
     /// its body; no target processed the request.
     Busy,
@@ -53,6 +57,7 @@
             Self::NotReady
             | Self::CrashesTargets
             | Self::Stopping
+            | Self::NoPermittedTarget
             | Self::Busy
             | Self::Overloaded
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
@@ -84,6 +89,7 @@
             Self::NotReady => "not-ready",
             Self::CrashesTargets => "crashes-targets",
             Self::Stopping => "stopping",
+            Self::NoPermittedTarget => "no-permitted-target",
             Self::Busy => "busy",
             Self::Overloaded => "overloaded",
             Self::Expired => "expired-unsent",
--- /dev/null
+++ b/crates/edge/src/evacuation/mod.rs
@@ -0,0 +1,288 @@
+//! Tracks which data centres operators have evacuated, from rows of the platform's
+//! table and from other routers.
+//!
+//! Does no I/O: [`crate::control`] passes in rows of the table, [`crate::peers`]
+//! messages of other routers. See [the design
+//! note](../../../../docs/design/evacuation.md).
+
+mod log;
+mod placement;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::{id, span, time};
+use platform::rows::{EVACUATION_PREFIX, Position, Row};
+
+pub use log::{log_changes, log_unknown_centres, log_unknown_regions};
+pub use placement::NOT_PERMITTED_RETRY;
+
+use crate::update::{EvacuationEntry, Scope, Update};
+
+/// Time for which a change is announced in every datagram. Datagrams may be lost, and
+/// through relays a change takes up to three rounds to reach all routers.
+const ANNOUNCE_TIME: span::Span = span::Span::from_secs(5);
+
+/// Maximum number of evacuations in one datagram; more are sent in turn.
+const MAX_ENTRIES: usize = 8;
+
+/// Maximum length of the names in one datagram together, in bytes, so that eight
+/// names of the maximum length do not need a third of the datagram.
+const MAX_NAMES: usize = 240;
+
+/// Maximum number of data centres whose ended evacuations are remembered.
+/// Evacuations that other routers announce are ignored beyond it.
+const MAX_KNOWN: usize = 1_024;
+
+/// Whether a data centre is evacuated, as of a position of the table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Evacuation {
+    /// The data centre.
+    pub centre: id::DataCentre,
+    /// Position of the latest change of the operator's row, or of a full read that did
+    /// not contain it.
+    pub position: Position,
+    /// Whether the row exists.
+    pub active: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    position: Position,
+    active: bool,
+    /// Until when the entry is sent in every datagram.
+    announced_until: time::Mono,
+    /// Whether it has been checked that the data centre is known.
+    checked: bool,
+}
+
+impl Entry {
+    /// Orders the states of one data centre. Positions of different states are equal
+    /// only if the table is inconsistent; the data centre then stays evacuated.
+    fn order(&self) -> (Position, bool) {
+        (self.position, self.active)
+    }
+}
+
+/// The known evacuations, including those that ended.
+#[derive(Clone, Debug, Default)]
+pub struct Evacuations {
+    entries: BTreeMap<id::DataCentre, Entry>,
+    /// Position of the latest full read of the table. A data centre without an entry
+    /// was not evacuated then.
+    full_read: Position,
+    /// Number of reports so far.
+    rounds: usize,
+}
+
+/// The evacuations to send in one round.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Recent changes, which every datagram contains.
+    recent: Vec<EvacuationEntry>,
+    /// Other evacuated data centres, which heartbeats contain.
+    standing: Vec<EvacuationEntry>,
+}
+
+impl Report {
+    /// Returns the entries for a datagram with the loads of `update`.
+    pub fn entries(&self, update: &Update) -> Vec<EvacuationEntry> {
+        let is_heartbeat = !update.uses_relays || update.scope() == Scope::Nothing;
+        let standing = if is_heartbeat {
+            &self.standing[..]
+        } else {
+            &[]
+        };
+        let mut names = 0;
+        let entries = self.recent.iter().chain(standing).take(MAX_ENTRIES);
+        let entries = entries.take_while(|entry| {
+            names += entry.centre.len();
+            names <= MAX_NAMES
+        });
+        entries.cloned().collect()
+    }
+}
+
+/// Decodes a row of the operator's table; `None` if it evacuates no data centre.
+pub fn decode(row: &Row) -> Option<Evacuation> {
+    let name = row.key.strip_prefix(EVACUATION_PREFIX)?;
+    match name.parse() {
+        Ok(centre) => Some(Evacuation {
+            centre,
+            position: row.position,
+            active: row.value.is_some(),
+        }),
+        Err(error) => {
+            tracing::info!(event = "row_unusable", key = row.key, position = row.position.0, %error);
+            None
+        }
+    }
+}
+
+impl Evacuations {
+    /// Returns the evacuated data centres.
+    pub fn active(&self) -> BTreeSet<id::DataCentre> {
+        let active = self.entries.iter().filter(|(_, entry)| entry.active);
+        active.map(|(centre, _)| centre.clone()).collect()
+    }
+
+    /// Returns everything that is known, for a snapshot.
+    pub fn all(&self) -> Vec<Evacuation> {
+        let entries = self.entries.iter();
+        let all = entries.map(|(centre, entry)| Evacuation {
+            centre: centre.clone(),
+            position: entry.position,
+            active: entry.active,
+        });
+        all.collect()
+    }
+
+    /// Applies changed rows of the table, and returns what changed.
+    pub fn apply_rows(&mut self, now: time::Mono, rows: Vec<Evacuation>) -> Vec<Evacuation> {
+        let rows = rows.into_iter();
+        rows.filter_map(|row| self.put(now, row)).collect()
+    }
+
+    /// Applies all rows of the table, read at `position`, and returns what changed.
+    ///
+    /// An evacuation that is not among them has ended, unless its position is higher:
+    /// another router has then read a later state of the table.
+    pub fn replace(
+        &mut self,
+        now: time::Mono,
+        position: Position,
+        rows: Vec<Evacuation>,
+    ) -> Vec<Evacuation> {
+        self.full_read = position;
+        let listed: BTreeSet<_> = rows.iter().map(|row| row.centre.clone()).collect();
+        let ended = self.all().into_iter().filter(|known| {
+            known.active && known.position <= position && !listed.contains(&known.centre)
+        });
+        let ended = ended.map(|known| Evacuation {
+            position,
+            active: false,
+            ..known
+        });
+        let mut changes: Vec<_> = ended.filter_map(|ended| self.put(now, ended)).collect();
+        for row in rows {
+            // A state that is older than the read and newer than the row contradicts
+            // the table, as after a restore from a backup.
+            let known = self.entries.get(&row.centre);
+            if known.is_some_and(|known| known.position <= position && !known.active) {
+                self.entries.remove(&row.centre);
+            }
+            changes.extend(self.put(now, row));
+        }
+        changes
+    }
+
+    /// Applies what another router announced, and returns what changed.
+    ///
+    /// A router that announces an older state has missed a change. The newer one is
+    /// announced again, so that it does not depend on that router's next read.
+    pub fn merge(&mut self, now: time::Mono, announced: Vec<Evacuation>) -> Vec<Evacuation> {
+        let mut changes = Vec::new();
+        for announced in announced {
+            let entry = Entry::new(now, &announced);
+            let is_full = self.entries.len() >= MAX_KNOWN;
+            match self.entries.get_mut(&announced.centre) {
+                Some(known) if known.order() >= entry.order() => {
+                    if known.active != announced.active {
+                        known.announced_until = now + ANNOUNCE_TIME;
+                    }
+                }
+                None if is_full => {}
+                None if announced.position <= self.full_read => {
+                    if announced.active {
+                        let ended = Evacuation {
+                            position: self.full_read,
+                            active: false,
+                            ..announced
+                        };
+                        self.put(now, ended);
+                    }
+                }
+                _ => changes.extend(self.put(now, announced)),
+            }
+        }
+        changes
+    }
+
+    /// Returns what the other routers may not know yet, and the evacuated data centres.
+    pub fn report(&mut self, now: time::Mono) -> Report {
+        let mut report = Report::default();
+        self.rounds = self.rounds.wrapping_add(1);
+        for evacuation in self.all() {
+            let entry = &self.entries[&evacuation.centre];
+            if entry.announced_until > now {
+                report.recent.push(EvacuationEntry::from(&evacuation));
+            } else if entry.active {
+                report.standing.push(EvacuationEntry::from(&evacuation));
+            }
+        }
+        for entries in [&mut report.recent, &mut report.standing] {
+            let turn = self.rounds.checked_rem(entries.len()).unwrap_or(0);
+            entries.rotate_left(turn);
+        }
+        report
+    }
+
+    /// Returns the evacuated data centres that this was not called for yet.
+    fn take_unchecked(&mut self) -> Vec<Evacuation> {
+        let mut unchecked = Vec::new();
+        for (centre, entry) in &mut self.entries {
+            if entry.active && !entry.checked {
+                entry.checked = true;
+                unchecked.push(Evacuation {
+                    centre: centre.clone(),
+                    position: entry.position,
+                    active: true,
+                });
+            }
+        }
+        unchecked
+    }
+
+    /// Applies a state unless a newer one is known. Returns it if it changes whether
+    /// the data centre is evacuated.
+    fn put(&mut self, now: time::Mono, state: Evacuation) -> Option<Evacuation> {
+        let mut entry = Entry::new(now, &state);
+        let known = self.entries.get(&state.centre);
+        if known.is_some_and(|known| known.order() >= entry.order()) {
+            return None;
+        }
+        let was_active = known.is_some_and(|known| known.active);
+        let is_change = was_active != state.active;
+        if let Some(known) = known
+            && !is_change
+        {
+            entry.announced_until = known.announced_until;
+            entry.checked = known.checked;
+        }
+        self.entries.insert(state.centre.clone(), entry);
+        self.limit_ended();
+        is_change.then_some(state)
+    }
+
+    /// Forgets the oldest evacuations that ended, if too many are known.
+    fn limit_ended(&mut self) {
+        if self.entries.len() <= MAX_KNOWN {
+            return;
+        }
+        let ended = self.entries.iter().filter(|(_, entry)| !entry.active);
+        let oldest = ended.min_by_key(|(_, entry)| entry.position);
+        if let Some(centre) = oldest.map(|(centre, _)| centre.clone()) {
+            self.entries.remove(&centre);
+        }
+    }
+}
+
+impl Entry {
+    fn new(now: time::Mono, state: &Evacuation) -> Self {
+        Self {
+            position: state.position,
+            active: state.active,
+            announced_until: now + ANNOUNCE_TIME,
+            checked: false,
+        }
+    }
+}
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -300,6 +300,7 @@
             local: self.row.centre == *centre,
             accepting: !self.row.leaving && state.accepts(now),
             unblocked: state.breaker.admits(now),
+            excluded: false,
         }
     }
 
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -1,7 +1,10 @@
 //! Handles one request: reads it, sends it to targets until one responds, and
 //! returns the response to the caller.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, atomic::Ordering},
+};
 
 use admit::shed;
 use base::{hash, id, span, time};
@@ -15,6 +18,7 @@
     body::Body,
     decide::{Capabilities, Query, Selection, ServiceState},
     error_response::{self, Reason},
+    evacuation::NOT_PERMITTED_RETRY,
     fleet::Fleet,
     metrics::Counter,
     request::{CallerRequest, Refusal},
@@ -131,13 +135,21 @@
         let Some(fleet) = fleet.as_ref() else {
             return Next::Stop;
         };
-        let state = self.service_state(now, fleet, &latency);
+        let evacuated = self.shared.evacuated.load();
+        let state = self.service_state(now, fleet, &latency, &evacuated);
+        if attempts.targets.is_empty() {
+            self.count_exclusions(&state);
+        }
         let query = Query {
             chain: &self.chain,
             tried: &attempts.targets,
             seed: hash::bytes(self.head.attempt.as_str().as_bytes()),
         };
         let Some(selection) = state.select(now, query) else {
+            if attempts.runs == 0 && state.excludes_all() {
+                self.shared.metrics.count(Counter::NotPermitted);
+                return Next::Refuse(Reason::NoPermittedTarget, self.spread(NOT_PERMITTED_RETRY));
+            }
             return match state.pause(now) {
                 Some(after) if attempts.runs == 0 => Next::Refuse(Reason::Busy, self.spread(after)),
                 _ => Next::Stop,
@@ -206,6 +218,7 @@
         now: time::Mono,
         fleet: &'a Fleet,
         latency: &'a LatencyModel,
+        evacuated: &'a BTreeSet<id::DataCentre>,
     ) -> ServiceState<'a> {
         ServiceState {
             targets: fleet.service(&self.service),
@@ -219,6 +232,7 @@
             routers: self.shared.routers.load(Ordering::Relaxed),
             staleness: self.shared.peer_loads.delay(),
             load_factor: self.shared.bounds.load().factor,
+            placement: self.placement(evacuated),
         }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod decide;
 pub mod engines;
 pub mod error_response;
+pub mod evacuation;
 pub mod events;
 pub mod exchange;
 pub mod expiry;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -62,10 +62,17 @@
     TableFailures,
     /// Updates received from other routers.
     UpdatesReceived,
+    /// Requests that were kept out of an evacuated data centre with targets of their
+    /// service.
+    KeptFromEvacuated,
+    /// Requests that were kept out of a data centre outside their regions.
+    KeptToRegions,
+    /// Requests that were refused because they may run in no data centre.
+    NotPermitted,
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 18] = [
+    const ALL: [(Self, &'static str); 21] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -84,6 +91,9 @@
         (Self::TableCalls, "table_calls"),
         (Self::TableFailures, "table_failures"),
         (Self::UpdatesReceived, "news_received"),
+        (Self::KeptFromEvacuated, "kept_from_evacuated"),
+        (Self::KeptToRegions, "kept_to_regions"),
+        (Self::NotPermitted, "not_permitted"),
     ];
 }
 
@@ -154,6 +164,8 @@
         let fleet = shared.fleet.load();
         let targets = fleet.as_ref().map_or(0, |fleet| fleet.targets().count());
         writeln!(text, "ebonywall_targets {targets}")?;
+        let evacuated = shared.evacuated.load().len();
+        writeln!(text, "ebonywall_evacuated_data_centres {evacuated}")?;
         let routers = shared.routers.load(Ordering::Relaxed);
         writeln!(text, "ebonywall_routers {routers}")?;
         writeln!(text, "ebonywall_body_bytes {}", shared.room.used())?;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -163,7 +163,9 @@
         let outgoing = self.round(now);
         let common = self.update(now);
         let cached = self.shared.take_announcements(MAX_CACHED);
-        for message in outgoing {
+        let evacuations = self.view.evacuations().report(now);
+        for mut message in outgoing {
+            message.update.evacuations = evacuations.entries(&message.update);
             for datagram in datagrams(&common, &message, &cached) {
                 for address in &message.receivers {
                     if let Err(error) = socket.send_to(&datagram, address).await {
@@ -314,6 +316,7 @@
             let refused = crash_reports::read_refused(now, refused);
             self.shared.poison().adopt(now, refused);
         }
+        self.view.apply_peer_evacuations(&update.evacuations);
         let departures = update.departures.iter();
         self.view.apply_peer_changes(
             departures.filter_map(|entry| Departure::try_from(entry).ok()),
@@ -365,9 +368,11 @@
             (Step::AskEngines, _) => {
                 let others: Vec<u64> = known.into_iter().map(relays::rank).collect();
                 let own = relays::rank(self.shared.settings.peers);
+                let evacuated = self.shared.evacuated.load();
                 let share = fleet.targets().filter(|target| {
                     let kind = routes.config.services.get(&target.row.service);
                     kind.is_some_and(|kind| kind.engines)
+                        && !evacuated.contains(&target.row.centre)
                         && cache_sync::is_own_share(target.hash.0, own, &others)
                 });
                 for target in share {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that the threads of a router share.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -42,6 +42,8 @@
     pub routes: ArcSwapOption<Routes>,
     /// The targets; `None` until they are known.
     pub fleet: ArcSwapOption<Fleet>,
+    /// The evacuated data centres; known before `routes` is.
+    pub evacuated: ArcSwap<BTreeSet<id::DataCentre>>,
     /// Whether the process is shutting down.
     pub stopping: AtomicBool,
     /// When the process exits, from the time on at which it accepts no more callers.
@@ -116,6 +118,7 @@
             clock: time::Clock::start(),
             routes: ArcSwapOption::empty(),
             fleet: ArcSwapOption::empty(),
+            evacuated: ArcSwap::default(),
             stopping: AtomicBool::new(false),
             exit: OnceLock::new(),
             reads_table: AtomicBool::new(false),
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -12,7 +12,7 @@
 use platform::{rows::Position, target as row};
 use prost::Message;
 
-use crate::{fleet::TargetHash, target_list::Departure};
+use crate::{evacuation::Evacuation, fleet::TargetHash, target_list::Departure};
 
 /// Largest datagram that is sent, in bytes; larger ones would be fragmented on
 /// the way.
@@ -131,6 +131,9 @@
     /// Contents that the sender may refuse, some of them in turn.
     #[prost(message, repeated, tag = "28")]
     pub refused_contents: Vec<RefusedContent>,
+    /// Evacuations of data centres, and ends of evacuations.
+    #[prost(message, repeated, tag = "40")]
+    pub evacuations: Vec<EvacuationEntry>,
 }
 
 /// A crash of a target, and the prompt parts that may be its cause.
@@ -321,6 +324,23 @@
     /// Prompt parts that targets have cached, if they were requested.
     #[prost(message, repeated, tag = "3")]
     pub cached: Vec<CachedPart>,
+    /// Evacuations of data centres, and ends of evacuations.
+    #[prost(message, repeated, tag = "40")]
+    pub evacuations: Vec<EvacuationEntry>,
+}
+
+/// Whether a data centre is evacuated.
+#[derive(Clone, PartialEq, Message)]
+pub struct EvacuationEntry {
+    /// The data centre.
+    #[prost(string, tag = "1")]
+    pub centre: String,
+    /// Position of the latest known change of the operator's row.
+    #[prost(uint64, tag = "2")]
+    pub position: u64,
+    /// Whether the row exists.
+    #[prost(bool, tag = "3")]
+    pub active: bool,
 }
 
 /// The table row of a target.
@@ -449,6 +469,28 @@
     }
 }
 
+impl From<&Evacuation> for EvacuationEntry {
+    fn from(evacuation: &Evacuation) -> Self {
+        Self {
+            centre: evacuation.centre.to_string(),
+            position: evacuation.position.0,
+            active: evacuation.active,
+        }
+    }
+}
+
+impl TryFrom<&EvacuationEntry> for Evacuation {
+    type Error = id::IdError;
+
+    fn try_from(entry: &EvacuationEntry) -> Result<Self, id::IdError> {
+        Ok(Self {
+            centre: entry.centre.parse()?,
+            position: Position(entry.position),
+            active: entry.active,
+        })
+    }
+}
+
 impl TargetRow {
     /// Encodes the row of a target.
     pub fn new(position: Position, target: &row::Target) -> Self {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -5,15 +5,20 @@
 
 use base::time;
 use bytes::Bytes;
-use platform::{config::Config, rows::Row, target as row};
+use platform::{
+    config::Config,
+    rows::{Position, Row},
+    target as row,
+};
 use tokio::sync::Notify;
 
 use crate::{
+    evacuation::{self, Evacuation, Evacuations},
     fleet::{Fleet, TargetHash},
     routes::Routes,
     shared::Shared,
     target_list::{Departure, TargetList},
-    update::{self, CachedPart, Snapshot, TargetRow},
+    update::{self, CachedPart, EvacuationEntry, Snapshot, TargetRow},
 };
 
 /// Maximum number of cached parts in a snapshot for a router that has just
@@ -28,6 +33,7 @@
     target_list: Mutex<TargetList>,
     /// The configuration in force.
     config: Mutex<HeldConfig>,
+    evacuations: Mutex<Evacuations>,
     /// Signals a change that is announced to other routers immediately.
     pub changed: Notify,
 }
@@ -39,6 +45,7 @@
             shared,
             target_list: Mutex::default(),
             config: Mutex::default(),
+            evacuations: Mutex::default(),
             changed: Notify::new(),
         })
     }
@@ -64,6 +71,7 @@
         if previous >= version {
             return;
         }
+        evacuation::log_unknown_regions(&config, &self.shared.settings);
         let rules = config.rules.len();
         *self.config.lock().unwrap_or_else(PoisonError::into_inner) = HeldConfig {
             config: value.clone(),
@@ -108,8 +116,65 @@
         changed
     }
 
+    /// Applies rows of the operator's table that evacuate data centres. `full` is the
+    /// position of the read if the rows are all rows of the table.
+    pub fn apply_evacuation_rows(&self, rows: &[Row], full: Option<Position>) {
+        let rows = rows.iter().filter_map(evacuation::decode).collect();
+        self.update_evacuations("table", |now, known| match full {
+            Some(position) => known.replace(now, position, rows),
+            None => known.apply_rows(now, rows),
+        });
+    }
+
+    /// Applies evacuations that another router announced.
+    pub fn apply_peer_evacuations(&self, entries: &[EvacuationEntry]) {
+        if entries.is_empty() {
+            return;
+        }
+        let entries = entries.iter().map(Evacuation::try_from);
+        let entries: Vec<_> = entries.filter_map(Result::ok).collect();
+        self.update_evacuations("peer", |now, known| known.merge(now, entries));
+    }
+
+    /// Changes the set of evacuations, and puts it in force for the traffic thread.
+    fn update_evacuations(
+        &self,
+        source: &'static str,
+        update: impl FnOnce(time::Mono, &mut Evacuations) -> Vec<Evacuation>,
+    ) {
+        let now = self.shared.clock.now();
+        let mut known = self.evacuations();
+        let changes = update(now, &mut known);
+        if changes.is_empty() {
+            return;
+        }
+        // Stored under the lock, so that a concurrent update cannot put an older set
+        // in force.
+        self.shared.evacuated.store(Arc::new(known.active()));
+        drop(known);
+        evacuation::log_changes(&self.shared, &changes, source);
+        self.log_unknown_centres();
+        self.changed.notify_one();
+    }
+
+    /// Logs evacuations of unknown data centres, once each.
+    fn log_unknown_centres(&self) {
+        if let Some(fleet) = self.shared.fleet.load().as_ref() {
+            evacuation::log_unknown_centres(&self.shared, fleet, &mut self.evacuations());
+        }
+    }
+
+    /// Returns the evacuations of data centres.
+    pub fn evacuations(&self) -> MutexGuard<'_, Evacuations> {
+        self.evacuations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies a snapshot from another router.
     pub fn adopt_snapshot(&self, snapshot: &Snapshot) {
+        // Before the configuration, which makes the router ready.
+        self.apply_peer_evacuations(&snapshot.evacuations);
         if !snapshot.config.is_empty() {
             match update::inflate(&snapshot.config) {
                 Ok(config) => self.adopt(&config, "peer"),
@@ -129,6 +194,7 @@
     /// Returns a snapshot for a router that cannot read the table.
     pub fn snapshot(&self) -> Snapshot {
         let config = self.deflated();
+        let evacuations = self.evacuations().all();
         let target_list = self.target_list();
         let targets = target_list
             .rows()
@@ -137,6 +203,7 @@
             config,
             targets: targets.collect(),
             cached: Vec::new(),
+            evacuations: evacuations.iter().map(EvacuationEntry::from).collect(),
         }
     }
 
@@ -182,6 +249,7 @@
         drop(target_list);
         log_changes(old.as_deref(), &fleet, source);
         self.shared.fleet.store(Some(Arc::new(fleet)));
+        self.log_unknown_centres();
         self.changed.notify_one();
     }
 }
--- a/crates/edge/tests/callers.rs
+++ b/crates/edge/tests/callers.rs
@@ -24,6 +24,8 @@
     head: 200,
     idle: 300,
     engines: false,
+    rule_regions: &[],
+    team_regions: &[],
 };
 
 async fn start(table: &Rows, runner: &Runner) -> Router {
--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -43,6 +43,8 @@
     forgotten: u64,
     down: bool,
     calls: u64,
+    /// Time that every call takes in addition.
+    delay: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -114,6 +116,11 @@
         self.shared.state().down = down;
     }
 
+    /// Delays every call.
+    pub fn slow(&self, delay: Duration) {
+        self.shared.state().delay = delay;
+    }
+
     /// Forgets the history, so that followers must read all rows again.
     pub fn forget(&self) {
         let mut state = self.shared.state();
@@ -246,6 +253,10 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Dropped> {
+        let delay = self.state().delay;
+        if !delay.is_zero() {
+            time::sleep(delay).await;
+        }
         {
             let mut state = self.state();
             state.calls += 1;
--- a/crates/fakes/src/site.rs
+++ b/crates/fakes/src/site.rs
@@ -138,6 +138,10 @@
     pub idle: u64,
     /// Whether the targets are engines.
     pub engines: bool,
+    /// Regions that the rules may use; all if empty.
+    pub rule_regions: &'static [&'static str],
+    /// Regions that the team may use; all if empty.
+    pub team_regions: &'static [&'static str],
 }
 
 impl Default for Options {
@@ -146,6 +150,8 @@
             head: 3_000,
             idle: 15_000,
             engines: false,
+            rule_regions: &[],
+            team_regions: &[],
         }
     }
 }
@@ -159,10 +165,15 @@
 /// Writes the configuration of [`configure`] with options.
 pub fn configure_with(table: &Rows, version: u64, keys: &[&str], options: Options) {
     let rule = |name: &str, kind: &str, resumable: bool| {
-        json!({"name": name, "hostname": "h.example", "prefix": format!("/{name}/"), "type": kind,
+        let mut rule = json!({"name": name, "hostname": "h.example",
+               "prefix": format!("/{name}/"), "type": kind,
                "timeout_ms": RULE_MILLIS, "service": "service", "max_attempts": MOST_RUNS,
-               "resumable": resumable})
+               "resumable": resumable});
+        allow(&mut rule, options.rule_regions);
+        rule
     };
+    let mut team = json!({"name": "team", "api_keys": keys});
+    allow(&mut team, options.team_regions);
     let mut service = json!({"name": "service", "max_connections": 100});
     if options.engines {
         service["backend_engine"] = json!({"bandwidth_mbps": 1000.0});
@@ -178,11 +189,35 @@
         "services": [service],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": MAX_BODY,
                    "header_timeout_ms": options.head, "idle_timeout_ms": options.idle},
-        "tenants": [{"name": "team", "api_keys": keys}],
+        "tenants": [team],
     });
     put(table, "op", "config", &config);
 }
 
+/// Restricts a rule or a team to regions, if there are any.
+fn allow(entry: &mut Value, regions: &[&str]) {
+    if !regions.is_empty() {
+        entry["allowed_regions"] = json!(regions);
+    }
+}
+
+/// Writes the row that evacuates a data centre.
+pub fn evacuate(table: &Rows, centre: &str) {
+    table.put("op", &format!("evacuate/{centre}"), b"");
+}
+
+/// Removes the row that evacuates a data centre.
+pub fn withdraw(table: &Rows, centre: &str) {
+    table.remove("op", &format!("evacuate/{centre}"));
+}
+
+/// Writes the row of a stand-in target in a data centre.
+pub fn list_in(table: &Rows, runner: &Runner, centre: &str) {
+    let row = json!({"service": "service", "address": runner.address().to_string(),
+                     "zone": centre, "batch_slots": 16, "state": "ready", "born": 1});
+    put(table, "servers", runner.id(), &row);
+}
+
 /// Writes the row of a target; another `born` means another start.
 pub fn list(table: &Rows, id: &str, address: SocketAddr, state: &str, born: u64) {
     let row = json!({"service": "service", "address": address.to_string(), "zone": "north",
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -14,6 +14,7 @@
     timing::ServiceLatencies,
     update::{CachedPart, MAX_CACHED, Update},
 };
+use place::region::Placement;
 use platform::target as row;
 use rand::{RngExt, rngs::ChaCha8Rng};
 
@@ -166,6 +167,7 @@
             routers: self.routers,
             staleness: self.delay,
             load_factor: site.routers.factor,
+            placement: Placement::default(),
         };
         let Some(pick) = policy.choose(now, &beliefs, asked.ask, random) else {
             return Decision::Nowhere;
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -84,6 +84,9 @@
     pub accepting: bool,
     /// Whether the target's breaker admits requests.
     pub unblocked: bool,
+    /// Whether the target must not be used at all, not even as a cache source. It then
+    /// must not be accepting either.
+    pub excluded: bool,
 }
 
 /// The properties of a prompt that the choice uses.
@@ -354,9 +357,10 @@
 }
 
 /// Returns the index of an unblocked candidate that holds all shared parts, whether it
-/// accepts new work or not.
+/// accepts new work or not. An excluded candidate is none.
 fn best_holder(candidates: &[Candidate], own: u32) -> Option<usize> {
-    let holders = candidates.iter().enumerate().filter(|(_, c)| c.unblocked);
+    let holders = candidates.iter().enumerate();
+    let holders = holders.filter(|(_, c)| c.unblocked && !c.excluded);
     let (index, best) = holders.min_by_key(|(_, c)| (c.missing, !c.accepting, c.load))?;
     (best.missing <= own).then_some(index)
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod latency;
 pub mod policy;
 mod rank;
+pub mod region;
 pub mod slowdown;
 pub mod standing;
 pub mod view;
--- a/crates/place/tests/cost.rs
+++ b/crates/place/tests/cost.rs
@@ -186,3 +186,16 @@
     }
     assert_eq!(over, 0);
 }
+
+/// An excluded target must not be fetched from: in an evacuated data centre it may be
+/// switched off at any moment.
+#[test]
+fn excluded_source() {
+    let mut targets = targets(18);
+    targets[5].missing = OWN;
+    targets[5].accepting = false;
+    targets[5].excluded = true;
+    let choice = choose(&targets, prompt(), 1).expect("a target");
+    assert_eq!(choice.source, None);
+    assert_eq!(choice.reason, Reason::Home);
+}
