Test evacuations and regions against stand-ins

Cause: the behaviour with a slow table, a cut feed, a start during an evacuation and withdrawals was not tested. Change: tests with a table and targets in two data centres; an ended evacuation that a router did not know of is no longer announced by it.

--- a/crates/edge/src/evacuation/mod.rs
+++ b/crates/edge/src/evacuation/mod.rs
@@ -163,15 +163,7 @@
             ..known
         });
         let mut changes: Vec<_> = ended.filter_map(|ended| self.put(now, ended)).collect();
-        for row in rows {
-            // A state that is older than the read and newer than the row contradicts
-            // the table, as after a restore from a backup.
-            let known = self.entries.get(&row.centre);
-            if known.is_some_and(|known| known.position <= position && !known.active) {
-                self.entries.remove(&row.centre);
-            }
-            changes.extend(self.put(now, row));
-        }
+        changes.extend(self.apply_rows(now, rows));
         changes
     }
 
@@ -198,7 +190,8 @@
                             active: false,
                             ..announced
                         };
-                        self.put(now, ended);
+                        let entry = Entry::new(now, &ended);
+                        self.entries.insert(ended.centre, entry);
                     }
                 }
                 _ => changes.extend(self.put(now, announced)),
@@ -252,11 +245,9 @@
         }
         let was_active = known.is_some_and(|known| known.active);
         let is_change = was_active != state.active;
-        if let Some(known) = known
-            && !is_change
-        {
-            entry.announced_until = known.announced_until;
-            entry.checked = known.checked;
+        if !is_change {
+            entry.announced_until = known.map_or(now, |known| known.announced_until);
+            entry.checked = known.is_some_and(|known| known.checked);
         }
         self.entries.insert(state.centre.clone(), entry);
         self.limit_ended();
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -131,8 +131,14 @@
         if entries.is_empty() {
             return;
         }
-        let entries = entries.iter().map(Evacuation::try_from);
-        let entries: Vec<_> = entries.filter_map(Result::ok).collect();
+        let read = |entry: &EvacuationEntry| match Evacuation::try_from(entry) {
+            Ok(evacuation) => Some(evacuation),
+            Err(error) => {
+                tracing::info!(event = "row_unusable", key = entry.centre, %error);
+                None
+            }
+        };
+        let entries = entries.iter().filter_map(read).collect();
         self.update_evacuations("peer", |now, known| known.merge(now, entries));
     }
 
--- /dev/null
+++ b/crates/edge/tests/evacuation.rs
@@ -0,0 +1,440 @@
+//! Evacuation of data centres, and routes and teams that may use certain regions
+//! only.
+
+mod site;
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use base::{id::DataCentre, span::Span, time::Mono};
+use edge::{
+    evacuation::{Evacuation, Evacuations},
+    update::{EvacuationEntry, Scope, Snapshot, Update},
+};
+use fakes::{
+    rows::Rows,
+    runner::{Behaviour, Runner},
+    site::Options,
+};
+use http::StatusCode;
+use platform::rows::Position;
+use proptest::prelude::*;
+use prost::Message;
+use site::{Response, Router};
+use tokio::time::{self, Instant};
+
+/// Time from the change of the row until no request may reach the data centre.
+const BOUND: Duration = Duration::from_millis(5_000);
+
+/// Time in which a router without the table learns of a change from its peers.
+const PEER_BOUND: Duration = Duration::from_millis(1_500);
+
+const CENTRES: [&str; 2] = ["north", "south"];
+
+fn centre(name: &str) -> DataCentre {
+    name.parse().expect("an id")
+}
+
+fn state(name: &str, position: u64, active: bool) -> Evacuation {
+    Evacuation {
+        centre: centre(name),
+        position: Position(position),
+        active,
+    }
+}
+
+fn at(millis: u64) -> Mono {
+    Mono(0) + Span::from_millis(millis)
+}
+
+fn names(evacuations: &Evacuations) -> Vec<String> {
+    let active = evacuations.active().into_iter();
+    active.map(|centre| centre.to_string()).collect()
+}
+
+fn entries(evacuations: &mut Evacuations, millis: u64, update: &Update) -> Vec<EvacuationEntry> {
+    evacuations.report(at(millis)).entries(update)
+}
+
+proptest! {
+    /// Routers receive rows and announcements in any order, some of them repeatedly
+    /// or late; all must end with the same set, that of the highest positions.
+    #[test]
+    fn any_order(
+        changes in prop::collection::vec((0..4_usize, any::<bool>()), 1..30),
+        order in prop::collection::vec((any::<prop::sample::Index>(), any::<bool>()), 0..60),
+    ) {
+        let name = |index: usize| format!("c{index}");
+        let states: Vec<_> = changes
+            .iter()
+            .enumerate()
+            .map(|(at, (index, active))| state(&name(*index), at as u64 + 1, *active))
+            .collect();
+        let mut expected = Evacuations::default();
+        expected.apply_rows(at(0), states.clone());
+        let mut mixed = Evacuations::default();
+        for (index, from_peer) in order {
+            let one = vec![index.get(&states).clone()];
+            match from_peer {
+                true => mixed.merge(at(0), one),
+                false => mixed.apply_rows(at(0), one),
+            };
+        }
+        mixed.merge(at(0), states.clone());
+        prop_assert_eq!(mixed.all(), expected.all());
+        let last = |index: usize| changes.iter().rev().find(|(at, _)| *at == index);
+        let active = (0..4).filter(|index| last(*index).is_some_and(|(_, active)| *active));
+        prop_assert_eq!(names(&mixed), active.map(name).collect::<Vec<_>>());
+    }
+}
+
+/// A full read ends an evacuation that it does not contain, also one that only a peer
+/// knew; one with a higher position stays, because the peer has read a later state.
+#[test]
+fn full_reads() {
+    let mut known = Evacuations::default();
+    known.replace(at(0), Position(10), vec![state("a", 4, true)]);
+    known.merge(at(0), vec![state("b", 15, true), state("c", 30, true)]);
+    known.apply_rows(at(0), vec![state("d", 16, true)]);
+    assert_eq!(names(&known), ["a", "b", "c", "d"]);
+    let changes = known.replace(at(0), Position(20), vec![state("d", 16, true)]);
+    assert_eq!(changes, [state("a", 20, false), state("b", 20, false)]);
+    assert_eq!(names(&known), ["c", "d"]);
+}
+
+/// A late announcement must not bring back an evacuation that was withdrawn, nor one
+/// that a full read did not contain. The router that sent it is told.
+#[test]
+fn late_announcements() {
+    let mut known = Evacuations::default();
+    known.replace(at(0), Position(10), Vec::new());
+    known.apply_rows(at(0), vec![state("a", 11, true)]);
+    known.apply_rows(at(0), vec![state("a", 12, false)]);
+    assert!(entries(&mut known, 6_000, &Update::default()).is_empty());
+    let late = vec![state("a", 11, true), state("b", 9, true)];
+    assert!(known.merge(at(6_000), late).is_empty());
+    assert!(names(&known).is_empty());
+    let sent = entries(&mut known, 6_100, &Update::default());
+    let sent: Vec<_> = sent.iter().map(Evacuation::try_from).collect();
+    let sent: Vec<_> = sent.into_iter().flatten().collect();
+    assert!(sent.contains(&state("a", 12, false)));
+    assert!(sent.contains(&state("b", 10, false)));
+}
+
+/// Changes are in every datagram for five seconds, evacuations in heartbeats as long
+/// as they last, and nothing otherwise: an update without them has no further byte.
+#[test]
+fn announced() {
+    let heartbeat = Update {
+        uses_relays: true,
+        scope: Scope::Nothing.into(),
+        ..Update::default()
+    };
+    let loads = Update {
+        scope: Scope::Own.into(),
+        ..heartbeat.clone()
+    };
+    let mut known = Evacuations::default();
+    known.replace(at(0), Position(1), Vec::new());
+    assert!(entries(&mut known, 0, &heartbeat).is_empty());
+    assert_eq!(Snapshot::default().encoded_len(), 0);
+    assert_eq!(Update::default().encoded_len(), 0);
+    known.apply_rows(at(1_000), vec![state("a", 2, true)]);
+    let sent = entries(&mut known, 5_900, &loads);
+    let update = Update {
+        evacuations: sent,
+        ..Update::default()
+    };
+    // The size that the capacity page states, of a name with one letter.
+    assert_eq!(update.encoded_len(), 10);
+    assert!(entries(&mut known, 6_100, &loads).is_empty());
+    assert_eq!(entries(&mut known, 60_000, &heartbeat).len(), 1);
+    known.apply_rows(at(61_000), vec![state("a", 3, false)]);
+    assert_eq!(entries(&mut known, 65_900, &loads).len(), 1);
+    assert!(entries(&mut known, 66_100, &heartbeat).is_empty());
+}
+
+/// Many evacuations with long names must not fill the datagram; they take turns.
+#[test]
+fn many_evacuations() {
+    let mut known = Evacuations::default();
+    let name = |number: u64| format!("{number:060}");
+    let rows = (1..=40).map(|number| state(&name(number), number, true));
+    known.apply_rows(at(0), rows.collect());
+    let mut seen = BTreeSet::new();
+    for _ in 0..40 {
+        let entries = entries(&mut known, 100, &Update::default());
+        let update = Update {
+            evacuations: entries.clone(),
+            ..Update::default()
+        };
+        assert!(update.encoded_len() < 300, "{}", update.encoded_len());
+        seen.extend(entries.into_iter().map(|entry| entry.centre));
+    }
+    assert_eq!(seen.len(), 40);
+}
+
+/// A table, and one target in each of two data centres.
+struct Site {
+    table: Rows,
+    targets: [Runner; 2],
+}
+
+impl Site {
+    fn start(options: Options) -> Self {
+        let table = Rows::start().expect("a table");
+        fakes::site::configure_with(&table, 1, &[site::KEY], options);
+        let targets = CENTRES.map(|centre| {
+            let runner = Runner::start(&format!("i-{centre}"), Behaviour::ByPath);
+            let runner = runner.expect("a target");
+            fakes::site::list_in(&table, &runner, centre);
+            runner
+        });
+        Self { table, targets }
+    }
+
+    async fn router(&self) -> Router {
+        start(self.table.address(), &[]).await
+    }
+
+    fn runs(&self) -> [usize; 2] {
+        [0, 1].map(|index| self.targets[index].runs().len())
+    }
+}
+
+async fn start(table: SocketAddr, seeds: &[SocketAddr]) -> Router {
+    let mut settings = site::settings(table, seeds);
+    let regions = CENTRES.into_iter().zip(["east", "west"]);
+    let regions = regions.map(|(name, region)| (centre(name), region.parse().expect("an id")));
+    settings.regions = regions.collect();
+    let router = site::router(settings).await;
+    router.ready().await;
+    router
+}
+
+fn evacuated(router: &Router) -> Vec<String> {
+    let evacuated = router.shared.evacuated.load();
+    evacuated.iter().map(ToString::to_string).collect()
+}
+
+/// Waits until exactly these data centres are evacuated, and returns how long it took.
+async fn until_evacuated(router: &Router, names: &[&str]) -> Duration {
+    let started = Instant::now();
+    site::until("the set is in force", || evacuated(router) == names).await;
+    started.elapsed()
+}
+
+async fn calls(router: &Router, label: &str, count: usize) -> usize {
+    let mut served = 0;
+    for number in 0..count {
+        let response = router.call("/again/a", &format!("{label}-{number}")).await;
+        served += usize::from(response.status == StatusCode::OK);
+    }
+    served
+}
+
+fn is_refused(response: &Response) -> bool {
+    response.status == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers.contains_key("retry-after")
+}
+
+fn metric(router: &Router, name: &str) -> String {
+    let text = router.shared.metrics.render(&router.shared);
+    let text = text.expect("metrics");
+    let line = text.lines().find(|line| line.starts_with(name));
+    let value = line.and_then(|line| line.split(' ').next_back());
+    value.unwrap_or_default().to_owned()
+}
+
+/// While the table is slow, the evacuation still takes effect in time, the other data
+/// centre gets all requests, and the first one gets some again afterwards. An evacuation
+/// of an unknown data centre and a malformed name have no effect.
+#[tokio::test]
+async fn slow_table() {
+    let site = Site::start(Options::default());
+    let router = site.router().await;
+    // The router is in the north and prefers targets there while none is loaded.
+    assert_eq!(calls(&router, "before", 20).await, 20);
+    assert_eq!(site.runs(), [20, 0]);
+    site.table.slow(Duration::from_millis(500));
+    fakes::site::evacuate(&site.table, "elsewhere");
+    fakes::site::evacuate(&site.table, "not a name");
+    fakes::site::evacuate(&site.table, "north");
+    assert!(until_evacuated(&router, &["elsewhere", "north"]).await < BOUND);
+    assert_eq!(calls(&router, "during", 20).await, 20);
+    assert_eq!(site.runs(), [20, 20]);
+    assert_eq!(metric(&router, "ebonywall_evacuated_data_centres"), "2");
+    assert_eq!(metric(&router, "ebonywall_kept_from_evacuated_total"), "20");
+    fakes::site::withdraw(&site.table, "north");
+    until_evacuated(&router, &["elsewhere"]).await;
+    assert_eq!(calls(&router, "after", 20).await, 20);
+    assert_eq!(site.runs(), [40, 20]);
+}
+
+/// An evacuation that is withdrawn twice follows the latest row, also when the table
+/// forgets its history in between.
+#[tokio::test]
+async fn withdrawn_twice() {
+    let site = Site::start(Options::default());
+    let router = site.router().await;
+    for forgets in [false, true] {
+        fakes::site::evacuate(&site.table, "north");
+        if forgets {
+            site.table.forget();
+        }
+        assert!(until_evacuated(&router, &["north"]).await < BOUND);
+        fakes::site::withdraw(&site.table, "north");
+        if forgets {
+            site.table.forget();
+        }
+        until_evacuated(&router, &[]).await;
+    }
+    assert_eq!(calls(&router, "after", 20).await, 20);
+    assert_eq!(site.runs(), [20, 0]);
+}
+
+/// With all data centres evacuated, requests are refused at once as not run; the router
+/// in one of them keeps answering.
+#[tokio::test]
+async fn all_evacuated() {
+    let site = Site::start(Options::default());
+    let router = site.router().await;
+    for name in CENTRES {
+        fakes::site::evacuate(&site.table, name);
+    }
+    assert!(until_evacuated(&router, &CENTRES).await < BOUND);
+    let started = Instant::now();
+    for path in ["/once/a", "/again/a", "/stream/a", "/resume/a"] {
+        let response = router.call(path, &format!("all{}", &path[1..3])).await;
+        assert!(is_refused(&response), "{response:?}");
+    }
+    assert!(started.elapsed() < Duration::from_millis(400));
+    assert_eq!(site.runs(), [0, 0]);
+    assert_eq!(metric(&router, "ebonywall_not_permitted_total"), "4");
+    assert!(router.shared.is_ready());
+}
+
+/// Neither a retry nor a resumed stream goes to an evacuated data centre; a stream that
+/// runs there finishes.
+#[tokio::test]
+async fn retries() {
+    let site = Site::start(Options::default());
+    let router = site.router().await;
+    fakes::site::evacuate(&site.table, "south");
+    until_evacuated(&router, &["south"]).await;
+    site.targets[0].next(Behaviour::Endless);
+    let running = router.call("/stream/a", "running");
+    let change = async {
+        site::until("the stream runs", || site.targets[0].streams() == 1).await;
+        fakes::site::withdraw(&site.table, "south");
+        fakes::site::evacuate(&site.table, "north");
+        until_evacuated(&router, &["north"]).await;
+        time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(site.targets[0].streams(), 1);
+        let [first, second] = &site.targets;
+        let before = first.runs().len();
+        second.next(Behaviour::Shed);
+        assert!(is_refused(&router.call("/again/a", "shed").await));
+        second.next(Behaviour::Fail);
+        let failed = router.call("/again/a", "failed").await;
+        assert_eq!(failed.status, StatusCode::INTERNAL_SERVER_ERROR);
+        second.next(Behaviour::Break(2));
+        assert!(!router.call("/resume/a", "broken").await.whole);
+        assert_eq!(first.runs().len(), before);
+    };
+    tokio::join!(running, change);
+}
+
+/// A router that starts during an evacuation, without the table, is not ready before it
+/// knows the set; later it learns of changes from its peer in time.
+#[tokio::test]
+async fn from_peer() {
+    let site = Site::start(Options::default());
+    fakes::site::evacuate(&site.table, "north");
+    let router = site.router().await;
+    assert_eq!(evacuated(&router), ["north"]);
+    let refusing = Rows::start().expect("a table");
+    refusing.down(true);
+    let seeds = [router.shared.settings.peers];
+    let isolated = start(refusing.address(), &seeds).await;
+    assert_eq!(evacuated(&isolated), ["north"]);
+    assert_eq!(calls(&isolated, "isolated", 20).await, 20);
+    assert_eq!(site.runs(), [0, 20]);
+    fakes::site::withdraw(&site.table, "north");
+    assert!(until_evacuated(&isolated, &[]).await < PEER_BOUND);
+    fakes::site::evacuate(&site.table, "south");
+    assert!(until_evacuated(&isolated, &["south"]).await < PEER_BOUND);
+    // What only the peer told stays until a read of the table does not contain it.
+    router.stop().await;
+    time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(evacuated(&isolated), ["south"]);
+    for version in 0..40 {
+        fakes::site::configure(&refusing, version, &[site::KEY]);
+    }
+    refusing.down(false);
+    until_evacuated(&isolated, &[]).await;
+}
+
+/// A router that starts during an evacuation asks no engine there for its cached parts,
+/// and no engine is told to fetch from one there.
+#[tokio::test]
+async fn engines() {
+    let site = Site::start(Options {
+        engines: true,
+        ..Options::default()
+    });
+    let [north, south] = &site.targets;
+    north.keep("part", 5_000);
+    south.keep("other", 5_000);
+    let known = site.router().await;
+    site::until("both are asked", || north.lists() + south.lists() == 2).await;
+    fakes::site::evacuate(&site.table, "north");
+    until_evacuated(&known, &["north"]).await;
+    let started = site.router().await;
+    // The first router may answer in place of the engines; neither way leads to north.
+    time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(north.lists(), 1);
+    for (number, router) in [&known, &started].into_iter().enumerate() {
+        let mut request = site::request("/again/a", &format!("part-{number}"));
+        let prefix = "part:5000,own:100".parse().expect("a prefix");
+        request.headers_mut().insert("x-prompt-prefix", prefix);
+        assert_eq!(router.send(request).await.status, StatusCode::OK);
+    }
+    assert_eq!(site.runs(), [0, 2]);
+    let fetches = |runner: &Runner| {
+        let runs = runner.runs().into_iter();
+        runs.filter(|run| run.headers.contains_key("kv-fetch"))
+            .count()
+    };
+    assert_eq!(fetches(south), 0);
+}
+
+/// Requests of a route or a team with regions reach no other region, also when the
+/// targets there fail; without a target in the regions they are refused as not run.
+#[tokio::test]
+async fn homes() {
+    for (rule, team, expected) in [
+        (&["west"][..], &[][..], [0, 20]),
+        (&[][..], &["east", "nowhere"][..], [20, 0]),
+        (&["west"][..], &["east"][..], [0, 0]),
+        (&["nowhere"][..], &[][..], [0, 0]),
+    ] {
+        let site = Site::start(Options {
+            rule_regions: rule,
+            team_regions: team,
+            ..Options::default()
+        });
+        let router = site.router().await;
+        let served = calls(&router, "home", 20).await;
+        assert_eq!(site.runs(), expected);
+        assert_eq!(served, expected.into_iter().sum::<usize>());
+        for target in &site.targets {
+            target.set(Behaviour::Fail);
+        }
+        let last = router.call("/again/a", "last").await;
+        match served {
+            0 => assert!(is_refused(&last), "{last:?}"),
+            _ => assert_eq!(last.status, StatusCode::INTERNAL_SERVER_ERROR),
+        }
+        assert_eq!(site.runs(), expected.map(|runs| runs + runs.min(1)));
+    }
+}
