Send all of many evacuations in turn

Cause: with more evacuations than a datagram holds, the order repeated in the rounds in which lasting ones are sent, so some were left out. Change: rotate by the number of such rounds; a stricter test of the list query and the cache source.

--- a/crates/edge/src/evacuation/mod.rs
+++ b/crates/edge/src/evacuation/mod.rs
@@ -28,7 +28,7 @@
 
 /// Number of rounds in one of which evacuations are sent that are not fresh. In every
 /// round, the relays of 360 routers would send 18 KB/s of them.
-const ROUNDS: usize = 4;
+const REPEAT_ROUNDS: usize = 4;
 
 /// Maximum number of evacuations in one datagram; more are sent in turn.
 const MAX_ENTRIES: usize = 8;
@@ -63,14 +63,6 @@
     checked: bool,
 }
 
-impl Entry {
-    /// Orders the states of one data centre. Positions of different states are equal
-    /// only if the table is inconsistent; the data centre then stays evacuated.
-    fn order(&self) -> (Position, bool) {
-        (self.position, self.active)
-    }
-}
-
 /// The known evacuations, including those that ended.
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
@@ -217,7 +209,7 @@
     pub fn report(&mut self, now: time::Mono) -> Report {
         self.rounds = self.rounds.wrapping_add(1);
         let mut report = Report {
-            is_turn: self.rounds.is_multiple_of(ROUNDS),
+            is_turn: self.rounds.is_multiple_of(REPEAT_ROUNDS),
             ..Report::default()
         };
         for evacuation in self.all() {
@@ -231,11 +223,15 @@
             };
             list.push(EvacuationEntry::from(&evacuation));
         }
-        for entries in [&mut report.fresh, &mut report.recent, &mut report.standing] {
-            // Differs from round to round also in those with `is_turn`.
-            let turn = self.rounds / ROUNDS + self.rounds;
-            let turn = turn.checked_rem(entries.len()).unwrap_or(0);
-            entries.rotate_left(turn);
+        let turn = self.rounds / REPEAT_ROUNDS;
+        let lists = [
+            (&mut report.fresh, self.rounds),
+            (&mut report.recent, turn),
+            (&mut report.standing, turn),
+        ];
+        for (entries, turn) in lists {
+            let first = turn.checked_rem(entries.len()).unwrap_or(0);
+            entries.rotate_left(first);
         }
         report
     }
@@ -297,4 +293,10 @@
             checked: false,
         }
     }
+
+    /// Orders the states of one data centre. Positions of different states are equal
+    /// only if the table is inconsistent; the data centre then stays evacuated.
+    fn order(&self) -> (Position, bool) {
+        (self.position, self.active)
+    }
 }
--- a/crates/edge/tests/evacuation.rs
+++ b/crates/edge/tests/evacuation.rs
@@ -8,6 +8,7 @@
 use base::{id::DataCentre, span::Span, time::Mono};
 use edge::{
     evacuation::{Evacuation, Evacuations},
+    fleet::{TargetHash, part_hash},
     update::{EvacuationEntry, Scope, Snapshot, Update},
 };
 use fakes::{
@@ -163,17 +164,18 @@
     let name = |number: u64| format!("{number:060}");
     let rows = (1..=40).map(|number| state(&name(number), number, true));
     known.apply_rows(at(0), rows.collect());
-    let mut seen = BTreeSet::new();
-    for _ in 0..40 {
-        let entries = entries(&mut known, 100, &Update::default());
-        let update = Update {
-            evacuations: entries.clone(),
-            ..Update::default()
-        };
-        assert!(update.encoded_len() < 300, "{}", update.encoded_len());
-        seen.extend(entries.into_iter().map(|entry| entry.centre));
+    for millis in [100, 2_000, 60_000] {
+        let mut seen = BTreeSet::new();
+        for _ in 0..160 {
+            let update = Update {
+                evacuations: entries(&mut known, millis, &Update::default()),
+                ..Update::default()
+            };
+            assert!(update.encoded_len() < 300, "{}", update.encoded_len());
+            seen.extend(update.evacuations.into_iter().map(|entry| entry.centre));
+        }
+        assert_eq!(seen.len(), 40);
     }
-    assert_eq!(seen.len(), 40);
 }
 
 /// A table, and one target in each of two data centres.
@@ -378,7 +380,7 @@
 }
 
 /// A router that starts during an evacuation asks no engine there for its cached parts,
-/// and no engine is told to fetch from one there.
+/// and no engine is told to fetch from one there, unlike from one that is leaving.
 #[tokio::test]
 async fn engines() {
     let site = Site::start(Options {
@@ -386,29 +388,38 @@
         ..Options::default()
     });
     let [north, south] = &site.targets;
-    north.keep("part", 5_000);
-    south.keep("other", 5_000);
-    let known = site.router().await;
-    site::until("both are asked", || north.lists() + south.lists() == 2).await;
     fakes::site::evacuate(&site.table, "north");
-    until_evacuated(&known, &["north"]).await;
-    let started = site.router().await;
-    // The first router may answer in place of the engines; neither way leads to north.
-    time::sleep(Duration::from_millis(1_500)).await;
-    assert_eq!(north.lists(), 1);
-    for (number, router) in [&known, &started].into_iter().enumerate() {
-        let mut request = site::request("/again/a", &format!("part-{number}"));
-        let prefix = "part:5000,own:100".parse().expect("a prefix");
+    let router = site.router().await;
+    site::until("the south is asked", || south.lists() == 1).await;
+    time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(north.lists(), 0);
+    fakes::site::withdraw(&site.table, "north");
+    until_evacuated(&router, &[]).await;
+    fakes::site::list_runner(&site.table, north, "draining");
+    let held = || router.shared.fleet.load_full().expect("targets");
+    let hash = TargetHash::of(&north.id().parse().expect("an id"));
+    let is_leaving = || held().target(hash).is_some_and(|target| target.row.leaving);
+    site::until("the north is leaving", is_leaving).await;
+    let fetches = || {
+        let runs = south.runs().into_iter();
+        let fetching = runs.filter(|run| run.headers.contains_key("kv-fetch"));
+        fetching.count()
+    };
+    for (part, evacuates) in [("first", false), ("second", true)] {
+        if evacuates {
+            fakes::site::evacuate(&site.table, "north");
+            until_evacuated(&router, &["north"]).await;
+        }
+        let target = held().target(hash).expect("the target").clone();
+        target.add_cached(router.shared.clock.now(), part_hash(part));
+        let mut request = site::request("/again/a", part);
+        let prefix = format!("{part}:5000,own-{part}:100");
+        let prefix = prefix.parse().expect("a prefix");
         request.headers_mut().insert("x-prompt-prefix", prefix);
         assert_eq!(router.send(request).await.status, StatusCode::OK);
+        assert_eq!(fetches(), 1);
     }
     assert_eq!(site.runs(), [0, 2]);
-    let fetches = |runner: &Runner| {
-        let runs = runner.runs().into_iter();
-        runs.filter(|run| run.headers.contains_key("kv-fetch"))
-            .count()
-    };
-    assert_eq!(fetches(south), 0);
 }
 
 /// Requests of a route or a team with regions reach no other region, also when the
