Divide the limit of cold targets among the routers

Cause: nothing limited the requests to a target that has just started; a target that bears 26 requests in a second got 32. Change: place::cold divides half of the limit by a ranking of routers and target; edge::cold keeps what each router knows of a target's cold start and checks it where a target is chosen and where the request is sent. Rows and announcements carry the time for which a target is still cold. Measured: place/tests/cold.rs holds with 1,000 cases of 3 to 360 routers; with the whole limit divided in place of half of it, it fails (30 of 26).

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -91,11 +91,25 @@
         let target = &selection.target;
         let now = self.shared.clock.now();
         let remaining = self.deadline.since(now);
+        let mut grant = match self.shared.cold_limit(&self.service) {
+            Some(limit) => {
+                let Some(grant) = limit.reserve(now, target) else {
+                    self.log_missed(target, "cold");
+                    return Err(AttemptError::NotRun);
+                };
+                Some(grant)
+            }
+            None => None,
+        };
         let (flight, learned) = target.begin(now, &self.chain, selection.missing);
         self.shared.announce_parts(target, learned.into_iter());
         let levels = self.shared.crash_parts().levels(now, self.chain.shared());
         let request = self.build_request(selection, remaining, last_event);
-        let sent = target.pool.send(request);
+        let sent = target.pool.send_with(request, || {
+            if let Some(grant) = &mut grant {
+                grant.sent(self.shared.clock.now());
+            }
+        });
         let (response, lease) = match timer::timeout(remaining.duration(), sent).await {
             Ok(Ok(sent)) => sent,
             Ok(Err(error)) => return Err(self.send_failed(target, now, &levels, error)),
@@ -151,6 +165,7 @@
         error: SendError,
     ) -> AttemptError {
         let now = self.shared.clock.now();
+        self.shared.report_silent(now, target);
         match &error {
             // A closed connection shows that the target's host is running.
             SendError::Closed(_) => {
@@ -186,6 +201,7 @@
         answering: Option<span::Span>,
     ) {
         let (shared, target) = (self.shared.clone(), target.clone());
+        shared.report_silent(shared.clock.now(), &target);
         let mut crash = Crash {
             target: target.run(),
             service: self.service.clone(),
@@ -250,6 +266,10 @@
             self.shared.metrics.count(Counter::LeavesSeen);
             tracing::info!(event = "target_leaving", id = %self.head.attempt, target = %target.row.id);
         }
+        if let Some(left) = head.cold {
+            self.shared
+                .update_cold(now, target, |cold| cold.apply_response(now, left));
+        }
         if let Some(pause) = head.pause {
             target.report_pause(now, pause);
             self.shared.metrics.count(Counter::Pauses);
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -23,6 +23,7 @@
 use tokio::time as timer;
 
 use crate::{
+    cold::TableRead,
     expiry::Members,
     metrics::Counter,
     peers::Peers,
@@ -310,17 +311,22 @@
 ) {
     let mut follower = Follower::new(shared.clone(), service, Table::Targets);
     loop {
+        let began = shared.clock.now();
         let change = follower.next(span::Span::ZERO).await;
-        shared.reads_table.store(change.is_ok(), Ordering::Relaxed);
+        let is_read = change.is_ok();
+        shared.reads_table.store(is_read, Ordering::Relaxed);
         apply_targets(
             &mut view.target_list(),
             shared.clock.now(),
             follower.position,
             change,
         );
-        if follower.position.is_some() {
-            view.publish("table");
+        match follower.position {
+            Some(position) if is_read => view.publish_read(TableRead { began, position }),
+            Some(_) => view.publish("table"),
+            None => {}
         }
+        shared.expire_cold_suspicions(shared.clock.now());
         wait_for_next_read(&peers, &shared, &view).await;
     }
 }
@@ -334,7 +340,8 @@
         timer::sleep(readers::interval(drain, peers.is_reader()).duration()).await;
         let mut target_list = view.target_list();
         let since = shared.clock.now().since(read);
-        if readers::may_skip(target_list.last_change(), peers.relayed_change(), since) {
+        let may_skip = readers::may_skip(target_list.last_change(), peers.relayed_change(), since);
+        if may_skip && !shared.awaits_cold_rows() {
             skipped = true;
             drop(target_list);
             // Rows that were removed may count as removed by now.
@@ -433,6 +440,7 @@
         match follower.next(span::Span::ZERO).await {
             Ok(change) => {
                 apply_members(&peers, &mut members, &change);
+                peers.set_listed();
                 if !members.contains(own) && (had_row || change.removes(own)) {
                     tracing::warn!(event = "row_removed", key = own);
                     tokio::spawn(register(shared.clone(), service.clone()));
--- a/crates/edge/src/decide.rs
+++ b/crates/edge/src/decide.rs
@@ -15,7 +15,10 @@
     latency::{self, LatencyModel, Task},
 };
 
-use crate::fleet::{PrefixChain, Target};
+use crate::{
+    cold::ColdLimit,
+    fleet::{PrefixChain, Target},
+};
 
 /// Properties of a service's targets that affect the choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -46,6 +49,8 @@
     pub staleness: span::Span,
     /// Highest load that a target may have, relative to the mean.
     pub load_factor: f64,
+    /// Limit of the requests to cold targets, if there is one.
+    pub cold: Option<&'a ColdLimit>,
 }
 
 /// The properties of a request that affect the choice.
@@ -72,6 +77,10 @@
     pub task: Task,
     /// Estimated number of requests at the target, without this one.
     pub load: u32,
+    /// Whether the target is cold.
+    pub cold: bool,
+    /// Number of cold targets that were left out because of their limit.
+    pub withheld: u32,
     /// Details of the choice, for the log.
     pub choice: cost::Choice,
 }
@@ -90,11 +99,17 @@
     /// Selects the best target, or returns `None` if no target accepts requests.
     pub fn select(&self, now: time::Mono, query: Query) -> Option<Selection> {
         let mut candidates = Vec::with_capacity(self.targets.len());
+        let mut withheld = 0;
         for target in self.targets {
             let mut candidate = target.candidate(now, query.chain, self.centre);
             candidate.accepting &= !query.tried.contains(&target.row.id);
+            if candidate.accepting && self.cold.is_some_and(|cold| !cold.may_send(now, target)) {
+                candidate.accepting = false;
+                withheld += 1;
+            }
             candidates.push(candidate);
         }
+        let ramps = self.ramp_loads(now, &mut candidates);
         let prompt = cost::Prompt {
             part: query.chain.shared().last().map(|part| part.0),
             own: query.chain.own(),
@@ -104,7 +119,7 @@
         };
         let spill = cost::SpillFactor::below(self.load_factor);
         let timings = cost::Timings::from(self.latency);
-        let choice = cost::choose(
+        let mut choice = cost::choose(
             &candidates,
             prompt,
             spill,
@@ -112,6 +127,11 @@
             timings,
             query.seed,
         )?;
+        let ramped: u32 = ramps.iter().map(|(_, added)| *added).sum();
+        choice.utilization.load = choice.utilization.load.saturating_sub(ramped.into());
+        for (index, added) in ramps {
+            candidates[index].load -= added;
+        }
         let chosen = candidates[choice.index];
         let read = choice
             .source
@@ -122,10 +142,43 @@
             missing: chosen.missing,
             task: self.task(chosen, read),
             load: chosen.load,
+            cold: self
+                .cold
+                .is_some_and(|_| self.targets[choice.index].cold().is_cold(now)),
+            withheld,
             choice,
         })
     }
 
+    /// Raises the loads of targets that were cold until recently, and returns by how
+    /// much. Such targets are idle, and all routers would send to a data centre that
+    /// returns as a whole. Their loads count as at least the mean of the others at
+    /// first, so that they are chosen like the others, and less and less so later.
+    fn ramp_loads(&self, now: time::Mono, candidates: &mut [cost::Candidate]) -> Vec<(usize, u32)> {
+        let Some(cold) = self.cold else {
+            return Vec::new();
+        };
+        let targets = self.targets.iter().enumerate();
+        let ramps = targets.filter(|(index, _)| candidates[*index].accepting);
+        let ramps = ramps.map(|(index, target)| (index, cold.ramp(now, target)));
+        let ramps: Vec<(usize, f64)> = ramps.filter(|(_, ramp)| *ramp > 0.0).collect();
+        if ramps.is_empty() {
+            return Vec::new();
+        }
+        let others = candidates.iter().enumerate().filter(|(index, other)| {
+            other.accepting && ramps.iter().all(|(ramping, _)| ramping != index)
+        });
+        let loads: Vec<u32> = others.map(|(_, other)| other.load).collect();
+        let mean = f64::from(loads.iter().sum::<u32>()) / loads.len().max(1) as f64;
+        let raise = |(index, ramp): (usize, f64)| {
+            let load = candidates[index].load.max((mean * ramp) as u32);
+            let added = load - candidates[index].load;
+            candidates[index].load = load;
+            (index, added)
+        };
+        ramps.into_iter().map(raise).collect()
+    }
+
     /// Returns the time until the first of the targets that asked for no requests
     /// gets some again.
     pub fn pause(&self, now: time::Mono) -> Option<span::Span> {
--- a/crates/edge/src/engines.rs
+++ b/crates/edge/src/engines.rs
@@ -33,6 +33,10 @@
 /// to the other routers.
 pub async fn query(shared: Arc<Shared>, target: Arc<Target>) {
     let id = &target.row.id;
+    // A cold engine has cached nothing, and bears few requests.
+    if shared.is_cold(shared.clock.now(), &target) {
+        return;
+    }
     match time::timeout(QUERY_TIMEOUT, list(&target)).await {
         Ok(Ok(parts)) => {
             let parts = longest(parts);
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -11,6 +11,7 @@
 use platform::{load::Load, request::Part, target as row};
 
 use crate::{
+    cold::state::ColdState,
     update::{CachedPart, SlowTarget},
     upstream::Pool,
 };
@@ -57,6 +58,7 @@
     /// Hash of its id.
     pub hash: TargetHash,
     state: Arc<Mutex<State>>,
+    cold: Arc<Mutex<ColdState>>,
 }
 
 #[derive(Debug, Default)]
@@ -264,18 +266,33 @@
                 && known.row.started_at == row.started_at
                 && known.row.address == row.address
         });
-        let (pool, state) = match same {
-            Some(same) => (same.pool.clone(), same.state.clone()),
-            None => (Arc::new(Pool::new(row.address)), Arc::default()),
+        let (pool, state, cold) = match same {
+            Some(same) => (same.pool.clone(), same.state.clone(), same.cold.clone()),
+            None => (
+                Arc::new(Pool::new(row.address)),
+                Arc::default(),
+                Arc::default(),
+            ),
         };
         Self {
             row,
             pool,
             hash,
             state,
+            cold,
         }
     }
 
+    /// Returns the state of the target's cold start.
+    pub fn cold(&self) -> MutexGuard<'_, ColdState> {
+        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether `other` is the same run of the target, with the same state.
+    pub fn shares_state(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.state, &other.state)
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -13,6 +13,7 @@
 use crate::{
     attempt::{AttemptError, TargetResponse},
     body::Body,
+    cold::ColdLimit,
     decide::{Capabilities, Query, Selection, ServiceState},
     error_response::{self, Reason},
     fleet::Fleet,
@@ -131,7 +132,8 @@
         let Some(fleet) = fleet.as_ref() else {
             return Next::Stop;
         };
-        let state = self.service_state(now, fleet, &latency);
+        let cold = self.shared.cold_limit(&self.service);
+        let state = self.service_state(now, fleet, &latency, cold.as_ref());
         let query = Query {
             chain: &self.chain,
             tried: &attempts.targets,
@@ -180,10 +182,18 @@
             output = self.head.output_tokens,
             missing = selection.missing,
             source = selection.source.map(tracing::field::display),
+            cold = selection.cold,
+            withheld = selection.withheld,
             attempt = attempts.targets.len() + 1,
             left = %self.deadline.since(now),
         );
         self.shared.metrics.count(Counter::Sends);
+        if selection.cold {
+            self.shared.metrics.count(Counter::ColdSends);
+        }
+        if selection.withheld > 0 {
+            self.shared.metrics.count(Counter::ColdDiverted);
+        }
         attempts.targets.push(target.row.id.clone());
         Next::Send(selection)
     }
@@ -206,6 +216,7 @@
         now: time::Mono,
         fleet: &'a Fleet,
         latency: &'a LatencyModel,
+        cold: Option<&'a ColdLimit>,
     ) -> ServiceState<'a> {
         ServiceState {
             targets: fleet.service(&self.service),
@@ -219,6 +230,7 @@
             routers: self.shared.routers.load(Ordering::Relaxed),
             staleness: self.shared.peer_loads.delay(),
             load_factor: self.shared.bounds.load().factor,
+            cold,
         }
     }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -56,6 +56,10 @@
     LeavesSeen,
     /// Refusals of targets that asked for no requests for some time.
     Pauses,
+    /// Requests sent to cold targets.
+    ColdSends,
+    /// Requests for which a cold target was left out because of its limit.
+    ColdDiverted,
     /// Calls to the table.
     TableCalls,
     /// Calls to the table that failed.
@@ -65,7 +69,7 @@
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 18] = [
+    const ALL: [(Self, &'static str); 20] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -81,6 +85,8 @@
         (Self::RefusedParts, "parts_refused"),
         (Self::LeavesSeen, "target_leaves_seen"),
         (Self::Pauses, "target_pauses"),
+        (Self::ColdSends, "cold_sends"),
+        (Self::ColdDiverted, "cold_diverted"),
         (Self::TableCalls, "table_calls"),
         (Self::TableFailures, "table_failures"),
         (Self::UpdatesReceived, "news_received"),
@@ -154,6 +160,8 @@
         let fleet = shared.fleet.load();
         let targets = fleet.as_ref().map_or(0, |fleet| fleet.targets().count());
         writeln!(text, "ebonywall_targets {targets}")?;
+        let cold = shared.cold_targets(shared.clock.now());
+        writeln!(text, "ebonywall_cold_targets {cold}")?;
         let routers = shared.routers.load(Ordering::Relaxed);
         writeln!(text, "ebonywall_routers {routers}")?;
         writeln!(text, "ebonywall_body_bytes {}", shared.room.used())?;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -25,7 +25,7 @@
 
 use crate::{
     cache_sync::{self, CacheSync, Step},
-    crash_reports, engines,
+    cold, crash_reports, engines,
     exchange::{Exchange, Outgoing},
     lag::{Lag, VersionState},
     metrics::Counter,
@@ -59,6 +59,8 @@
     cache_sync: Mutex<CacheSync>,
     /// Number of rounds of updates so far.
     rounds: AtomicUsize,
+    /// Whether the rows of the routers have been read.
+    listed: AtomicBool,
     /// Starts the next round before its interval has passed.
     pub wake: Notify,
 }
@@ -84,6 +86,7 @@
             lag: Mutex::default(),
             cache_sync: Mutex::new(CacheSync::new(first)),
             rounds: AtomicUsize::new(0),
+            listed: AtomicBool::new(false),
             wake: Notify::new(),
         })
     }
@@ -124,6 +127,11 @@
         self.exchange().add_listed(address);
     }
 
+    /// Records that the rows of the routers have been read.
+    pub fn set_listed(&self) {
+        self.listed.store(true, Ordering::Relaxed);
+    }
+
     /// Marks a router as having no row any more.
     pub fn remove_listed(&self, address: SocketAddr) {
         self.exchange().remove_listed(address);
@@ -187,6 +195,10 @@
             tracing::info!(event = "relays", mesh, is_relay, through);
         }
         self.shared.peer_loads.record(now, &exchange.freshness(now));
+        let own = relays::rank(self.shared.settings.peers);
+        let listed = self.listed.load(Ordering::Relaxed);
+        let members = cold::members(&exchange, now, own, listed);
+        self.shared.set_cold_members(members);
         let routers = exchange.routers(now);
         self.shared.routers.store(routers, Ordering::Relaxed);
         outgoing
@@ -202,8 +214,12 @@
         let mut target_list = self.view.target_list();
         let departures = target_list.departures(now, MAX_DEPARTURES);
         let joined = target_list.joined(now, MAX_JOINED).into_iter();
-        let joined = joined.map(|(position, target)| TargetRow::new(position, target));
-        let joined = joined.collect();
+        let joined = joined.map(|(position, target)| TargetRow::new(position, &target));
+        let mut joined: Vec<TargetRow> = joined.collect();
+        if let Some(fleet) = fleet.as_ref() {
+            let max = MAX_JOINED - joined.len().min(MAX_JOINED);
+            joined.extend(cold::statements(fleet, now, &target_list, max));
+        }
         let last_change = target_list.last_change().0;
         drop(target_list);
         let (crashes, refused_contents) = self.report_contents(now);
@@ -299,6 +315,7 @@
             tracing::info!(event = "peer_heard", peer = update.process, %address);
         }
         if let Some(fleet) = self.shared.fleet.load().as_ref() {
+            cold::apply_statements(&self.shared, now, fleet, update);
             let learned = target_status::apply(fleet, now, update, &changes);
             if aggregates {
                 self.shared.announce_cached(learned.into_iter());
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -22,6 +22,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    cold::Routers,
     exchange::LoadFreshness,
     fleet::{Fleet, Target},
     metrics::Metrics,
@@ -60,6 +61,8 @@
     pub metrics: Metrics,
     /// Bounds, which may change while the process runs.
     pub bounds: ArcSwap<Bounds>,
+    /// The routers that the limits of cold targets are divided among.
+    pub cold_routers: ArcSwap<Routers>,
     /// Signals that rows of refusals have to be written or removed.
     pub refusals_changed: Notify,
     retry_budget: Mutex<FleetRetryBudget>,
@@ -123,6 +126,7 @@
             routers: AtomicU32::new(INITIAL_ROUTERS),
             peer_loads: PeerLoads::default(),
             room: MemoryBudget::new(settings.memory.as_usize() / BODY_MEMORY_DIVISOR),
+            cold_routers: ArcSwap::default(),
             refusals_changed: Notify::new(),
             retry_budget: Mutex::new(FleetRetryBudget::new(retry_limit(&bounds))),
             metrics: Metrics::default(),
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -22,14 +22,34 @@
 /// Maximum number of removed rows that are remembered.
 const MAX_REMOVED: usize = 4_096;
 
+/// Time by which the end of a cold start must move to count as a change. Rows are
+/// read up to some hundred milliseconds after they were written, so that the end
+/// that is computed from each of them differs.
+const COLD_TOLERANCE: span::Span = span::Span::from_secs(1);
+
 #[derive(Clone, Debug)]
 struct Entry {
     target: Target,
     position: Position,
+    /// Until when the target is cold, as the row says.
+    cold_until: Option<time::Mono>,
     /// When the target counts as removed, if its row was removed.
     removed_at: Option<time::Mono>,
 }
 
+impl Entry {
+    /// Returns the position of the row, and the target with the time for which it
+    /// is still cold.
+    fn row(&self, now: time::Mono) -> (Position, Target) {
+        let cold = self.cold_until.map(|until| until.since(now));
+        let target = Target {
+            cold: cold.unwrap_or_default(),
+            ..self.target.clone()
+        };
+        (self.position, target)
+    }
+}
+
 /// The targets listed in the table.
 #[derive(Clone, Debug, Default)]
 pub struct TargetList {
@@ -37,7 +57,8 @@
     removed: BTreeMap<id::TargetId, Position>,
     table: TableHealth,
     departures: Vec<(time::Mono, Departure)>,
-    /// Targets that started recently, and until when each is announced.
+    /// Targets that started recently, or turned cold or warm, and until when each is
+    /// announced.
     joined: Vec<(time::Mono, id::TargetId)>,
     /// Number of rounds in which changes were announced.
     rounds: usize,
@@ -98,25 +119,37 @@
             return false;
         }
         let same = known.filter(|known| known.target.started_at == target.started_at);
+        let mut cold_until = (target.cold > span::Span::ZERO).then(|| now + target.cold);
+        if let Some(known) = same.filter(|known| known.position == position) {
+            // The row is known; a router that announces it may omit the time.
+            target.cold = known.target.cold;
+            cold_until = known.cold_until;
+        }
+        let is_turned = same.is_some_and(|known| turns(known.cold_until, cold_until));
         let was_leaving = same.is_some_and(|known| known.target.leaving);
         let (is_leaving, is_joined) = (
             target.leaving && !was_leaving,
             same.is_none() && !target.leaving,
         );
         target.leaving |= was_leaving;
-        let is_new = known.is_none_or(|known| known.target != target || known.removed_at.is_some());
+        let is_new = is_turned
+            || known.is_none_or(|known| {
+                !is_same_row(&known.target, &target) || known.removed_at.is_some()
+            });
         if is_new {
             self.last_change = self.last_change.max(position);
         }
         if is_leaving {
             self.announce(now, &target.id, position, false);
         }
-        if is_joined {
+        if is_joined || (is_turned && !target.leaving) {
+            self.joined.retain(|(_, id)| *id != target.id);
             self.joined.push((now + ANNOUNCE_TIME, target.id.clone()));
         }
         let entry = Entry {
             target,
             position,
+            cold_until,
             removed_at: None,
         };
         self.entries.insert(entry.target.id.clone(), entry);
@@ -193,17 +226,26 @@
             .collect()
     }
 
-    /// Returns new targets that other routers may not know yet, at most `max`,
-    /// with the positions of their rows. They are selected in the same way as
+    /// Returns targets that are new, or turned cold or warm, and that other routers
+    /// may not know yet, at most `max`, in the same way as [`Self::rows`]. They are selected in the same way as
     /// departures.
-    pub fn joined(&mut self, now: time::Mono, max: usize) -> Vec<(Position, &Target)> {
+    pub fn joined(&mut self, now: time::Mono, max: usize) -> Vec<(Position, Target)> {
         self.joined.retain(|(until, _)| *until > now);
         let indices = rotate(self.joined.len(), max, self.rounds).into_iter();
         let ids = indices.map(|index| &self.joined[index].1);
         let entries = ids.filter_map(|id| self.entries.get(id));
-        entries
-            .map(|entry| (entry.position, &entry.target))
-            .collect()
+        entries.map(|entry| entry.row(now)).collect()
+    }
+
+    /// Returns the position of a target's row, and until when the row says that the
+    /// target is cold, if the row is of this run of the target.
+    pub fn cold(
+        &self,
+        id: &id::TargetId,
+        started_at: i64,
+    ) -> Option<(Position, Option<time::Mono>)> {
+        let entry = self.entries.get(id)?;
+        (entry.target.started_at == started_at).then_some((entry.position, entry.cold_until))
     }
 
     /// Returns the table position of the latest known change of a target.
@@ -229,11 +271,15 @@
         self.entries.values().map(|entry| &entry.target).collect()
     }
 
-    /// Returns the rows of the targets with their positions.
-    pub fn rows(&self) -> impl Iterator<Item = (Position, &Target)> {
-        self.entries
-            .values()
-            .map(|entry| (entry.position, &entry.target))
+    /// Returns the rows of the targets with their positions, and with the times for
+    /// which the targets are still cold.
+    pub fn rows(&self, now: time::Mono) -> impl Iterator<Item = (Position, Target)> {
+        self.entries.values().map(move |entry| entry.row(now))
+    }
+
+    /// Returns the row of a target in the same way.
+    pub fn row(&self, now: time::Mono, id: &id::TargetId) -> Option<(Position, Target)> {
+        self.entries.get(id).map(|entry| entry.row(now))
     }
 
     fn announce(&mut self, now: time::Mono, id: &id::TargetId, position: Position, removed: bool) {
@@ -257,6 +303,27 @@
     }
 }
 
+/// Returns whether two rows say the same, but for the time for which the target is
+/// still cold, which counts down with each row.
+pub fn is_same_row(a: &Target, b: &Target) -> bool {
+    a.id == b.id
+        && a.address == b.address
+        && a.service == b.service
+        && a.centre == b.centre
+        && a.slots == b.slots
+        && a.leaving == b.leaving
+        && a.started_at == b.started_at
+}
+
+/// Returns whether a target turned cold or warm between two rows, or is cold for
+/// longer than the earlier row said.
+fn turns(before: Option<time::Mono>, after: Option<time::Mono>) -> bool {
+    match (before, after) {
+        (Some(before), Some(after)) => after > before + COLD_TOLERANCE,
+        _ => before.is_some() != after.is_some(),
+    }
+}
+
 /// Returns the indices of the changes to announce in a round, at most `max` of
 /// `count`: half of them the latest, the others in turn.
 fn rotate(count: usize, max: usize, round: usize) -> Vec<usize> {
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -350,6 +350,14 @@
     /// Position of the row in the table.
     #[prost(uint64, tag = "8")]
     pub position: u64,
+    /// Time for which the target is still cold, in milliseconds; absent if the
+    /// sender does not know of cold targets.
+    #[prost(uint32, optional, tag = "9")]
+    pub cold: Option<u32>,
+    /// Through how many routers the time came from the one that the target told it
+    /// in a response, which is 1. If 0, the time is that of the row.
+    #[prost(uint32, tag = "10")]
+    pub hops: u32,
 }
 
 /// Maximum size of an inflated configuration, in bytes.
@@ -461,9 +469,17 @@
             leaving: target.leaving,
             born: target.started_at,
             position: position.0,
+            cold: Some(u32::try_from(target.cold.as_millis()).unwrap_or(u32::MAX)),
+            hops: 0,
         }
     }
 
+    /// Returns the time for which the target is still cold, zero if it is unknown.
+    pub fn cold_time(&self) -> span::Span {
+        let cold = span::Span::from_millis(self.cold.unwrap_or_default().into());
+        cold.min(row::MAX_COLD)
+    }
+
     /// Decodes the target and the position of its row.
     ///
     /// # Errors
@@ -476,7 +492,7 @@
             service: self.service.parse()?,
             centre: self.centre.parse()?,
             slots: self.slots,
-            cold: span::Span::ZERO,
+            cold: self.cold_time(),
             leaving: self.leaving,
             started_at: self.born,
         };
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -143,8 +143,22 @@
     /// When there is no response; the error shows whether the target may have
     /// processed the request.
     pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        self.send_with(request, || {}).await
+    }
+
+    /// Does the same as [`Self::send`], and calls `on_send` each time when the
+    /// request is sent on a connection.
+    ///
+    /// # Errors
+    ///
+    /// See [`Self::send`].
+    pub async fn send_with(
         &self,
         mut request: Request<Full<Bytes>>,
+        mut on_send: impl FnMut(),
     ) -> Result<(Response<Incoming>, Lease), SendError> {
         loop {
             let idle = self.take_idle();
@@ -156,6 +170,7 @@
             if !fresh && !is_ready(&mut connection).await {
                 continue;
             }
+            on_send();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     connection.reused = !fresh;
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -1,18 +1,22 @@
 //! A router's view of configuration and targets, from the table and from other
 //! routers.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
 
-use base::time;
+use base::{span, time};
 use bytes::Bytes;
 use platform::{config::Config, rows::Row, target as row};
 use tokio::sync::Notify;
 
 use crate::{
+    cold::{self, TableRead, state::Evidence},
     fleet::{Fleet, TargetHash},
     routes::Routes,
     shared::Shared,
-    target_list::{Departure, TargetList},
+    target_list::{self, Departure, TargetList},
     update::{self, CachedPart, Snapshot, TargetRow},
 };
 
@@ -30,6 +34,9 @@
     config: Mutex<HeldConfig>,
     /// Signals a change that is announced to other routers immediately.
     pub changed: Notify,
+    /// Whether all targets have been listed once. Those that appear later have just
+    /// started, as far as this router knows.
+    has_listed: AtomicBool,
 }
 
 impl View {
@@ -40,6 +47,7 @@
             target_list: Mutex::default(),
             config: Mutex::default(),
             changed: Notify::new(),
+            has_listed: AtomicBool::new(false),
         })
     }
 
@@ -99,9 +107,18 @@
     /// what is known.
     fn put(&self, now: time::Mono, rows: &[TargetRow]) -> bool {
         let mut changed = false;
-        for row in rows {
+        for row in rows.iter().filter(|row| row.hops == 0) {
             match row.target() {
-                Ok((position, target)) => changed |= self.target_list().put(now, position, target),
+                Ok((position, mut target)) => {
+                    let mut target_list = self.target_list();
+                    if row.cold.is_none() {
+                        // The sender knows nothing of cold targets.
+                        let known = target_list.row(now, &target.id);
+                        let known = known.filter(|(_, k)| k.started_at == target.started_at);
+                        target.cold = known.map(|(_, known)| known.cold).unwrap_or_default();
+                    }
+                    changed |= target_list.put(now, position, target);
+                }
                 Err(error) => tracing::info!(event = "row_unusable", key = row.id, %error),
             }
         }
@@ -120,6 +137,7 @@
         self.put(now, &snapshot.targets);
         if !snapshot.targets.is_empty() {
             self.publish("peer");
+            self.has_listed.store(true, Ordering::Relaxed);
         }
         if let Some(fleet) = self.shared.fleet.load().as_ref() {
             fleet.add_cached(now, &snapshot.cached);
@@ -131,8 +149,8 @@
         let config = self.deflated();
         let target_list = self.target_list();
         let targets = target_list
-            .rows()
-            .map(|(position, target)| TargetRow::new(position, target));
+            .rows(self.shared.clock.now())
+            .map(|(position, target)| TargetRow::new(position, &target));
         Snapshot {
             config,
             targets: targets.collect(),
@@ -167,8 +185,19 @@
         current.deflated.clone().unwrap_or_default()
     }
 
+    /// Replaces the fleet that the traffic thread uses, if a target changed, after
+    /// the table was read.
+    pub fn publish_read(&self, read: TableRead) {
+        self.publish_rows("table", Some(read));
+        self.has_listed.store(true, Ordering::Relaxed);
+    }
+
     /// Replaces the fleet that the traffic thread uses, if a target changed.
     pub fn publish(&self, source: &'static str) {
+        self.publish_rows(source, None);
+    }
+
+    fn publish_rows(&self, source: &'static str, read: Option<TableRead>) {
         let now = self.shared.clock.now();
         let old = self.shared.fleet.load_full();
         let mut target_list = self.target_list();
@@ -176,9 +205,14 @@
         if let Some(old) = &old
             && is_same(old, &rows)
         {
+            cold::apply_rows(&self.shared, now, old, &target_list, read);
             return;
         }
         let fleet = Fleet::new(&rows, old.as_deref());
+        if self.has_listed.load(Ordering::Relaxed) {
+            self.suspect_new(now, &fleet, old.as_deref(), &target_list);
+        }
+        cold::apply_rows(&self.shared, now, &fleet, &target_list, read);
         drop(target_list);
         log_changes(old.as_deref(), &fleet, source);
         self.shared.fleet.store(Some(Arc::new(fleet)));
@@ -186,6 +220,29 @@
     }
 }
 
+impl View {
+    /// Treats runs of targets that are not in `old` as cold until a later row.
+    fn suspect_new(
+        &self,
+        now: time::Mono,
+        fleet: &Fleet,
+        old: Option<&Fleet>,
+        target_list: &TargetList,
+    ) {
+        for target in fleet.targets() {
+            let known = old.and_then(|old| old.target(target.hash));
+            if known.is_some_and(|known| known.shares_state(target)) {
+                continue;
+            }
+            let row = target_list.cold(&target.row.id, target.row.started_at);
+            let position = row.map(|(position, _)| position);
+            self.shared.update_cold(now, target, |cold| {
+                cold.suspect(now, Evidence::New, position)
+            });
+        }
+    }
+}
+
 /// A configuration as stored in the table, and in the compressed form that peers
 /// get.
 #[derive(Debug, Default)]
@@ -210,7 +267,10 @@
 fn is_same(fleet: &Fleet, rows: &[&row::Target]) -> bool {
     let known = |row: &&row::Target| {
         let target = fleet.target(TargetHash::of(&row.id));
-        target.is_some_and(|target| target.row == **row)
+        target.is_some_and(|target| {
+            target_list::is_same_row(&target.row, row)
+                && (target.row.cold > span::Span::ZERO) == (row.cold > span::Span::ZERO)
+        })
     };
     fleet.targets().count() == rows.len() && rows.iter().all(known)
 }
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -166,6 +166,7 @@
             routers: self.routers,
             staleness: self.delay,
             load_factor: site.routers.factor,
+            cold: None,
         };
         let Some(pick) = policy.choose(now, &beliefs, asked.ask, random) else {
             return Decision::Nowhere;
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -122,6 +122,8 @@
             ..Task::default()
         },
         load: chosen.load,
+        cold: false,
+        withheld: 0,
         choice: cost::Choice {
             index,
             reason: cost::Reason::Cheapest,
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod breaker;
 pub mod choose;
+pub mod cold;
 pub mod cost;
 pub mod latency;
 pub mod policy;
