--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -266,10 +266,11 @@
             self.shared.metrics.count(Counter::LeavesSeen);
             tracing::info!(event = "target_leaving", id = %self.head.attempt, target = %target.row.id);
         }
-        if let Some(left) = head.cold {
-            self.shared
-                .update_cold(now, target, |cold| cold.apply_response(now, left));
-        }
+        self.shared
+            .update_cold(now, target, |cold| match head.cold {
+                Some(left) => cold.apply_response(now, left),
+                None => cold.record_response(now),
+            });
         if let Some(pause) = head.pause {
             target.report_pause(now, pause);
             self.shared.metrics.count(Counter::Pauses);
--- a/crates/edge/src/cold/mod.rs
+++ b/crates/edge/src/cold/mod.rs
@@ -40,6 +40,10 @@
 /// this many times the cold time: it may start again some time after it was silent.
 const OUTAGE_FACTOR: u64 = 2;
 
+/// The same while the table can be read but the target's row is not written again.
+/// The row of a target that is down lapses sooner.
+const UNWRITTEN_FACTOR: u64 = 10;
+
 /// Maximum number of routers that pass on what a target said in a response: a
 /// router, its relay and a relay of another data centre.
 pub const MAX_HOPS: u32 = 3;
@@ -65,6 +69,22 @@
     time: span::Span,
 }
 
+/// How far a target is with its return to the usual load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ramp {
+    /// Its load when it stopped being cold.
+    initial: u32,
+    /// The part of the time that is left, from 1 to 0.
+    left: f64,
+}
+
+impl Ramp {
+    /// Returns the load that the target should still lack, compared with `mean`.
+    pub fn missing_load(self, mean: f64) -> f64 {
+        (mean - f64::from(self.initial)).max(0.0) * self.left
+    }
+}
+
 /// A request that may be sent to a target. It counts as about to be sent until
 /// [`Self::sent`] is called or the grant is dropped.
 #[derive(Debug)]
@@ -127,15 +147,20 @@
         })
     }
 
-    /// Returns how much of a target's load is assumed to be missing because it
-    /// was cold until recently: 1 at that moment, 0 after the cold time.
-    pub fn ramp(&self, now: time::Mono, target: &Target) -> f64 {
-        let Some(since) = target.cold().warm_since(now) else {
-            return 0.0;
-        };
+    /// Returns how far a target is with its return to the usual load, if it was cold
+    /// until less than the cold time ago. `load` is its load now.
+    pub fn ramp(&self, now: time::Mono, target: &Target, load: u32) -> Option<Ramp> {
+        let mut cold = target.cold();
+        let since = cold.warm_since(now)?;
         let time = self.time.as_micros();
         let left = time.saturating_sub(now.since(since).as_micros());
-        left as f64 / time.max(1) as f64
+        if left == 0 {
+            return None;
+        }
+        Some(Ramp {
+            initial: cold.initial_load(since, load),
+            left: left as f64 / time as f64,
+        })
     }
 
     fn left(&self, now: time::Mono, target: &Target, cold: &mut ColdState) -> u32 {
@@ -335,21 +360,22 @@
         })
     }
 
-    /// Ends the suspicion of targets that were silent so long ago that they would
-    /// not be cold any more, while the table cannot be read.
+    /// Ends the suspicion of targets that cannot be cold any more, although no row
+    /// said so.
     pub fn expire_cold_suspicions(&self, now: time::Mono) {
-        if self.reads_table.load(Ordering::Relaxed) {
-            return;
-        }
+        let factor = match self.reads_table.load(Ordering::Relaxed) {
+            true => UNWRITTEN_FACTOR,
+            false => OUTAGE_FACTOR,
+        };
         let fleet = self.fleet.load();
         for target in fleet.iter().flat_map(|fleet| fleet.targets()) {
             if !target.cold().is_suspected() {
                 continue;
             }
             if let Some(limit) = self.cold_limit(&target.row.service) {
-                let time = limit.time.as_micros().saturating_mul(OUTAGE_FACTOR);
+                let silent_time = limit.time.as_micros().saturating_mul(factor);
                 self.update_cold(now, target, |cold| {
-                    cold.expire(now, span::Span::from_micros(time))
+                    cold.expire(now, limit.time, span::Span::from_micros(silent_time))
                 });
             }
         }
--- a/crates/edge/src/cold/state.rs
+++ b/crates/edge/src/cold/state.rs
@@ -62,6 +62,8 @@
     row_until: Option<time::Mono>,
     said: Option<Statement>,
     suspicion: Option<Suspicion>,
+    /// When the target stopped being cold, and its load at the first decision after.
+    initial_load: Option<(time::Mono, u32)>,
     /// The latest evidence, for the log.
     evidence: Evidence,
     /// Whether the target was cold at the latest check.
@@ -83,6 +85,8 @@
     since: time::Mono,
     /// A row at a later position was written after `since`.
     position: Option<Position>,
+    /// When the target responded for the first time since.
+    responded: Option<time::Mono>,
 }
 
 /// A target has turned cold or warm.
@@ -112,6 +116,14 @@
         self.stated_until().filter(|_| !self.is_cold(now))
     }
 
+    /// Returns the load that the target had at the first decision after it stopped
+    /// being cold at `since`; `load` is that of this decision.
+    pub fn initial_load(&mut self, since: time::Mono, load: u32) -> u32 {
+        let known = self.initial_load.filter(|(known, _)| *known == since);
+        self.initial_load = known.or(Some((since, load)));
+        known.map_or(load, |(_, load)| load)
+    }
+
     /// Returns until when the target is or was cold, as it said.
     fn stated_until(&self) -> Option<time::Mono> {
         self.row_until.max(self.said.map(|said| said.until))
@@ -124,6 +136,7 @@
             evidence,
             since: now,
             position,
+            responded: None,
         });
         self.evidence = evidence;
     }
@@ -198,12 +211,25 @@
         Some((said.until.since(now), said.hops))
     }
 
-    /// Ends a suspicion that has lasted for `time`.
-    pub fn expire(&mut self, now: time::Mono, time: span::Span) {
-        if self
-            .suspicion
-            .is_some_and(|suspicion| now.since(suspicion.since) >= time)
-        {
+    /// Records a response that does not say whether the target is cold. The target
+    /// runs at this moment, so that it is not cold any more after the cold time.
+    pub fn record_response(&mut self, now: time::Mono) {
+        if let Some(suspicion) = &mut self.suspicion {
+            suspicion.responded.get_or_insert(now);
+        }
+    }
+
+    /// Ends a suspicion `cold_time` after the first response, or, if there was none,
+    /// when it has lasted for `silent_time`.
+    pub fn expire(&mut self, now: time::Mono, cold_time: span::Span, silent_time: span::Span) {
+        let Some(suspicion) = self.suspicion else {
+            return;
+        };
+        let is_over = match suspicion.responded {
+            Some(responded) => now.since(responded) >= cold_time,
+            None => now.since(suspicion.since) >= silent_time,
+        };
+        if is_over {
             self.suspicion = None;
             self.evidence = Evidence::Time;
         }
--- a/crates/edge/src/decide.rs
+++ b/crates/edge/src/decide.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    cold::ColdLimit,
+    cold::{ColdLimit, Ramp},
     fleet::{PrefixChain, Target},
 };
 
@@ -152,28 +152,29 @@
 
     /// Raises the loads of targets that were cold until recently, and returns by how
     /// much. Such targets are idle, and all routers would send to a data centre that
-    /// returns as a whole. Their loads count as at least the mean of the others at
-    /// first, so that they are chosen like the others, and less and less so later.
+    /// returns as a whole. What a target lacks to the mean load of the others is
+    /// added to its load at first, and less and less of it later, so that its load
+    /// rises evenly to the mean within the cold time.
     fn ramp_loads(&self, now: time::Mono, candidates: &mut [cost::Candidate]) -> Vec<(usize, u32)> {
         let Some(cold) = self.cold else {
             return Vec::new();
         };
-        let targets = self.targets.iter().enumerate();
-        let ramps = targets.filter(|(index, _)| candidates[*index].accepting);
-        let ramps = ramps.map(|(index, target)| (index, cold.ramp(now, target)));
-        let ramps: Vec<(usize, f64)> = ramps.filter(|(_, ramp)| *ramp > 0.0).collect();
-        if ramps.is_empty() {
-            return Vec::new();
+        let mut ramps = Vec::new();
+        let (mut others, mut load) = (0_u32, 0_u32);
+        for (index, target) in self.targets.iter().enumerate() {
+            let candidate = candidates[index];
+            if !candidate.accepting {
+                continue;
+            }
+            match cold.ramp(now, target, candidate.load) {
+                Some(ramp) => ramps.push((index, ramp)),
+                None => (others, load) = (others + 1, load.saturating_add(candidate.load)),
+            }
         }
-        let others = candidates.iter().enumerate().filter(|(index, other)| {
-            other.accepting && ramps.iter().all(|(ramping, _)| ramping != index)
-        });
-        let loads: Vec<u32> = others.map(|(_, other)| other.load).collect();
-        let mean = f64::from(loads.iter().sum::<u32>()) / loads.len().max(1) as f64;
-        let raise = |(index, ramp): (usize, f64)| {
-            let load = candidates[index].load.max((mean * ramp) as u32);
-            let added = load - candidates[index].load;
-            candidates[index].load = load;
+        let mean = f64::from(load) / f64::from(others.max(1));
+        let raise = |(index, ramp): (usize, Ramp)| {
+            let added = ramp.missing_load(mean).round() as u32;
+            candidates[index].load = candidates[index].load.saturating_add(added);
             (index, added)
         };
         ramps.into_iter().map(raise).collect()
