--- a/crates/edge/src/decide.rs
+++ b/crates/edge/src/decide.rs
@@ -16,7 +16,10 @@
     region::Placement,
 };
 
-use crate::fleet::{PrefixChain, Target};
+use crate::{
+    cold::{ColdLimit, Ramp},
+    fleet::{PrefixChain, Target},
+};
 
 /// Properties of a service's targets that affect the choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -49,6 +52,8 @@
     pub load_factor: f64,
     /// Data centres in which the request may run.
     pub placement: Placement<'a>,
+    /// Limit of the requests to cold targets, if there is one.
+    pub cold: Option<&'a ColdLimit>,
 }
 
 /// The properties of a request that affect the choice.
@@ -75,6 +80,10 @@
     pub task: Task,
     /// Estimated number of requests at the target, without this one.
     pub load: u32,
+    /// Whether the target is cold.
+    pub cold: bool,
+    /// Number of cold targets that were left out because of their limit.
+    pub withheld: u32,
     /// Details of the choice, for the log.
     pub choice: cost::Choice,
 }
@@ -93,13 +102,19 @@
     /// Selects the best target, or returns `None` if no target accepts requests.
     pub fn select(&self, now: time::Mono, query: Query) -> Option<Selection> {
         let mut candidates = Vec::with_capacity(self.targets.len());
+        let mut withheld = 0;
         for target in self.targets {
             let mut candidate = target.candidate(now, query.chain, self.centre);
             candidate.accepting &= !query.tried.contains(&target.row.id);
             candidate.excluded = self.excludes(target);
             candidate.accepting &= !candidate.excluded;
+            if candidate.accepting && self.cold.is_some_and(|cold| !cold.may_send(now, target)) {
+                candidate.accepting = false;
+                withheld += 1;
+            }
             candidates.push(candidate);
         }
+        let ramps = self.ramp_loads(now, &mut candidates);
         let prompt = cost::Prompt {
             part: query.chain.shared().last().map(|part| part.0),
             own: query.chain.own(),
@@ -109,7 +124,7 @@
         };
         let spill = cost::SpillFactor::below(self.load_factor);
         let timings = cost::Timings::from(self.latency);
-        let choice = cost::choose(
+        let mut choice = cost::choose(
             &candidates,
             prompt,
             spill,
@@ -117,6 +132,11 @@
             timings,
             query.seed,
         )?;
+        let ramped: u32 = ramps.iter().map(|(_, added)| *added).sum();
+        choice.utilization.load = choice.utilization.load.saturating_sub(ramped.into());
+        for (index, added) in ramps {
+            candidates[index].load -= added;
+        }
         let chosen = candidates[choice.index];
         let read = choice
             .source
@@ -127,10 +147,44 @@
             missing: chosen.missing,
             task: self.task(chosen, read),
             load: chosen.load,
+            cold: self
+                .cold
+                .is_some_and(|_| self.targets[choice.index].cold().is_cold(now)),
+            withheld,
             choice,
         })
     }
 
+    /// Raises the loads of targets that were cold until recently, and returns by how
+    /// much. Such targets are idle, and all routers would send to a data centre that
+    /// returns as a whole. What a target lacks to the mean load of the others is
+    /// added to its load at first, and less and less of it later, so that its load
+    /// rises evenly to the mean within the cold time.
+    fn ramp_loads(&self, now: time::Mono, candidates: &mut [cost::Candidate]) -> Vec<(usize, u32)> {
+        let Some(cold) = self.cold else {
+            return Vec::new();
+        };
+        let mut ramps = Vec::new();
+        let (mut others, mut load) = (0_u32, 0_u32);
+        for (index, target) in self.targets.iter().enumerate() {
+            let candidate = candidates[index];
+            if !candidate.accepting {
+                continue;
+            }
+            match cold.ramp(now, target, candidate.load) {
+                Some(ramp) => ramps.push((index, ramp)),
+                None => (others, load) = (others + 1, load.saturating_add(candidate.load)),
+            }
+        }
+        let mean = f64::from(load) / f64::from(others.max(1));
+        let raise = |(index, ramp): (usize, Ramp)| {
+            let added = ramp.missing_load(mean).round() as u32;
+            candidates[index].load = candidates[index].load.saturating_add(added);
+            (index, added)
+        };
+        ramps.into_iter().map(raise).collect()
+    }
+
     /// Returns the time until the first of the targets that asked for no requests
     /// gets some again.
     pub fn pause(&self, now: time::Mono) -> Option<span::Span> {
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -16,6 +16,7 @@
 use crate::{
     attempt::{AttemptError, TargetResponse},
     body::Body,
+    cold::ColdLimit,
     decide::{Capabilities, Query, Selection, ServiceState},
     error_response::{self, Reason},
     evacuation::NOT_PERMITTED_RETRY,
@@ -136,7 +137,8 @@
             return Next::Stop;
         };
         let evacuated = self.shared.evacuated.load();
-        let state = self.service_state(now, fleet, &latency, &evacuated);
+        let cold = self.shared.cold_limit(&self.service);
+        let state = self.service_state(now, fleet, &latency, &evacuated, cold.as_ref());
         if attempts.targets.is_empty() {
             self.count_exclusions(&state);
         }
@@ -192,10 +194,18 @@
             output = self.head.output_tokens,
             missing = selection.missing,
             source = selection.source.map(tracing::field::display),
+            cold = selection.cold,
+            withheld = selection.withheld,
             attempt = attempts.targets.len() + 1,
             left = %self.deadline.since(now),
         );
         self.shared.metrics.count(Counter::Sends);
+        if selection.cold {
+            self.shared.metrics.count(Counter::ColdSends);
+        }
+        if selection.withheld > 0 {
+            self.shared.metrics.count(Counter::ColdDiverted);
+        }
         attempts.targets.push(target.row.id.clone());
         Next::Send(selection)
     }
@@ -219,6 +229,7 @@
         fleet: &'a Fleet,
         latency: &'a LatencyModel,
         evacuated: &'a BTreeSet<id::DataCentre>,
+        cold: Option<&'a ColdLimit>,
     ) -> ServiceState<'a> {
         ServiceState {
             targets: fleet.service(&self.service),
@@ -233,6 +244,7 @@
             staleness: self.shared.peer_loads.delay(),
             load_factor: self.shared.bounds.load().factor,
             placement: self.placement(evacuated),
+            cold,
         }
     }
 
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -168,6 +168,7 @@
             staleness: self.delay,
             load_factor: site.routers.factor,
             placement: Placement::default(),
+            cold: None,
         };
         let Some(pick) = policy.choose(now, &beliefs, asked.ask, random) else {
             return Decision::Nowhere;
