Decide when a waiting request is sent to a second target

Cause: a few responses take several times as long as the others, and their callers wait although another target would respond. Change: place::hedge learns the times of responses relative to the expected ones, and decides on a second attempt; admit::fleet_retries limits them to a fraction of the requests and half of the retries. Nothing uses them yet.

--- a/crates/admit/src/fleet_retries.rs
+++ b/crates/admit/src/fleet_retries.rs
@@ -16,6 +16,10 @@
 /// replaced within the window starts with a new share.
 const ALLOWANCE_FRACTION: f64 = 0.5;
 
+/// Fraction of a router's retries that hedged requests may use. Retries after
+/// failures need the rest.
+const HEDGE_FRACTION: f64 = 0.5;
+
 /// Number of slices into which the window is divided.
 const SLICE_COUNT: u64 = 20;
 
@@ -33,8 +37,20 @@
 #[derive(Clone, Copy, Debug)]
 struct Slice {
     number: u64,
+    requests: u32,
+    /// Retries after failures, and hedged requests.
+    retries: u32,
+    hedges: u32,
+}
+
+/// What a router sent to a service within the window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
     requests: u32,
     retries: u32,
+    hedges: u32,
+    /// Retries that the router may send.
+    limit: f64,
 }
 
 /// A router's first attempts and retries within the window, by service.
@@ -66,23 +82,48 @@
     /// Takes one retry from the budget of this router, which is one of
     /// `routers`; returns whether it was available.
     pub fn try_retry(&mut self, now: time::Mono, service: &id::ServiceId, routers: u32) -> bool {
-        let share = f64::from(self.limit.allowance) / f64::from(routers.max(1));
-        let ratio = self.limit.ratio;
-        self.current_slice(now, service);
-        let Some(slices) = self.services.get_mut(service) else {
-            return false;
-        };
-        let (requests, retries) = slices.iter().fold((0, 0), |(requests, retries), slice| {
-            (requests + slice.requests, retries + slice.retries)
-        });
-        let max_retries = f64::from(requests) * ratio * RATIO_FRACTION + share * ALLOWANCE_FRACTION;
-        if f64::from(retries) + 1.0 > max_retries {
-            return false;
+        let usage = self.usage(now, service, routers);
+        let is_available = f64::from(usage.retries) + 1.0 <= usage.limit;
+        if is_available {
+            self.current_slice(now, service).retries += 1;
         }
-        if let Some(slice) = slices.back_mut() {
+        is_available
+    }
+
+    /// Takes one hedged request from the budget of this router, which is one of
+    /// `routers`; returns whether it was available. Hedged requests may be at most
+    /// `fraction` of the requests, and use a part of the retries only.
+    pub fn try_hedge(
+        &mut self,
+        now: time::Mono,
+        service: &id::ServiceId,
+        routers: u32,
+        fraction: f64,
+    ) -> bool {
+        let usage = self.usage(now, service, routers);
+        let is_available = f64::from(usage.retries) + 1.0 <= usage.limit * HEDGE_FRACTION
+            && f64::from(usage.hedges) + 1.0 <= f64::from(usage.requests) * fraction;
+        if is_available {
+            let slice = self.current_slice(now, service);
             slice.retries += 1;
+            slice.hedges += 1;
         }
-        true
+        is_available
+    }
+
+    fn usage(&mut self, now: time::Mono, service: &id::ServiceId, routers: u32) -> Usage {
+        self.current_slice(now, service);
+        let slices = self.services.get(service).into_iter().flatten();
+        let mut usage = slices.fold(Usage::default(), |usage, slice| Usage {
+            requests: usage.requests + slice.requests,
+            retries: usage.retries + slice.retries,
+            hedges: usage.hedges + slice.hedges,
+            ..usage
+        });
+        let share = f64::from(self.limit.allowance) / f64::from(routers.max(1));
+        usage.limit = f64::from(usage.requests) * self.limit.ratio * RATIO_FRACTION
+            + share * ALLOWANCE_FRACTION;
+        usage
     }
 
     /// Removes the slices before the window and returns the current one.
@@ -101,6 +142,7 @@
                 number,
                 requests: 0,
                 retries: 0,
+                hedges: 0,
             });
         }
         let last = slices.len() - 1;
--- a/crates/admit/tests/fleet_retries.rs
+++ b/crates/admit/tests/fleet_retries.rs
@@ -64,3 +64,28 @@
     assert!(!budget.try_retry(Mono(9_000_000), &service, 1));
     assert!(budget.try_retry(Mono(11_000_000), &service, 1));
 }
+
+/// Hedged requests leave retries for failures, and stay within their fraction.
+#[test]
+fn hedge_limit() {
+    let service: ServiceId = "s".parse().expect("an id");
+    let mut budget = FleetRetryBudget::new(LIMIT);
+    for _ in 0..200 {
+        budget.record_request(Mono(0), &service);
+    }
+    let count = |budget: &mut FleetRetryBudget, fraction| {
+        let hedges = (0..100).filter(|_| budget.try_hedge(Mono(1), &service, 6, fraction));
+        hedges.count()
+    };
+    assert_eq!(count(&mut budget.clone(), 0.02), 4);
+    assert_eq!(count(&mut budget.clone(), 0.1), 16);
+    let mut failing = budget.clone();
+    let retries = |budget: &mut FleetRetryBudget| {
+        let retries = (0..100).filter(|_| budget.try_retry(Mono(1), &service, 6));
+        retries.count()
+    };
+    assert_eq!(retries(&mut failing), 32);
+    assert_eq!(count(&mut failing, 0.1), 0);
+    count(&mut budget, 0.1);
+    assert_eq!(retries(&mut budget), 16);
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod breaker;
 pub mod choose;
 pub mod cost;
+pub mod hedge;
 pub mod latency;
 pub mod policy;
 mod rank;
