Hedge requests that wait unusually long

Cause: place::hedge decided on second attempts, and nothing carried them out. Change: edge::hedge waits for the learned delay, sends a request that may be repeated to a second target as far as the budget allows, returns the first response and closes the connection of the other attempt.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 use bpaf::Bpaf;
 #[cfg(feature = "agents")]
 use conf::settings::{self, Role};
+use place::hedge;
 #[cfg(feature = "agents")]
 use roles::process;
 
@@ -20,6 +21,10 @@
         /// Log filter, such as info or edge=debug
         #[bpaf(argument("FILTER"), fallback("info".to_owned()))]
         log: String,
+        /// Part of the requests, from 0 to 0.1, that may be sent to a second target
+        /// while the first still works on them
+        #[bpaf(argument("FRACTION"), fallback(hedge::Fraction::default()))]
+        second_attempts: hedge::Fraction,
     },
     /// Accepts callers and forwards their requests to agents
     #[cfg(feature = "agents")]
@@ -49,7 +54,10 @@
 
 fn main() -> anyhow::Result<()> {
     match command().run() {
-        Command::Edge { log } => edge::process::run(&log),
+        Command::Edge {
+            log,
+            second_attempts,
+        } => edge::process::run(&log, second_attempts),
         #[cfg(feature = "agents")]
         Command::Router { settings } => process::run(settings::load(&settings)?, Role::Router),
         #[cfg(feature = "agents")]
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -12,7 +12,8 @@
 use base::{span, time};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri};
-use http_body_util::Full;
+use http_body::Frame;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use inlet::ReadError;
 use place::{breaker::Breaker, latency::Task};
@@ -31,6 +32,9 @@
 /// Maximum length of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// A frame of a target's response, or `None` at its end.
+pub type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// A target's response whose head has been received.
 #[derive(Debug)]
 pub struct TargetResponse {
@@ -38,6 +42,8 @@
     pub head: ResponseHead,
     /// The body, not yet read.
     pub body: Incoming,
+    /// The first frame of the body, if it was received ahead of the others.
+    pub first: Option<BodyFrame>,
     /// The connection that the body is read from.
     pub lease: Lease,
     /// Counts the request as in flight at the target until dropped.
@@ -72,6 +78,20 @@
     pub fn is_stream(&self) -> bool {
         self.head.event_stream && self.head.status.is_success()
     }
+
+    /// Returns the next frame of the body.
+    pub async fn frame(&mut self) -> BodyFrame {
+        match self.first.take() {
+            Some(frame) => frame,
+            None => self.body.frame().await,
+        }
+    }
+
+    /// Waits for the first frame of the body, which [`TargetResponse::frame`] then
+    /// returns.
+    pub async fn receive_first(&mut self) {
+        self.first = Some(self.body.frame().await);
+    }
 }
 
 impl CallerRequest {
@@ -109,6 +129,7 @@
         let response = TargetResponse {
             head,
             body,
+            first: None,
             lease,
             flight,
             sent: now,
@@ -352,7 +373,9 @@
         let now = self.shared.clock.now();
         if let Some(task) = task {
             let took = now.since(sent);
+            let fraction = self.shared.hedging();
             let expected = self.shared.update_latencies(&self.service, |latencies| {
+                latencies.record_ratio(task, took, fraction);
                 latencies.record_response(task, took)
             });
             if let Some(expected) = expected {
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -16,6 +16,7 @@
     decide::{Capabilities, Query, Selection, ServiceState},
     error_response::{self, Reason},
     fleet::Fleet,
+    hedge::{self, Answer},
     metrics::Counter,
     request::{CallerRequest, Refusal},
     server::ActiveRequest,
@@ -78,16 +79,12 @@
                 }
                 Next::Stop => return request.give_up(&attempts, failed),
             };
-            let result = match request.attempt(&selection, None).await {
-                Ok(response) if response.is_stream() => {
+            match hedge::respond(&request, &mut attempts, &selection).await {
+                Ok(Answer::Stream(response)) => {
                     attempts.runs += 1;
-                    return EventStream::response(request, response, attempts, active);
+                    return EventStream::response(request, *response, attempts, active);
                 }
-                Ok(response) => request.read_response(response).await,
-                Err(error) => Err(error),
-            };
-            match result {
-                Ok(response) => {
+                Ok(Answer::Whole(response)) => {
                     request.finish("answered", Some(response.status()), &attempts);
                     return response;
                 }
@@ -101,7 +98,8 @@
         }
     }
 
-    fn record_failure(&self, attempts: &mut Attempts, error: &AttemptError) {
+    /// Counts an attempt that failed.
+    pub fn record_failure(&self, attempts: &mut Attempts, error: &AttemptError) {
         let counter = match error {
             AttemptError::NotRun => return self.shared.metrics.count(Counter::NotRun),
             AttemptError::OutcomeUnknown | AttemptError::Failed(_) => Counter::OutcomeUnknown,
@@ -132,12 +130,7 @@
             return Next::Stop;
         };
         let state = self.service_state(now, fleet, &latency);
-        let query = Query {
-            chain: &self.chain,
-            tried: &attempts.targets,
-            seed: hash::bytes(self.head.attempt.as_str().as_bytes()),
-        };
-        let Some(selection) = state.select(now, query) else {
+        let Some(selection) = state.select(now, self.query(attempts)) else {
             return match state.pause(now) {
                 Some(after) if attempts.runs == 0 => Next::Refuse(Reason::Busy, self.spread(after)),
                 _ => Next::Stop,
@@ -148,7 +141,6 @@
         {
             return Next::Refuse(Reason::Overloaded, after);
         }
-        let target = &selection.target;
         if attempts.targets.is_empty() {
             self.shared.retries().record_request(now, &self.service);
             if let Some(team) = &self.team {
@@ -162,6 +154,23 @@
                 return Next::Stop;
             }
         }
+        self.record_send(now, attempts, &selection);
+        Next::Send(selection)
+    }
+
+    /// Returns the properties of the request that affect the choice of the next
+    /// target.
+    pub fn query<'a>(&'a self, attempts: &'a Attempts) -> Query<'a> {
+        Query {
+            chain: &self.chain,
+            tried: &attempts.targets,
+            seed: hash::bytes(self.head.attempt.as_str().as_bytes()),
+        }
+    }
+
+    /// Logs and counts that the request is sent to a target.
+    pub fn record_send(&self, now: time::Mono, attempts: &mut Attempts, selection: &Selection) {
+        let target = &selection.target;
         tracing::info!(
             event = "sent",
             id = %self.head.attempt,
@@ -185,7 +194,6 @@
         );
         self.shared.metrics.count(Counter::Sends);
         attempts.targets.push(target.row.id.clone());
-        Next::Send(selection)
     }
 
     /// Returns the time after which the caller should retry, if a part of the
@@ -201,7 +209,7 @@
     }
 
     /// Returns this router's current view of the request's service.
-    fn service_state<'a>(
+    pub fn service_state<'a>(
         &'a self,
         now: time::Mono,
         fleet: &'a Fleet,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod expiry;
 pub mod fleet;
 pub mod handler;
+pub mod hedge;
 pub mod lag;
 pub mod listen;
 pub mod logs;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -56,6 +56,12 @@
     LeavesSeen,
     /// Refusals of targets that asked for no requests for some time.
     Pauses,
+    /// Requests that were also sent to a second target.
+    Hedges,
+    /// Second attempts that responded first.
+    HedgesWon,
+    /// Requests that waited unusually long and were not sent to a second target.
+    HedgesSkipped,
     /// Calls to the table.
     TableCalls,
     /// Calls to the table that failed.
@@ -65,7 +71,7 @@
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 18] = [
+    const ALL: [(Self, &'static str); 21] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -81,6 +87,9 @@
         (Self::RefusedParts, "parts_refused"),
         (Self::LeavesSeen, "target_leaves_seen"),
         (Self::Pauses, "target_pauses"),
+        (Self::Hedges, "hedges"),
+        (Self::HedgesWon, "hedges_won"),
+        (Self::HedgesSkipped, "hedges_skipped"),
         (Self::TableCalls, "table_calls"),
         (Self::TableFailures, "table_failures"),
         (Self::UpdatesReceived, "news_received"),
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -8,6 +8,7 @@
 };
 
 use anyhow::Context;
+use place::hedge::Fraction;
 use platform::settings::{self, Settings};
 use tokio::{
     runtime::{Builder, Runtime},
@@ -23,12 +24,13 @@
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Runs the router with the platform's settings file; `filter` selects the log
-/// events that are written.
+/// events that are written, `hedging` is the part of the requests that may be sent to
+/// a second target while the first still works on them.
 ///
 /// # Errors
 ///
 /// When the settings cannot be read or an address cannot be bound.
-pub fn run(filter: &str) -> anyhow::Result<()> {
+pub fn run(filter: &str, hedging: Fraction) -> anyhow::Result<()> {
     // Without a handler, SIGHUP and SIGTERM end the process immediately, so the handlers
     // are installed first.
     let traffic_runtime = runtime()?;
@@ -39,6 +41,7 @@
     let settings = Settings::decode(&text)?;
     tracing::info!(event = "start", process = %settings.process, centre = %settings.centre);
     let shared = Shared::new(settings);
+    shared.set_hedging(hedging);
     let control = runtime()?;
     let control_shared = shared.clone();
     thread::Builder::new()
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -17,7 +17,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use base::{id, span, time};
 use inlet::memory::MemoryBudget;
-use place::latency::LatencyModel;
+use place::{hedge::Fraction, latency::LatencyModel};
 use platform::settings::{Bounds, Settings};
 use tokio::sync::Notify;
 
@@ -62,6 +62,7 @@
     pub bounds: ArcSwap<Bounds>,
     /// Signals that rows of refusals have to be written or removed.
     pub refusals_changed: Notify,
+    hedging: OnceLock<Fraction>,
     retry_budget: Mutex<FleetRetryBudget>,
     poison: Mutex<PoisonTracker>,
     crash_parts: Mutex<CrashParts>,
@@ -124,6 +125,7 @@
             peer_loads: PeerLoads::default(),
             room: MemoryBudget::new(settings.memory.as_usize() / BODY_MEMORY_DIVISOR),
             refusals_changed: Notify::new(),
+            hedging: OnceLock::new(),
             retry_budget: Mutex::new(FleetRetryBudget::new(retry_limit(&bounds))),
             metrics: Metrics::default(),
             bounds: ArcSwap::from_pointee(bounds),
@@ -143,6 +145,16 @@
         self.bounds.store(Arc::new(bounds));
     }
 
+    /// Sets the part of the requests that may be hedged. Only the first call counts.
+    pub fn set_hedging(&self, fraction: Fraction) {
+        let _ = self.hedging.set(fraction);
+    }
+
+    /// Returns the part of the requests that may be hedged, 0 unless it was set.
+    pub fn hedging(&self) -> Fraction {
+        self.hedging.get().copied().unwrap_or_default()
+    }
+
     /// Returns the retry budget.
     pub fn retries(&self) -> MutexGuard<'_, FleetRetryBudget> {
         self.retry_budget
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -108,7 +108,7 @@
 
     async fn read(&mut self) -> Read {
         let remaining = self.request.deadline.since(self.request.shared.clock.now());
-        let frame = timer::timeout(remaining.duration(), self.response.body.frame()).await;
+        let frame = timer::timeout(remaining.duration(), self.response.frame()).await;
         let peer = &self.response.flight.target().row.id;
         match frame {
             Err(_) => Read::Timeout,
@@ -156,7 +156,9 @@
                 response.flight.answered();
                 if let Some(task) = response.task.take() {
                     let took = now.since(response.sent);
+                    let fraction = shared.hedging();
                     shared.update_latencies(&self.request.service, |latencies| {
+                        latencies.record_ratio(task, took, fraction);
                         latencies.record_response(task, took)
                     });
                 }
--- a/crates/edge/src/timing.rs
+++ b/crates/edge/src/timing.rs
@@ -4,7 +4,10 @@
 //! the times.
 
 use base::{span, time};
-use place::latency::{self, LatencyModel, Task};
+use place::{
+    hedge::{Fraction, ResponseRatios},
+    latency::{self, LatencyModel, Task},
+};
 
 /// Number of events that are timed together. A single one says little, because an
 /// engine step that also processes another request's prompt takes longer.
@@ -17,9 +20,33 @@
     pub responses: LatencyModel,
     /// Time for each further event of a stream.
     pub events: LatencyModel,
+    /// Times of responses relative to the expected ones, if requests may be hedged.
+    pub ratios: Option<Box<ResponseRatios>>,
 }
 
 impl ServiceLatencies {
+    /// Records how long a response took relative to the expected time, if requests may
+    /// be hedged.
+    pub fn record_ratio(&mut self, task: Task, took: span::Span, fraction: Fraction) {
+        if !fraction.is_zero() && self.responses.is_ready() {
+            let expected = self.responses.predict_current(task);
+            let ratios = self.ratios.get_or_insert_default();
+            ratios.record(took, expected, fraction);
+        }
+    }
+
+    /// Returns the time after which a request may be hedged, once enough responses are
+    /// known.
+    pub fn hedge_delay(&self, task: Task, fraction: Fraction) -> Option<span::Span> {
+        let expected = self.responses.predict_current(task);
+        self.ratios.as_ref()?.delay(expected, fraction)
+    }
+
+    /// Returns the part of the latest responses that took longer than that.
+    pub fn late(&self) -> f64 {
+        self.ratios.as_ref().map_or(0.0, |ratios| ratios.late())
+    }
+
     /// Records how long a complete response, or the first event of a stream, took.
     /// Returns the time that the model predicted for a typical target, if it had
     /// enough data.
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -222,6 +222,13 @@
     pub spill_load: u64,
 }
 
+impl Choice {
+    /// Returns whether the target was chosen for want of a better one.
+    pub fn is_impaired(&self) -> bool {
+        matches!(self.reason, Reason::Saturated | Reason::MostBlocked)
+    }
+}
+
 /// The total load of the eligible targets of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Utilization {
--- a/crates/place/src/hedge.rs
+++ b/crates/place/src/hedge.rs
@@ -65,7 +65,7 @@
 /// Largest ratio of an observed to an expected time, in percent.
 const MAX_RATIO_PERCENT: u64 = 100_000;
 
-/// Significant digits of the histograms: two take 9 KB for each.
+/// Significant digits of the histograms: with two, each takes about 6 KB.
 const DIGITS: u8 = 2;
 
 /// Smallest ratio of the delay to the expected time. A request that takes as long as
