--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -21,6 +21,7 @@
     error_response::{self, Reason},
     evacuation::NOT_PERMITTED_RETRY,
     fleet::Fleet,
+    hedge::{self, Answer},
     metrics::Counter,
     request::{CallerRequest, Refusal},
     server::ActiveRequest,
@@ -83,16 +84,12 @@
                 }
                 Next::Stop => return request.give_up(&attempts, failed),
             };
-            let result = match request.attempt(&selection, None).await {
-                Ok(response) if response.is_stream() => {
+            match hedge::respond(&request, &mut attempts, &selection).await {
+                Ok(Answer::Stream(response)) => {
                     attempts.runs += 1;
-                    return EventStream::response(request, response, attempts, active);
+                    return EventStream::response(request, *response, attempts, active);
                 }
-                Ok(response) => request.read_response(response).await,
-                Err(error) => Err(error),
-            };
-            match result {
-                Ok(response) => {
+                Ok(Answer::Whole(response)) => {
                     request.finish("answered", Some(response.status()), &attempts);
                     return response;
                 }
@@ -106,7 +103,8 @@
         }
     }
 
-    fn record_failure(&self, attempts: &mut Attempts, error: &AttemptError) {
+    /// Counts an attempt that failed.
+    pub fn record_failure(&self, attempts: &mut Attempts, error: &AttemptError) {
         let counter = match error {
             AttemptError::NotRun => return self.shared.metrics.count(Counter::NotRun),
             AttemptError::OutcomeUnknown | AttemptError::Failed(_) => Counter::OutcomeUnknown,
@@ -142,12 +140,7 @@
         if attempts.targets.is_empty() {
             self.count_exclusions(&state);
         }
-        let query = Query {
-            chain: &self.chain,
-            tried: &attempts.targets,
-            seed: hash::bytes(self.head.attempt.as_str().as_bytes()),
-        };
-        let Some(selection) = state.select(now, query) else {
+        let Some(selection) = state.select(now, self.query(attempts)) else {
             if attempts.runs == 0 && state.excludes_all() {
                 self.shared.metrics.count(Counter::NotPermitted);
                 return Next::Refuse(Reason::NoPermittedTarget, self.spread(NOT_PERMITTED_RETRY));
@@ -162,7 +155,6 @@
         {
             return Next::Refuse(Reason::Overloaded, after);
         }
-        let target = &selection.target;
         if attempts.targets.is_empty() {
             self.shared.retries().record_request(now, &self.service);
             if let Some(team) = &self.team {
@@ -176,6 +168,23 @@
                 return Next::Stop;
             }
         }
+        self.record_send(now, attempts, &selection);
+        Next::Send(selection)
+    }
+
+    /// Returns the properties of the request that affect the choice of the next
+    /// target.
+    pub fn query<'a>(&'a self, attempts: &'a Attempts) -> Query<'a> {
+        Query {
+            chain: &self.chain,
+            tried: &attempts.targets,
+            seed: hash::bytes(self.head.attempt.as_str().as_bytes()),
+        }
+    }
+
+    /// Logs and counts that the request is sent to a target.
+    pub fn record_send(&self, now: time::Mono, attempts: &mut Attempts, selection: &Selection) {
+        let target = &selection.target;
         tracing::info!(
             event = "sent",
             id = %self.head.attempt,
@@ -207,7 +216,6 @@
             self.shared.metrics.count(Counter::ColdDiverted);
         }
         attempts.targets.push(target.row.id.clone());
-        Next::Send(selection)
     }
 
     /// Returns the time after which the caller should retry, if a part of the
@@ -223,7 +231,7 @@
     }
 
     /// Returns this router's current view of the request's service.
-    fn service_state<'a>(
+    pub fn service_state<'a>(
         &'a self,
         now: time::Mono,
         fleet: &'a Fleet,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -60,6 +60,12 @@
     ColdSends,
     /// Requests for which a cold target was left out because of its limit.
     ColdDiverted,
+    /// Requests that were also sent to a second target.
+    Hedges,
+    /// Second attempts that responded first.
+    HedgesWon,
+    /// Requests that waited unusually long and were not sent to a second target.
+    HedgesSkipped,
     /// Calls to the table.
     TableCalls,
     /// Calls to the table that failed.
@@ -76,7 +82,7 @@
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 23] = [
+    const ALL: [(Self, &'static str); 26] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -94,6 +100,9 @@
         (Self::Pauses, "target_pauses"),
         (Self::ColdSends, "cold_sends"),
         (Self::ColdDiverted, "cold_diverted"),
+        (Self::Hedges, "hedges"),
+        (Self::HedgesWon, "hedges_won"),
+        (Self::HedgesSkipped, "hedges_skipped"),
         (Self::TableCalls, "table_calls"),
         (Self::TableFailures, "table_failures"),
         (Self::UpdatesReceived, "news_received"),
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod choose;
 pub mod cold;
 pub mod cost;
+pub mod hedge;
 pub mod latency;
 pub mod policy;
 mod rank;
