Keep lifted refusals from coming back

A router that could not read the table brought the refusal back by its datagrams, a write repeated through an outage by the row, and the crashes known before the lift by a new decision. Change: a row is written only if this router refuses the same at that time, after a read of the latest changes. Lifted refusals are remembered (admit::lifted), and refusals and crashes from before the lift are ignored. The data that routers exchange about crashes and the memory of answers move to modules of their own.

--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -16,13 +16,14 @@
 
 use std::{
     cmp,
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     iter,
 };
 
 use base::{id, span, time};
 
-use crate::part_set::PartSet;
+pub use crate::crash::{Change, ClearedPart, Crash, RefusedParts, Report, Suspect};
+use crate::{lifted::Lifted, part_set::PartSet, survivors::Survivors};
 
 /// Number of successive crashes from which a part is refused.
 const CRASH_LIMIT: u32 = 3;
@@ -87,141 +88,20 @@
 /// it. The time of its crashes is not stored, as routers share no clock.
 const STORED_AGE: span::Span = span::Span::from_secs(5);
 
+/// Difference between the times of a crash at two routers that may come from the
+/// time that a datagram takes. If routers took each difference for a later crash,
+/// the time would advance with each datagram, past the time of a later lift.
+const AGE_ERROR: span::Span = span::Span::from_secs(1);
+
 /// Maximum number of cleared parts that are sent to other routers.
 const MAX_CLEARED: usize = 64;
 
 /// Maximum number of refused sets of parts.
 const MAX_REFUSED: usize = 1_024;
 
-/// Number of answered parts after which the older ones are forgotten, about
-/// 300 KB.
-const MAX_SURVIVORS: usize = 8_192;
-
 /// Maximum number of services whose answered requests are counted.
 const MAX_SERVICES: usize = 256;
 
-/// A crash of a target, and the parts that may be its cause.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Crash {
-    /// Hash that identifies the run of the target.
-    pub target: u64,
-    /// Service of the target.
-    pub service: id::ServiceId,
-    /// When the target crashed.
-    pub at: time::Mono,
-    /// Parts of the requests at the target that had not been answered for
-    /// [`SURVIVAL_TIME`].
-    pub suspects: BTreeMap<id::PartHash, Suspect>,
-    /// The parts of each of these requests.
-    pub prompts: BTreeSet<PartSet>,
-}
-
-impl Crash {
-    /// Adds a request that may be the cause; `levels` has the [`Suspect::level`] of
-    /// each of its parts.
-    pub fn add_prompt(&mut self, parts: impl Iterator<Item = id::PartHash>, levels: &[u32]) {
-        let levels = levels.iter().copied().chain(iter::repeat(1));
-        let suspects = (0..).zip(parts).zip(levels);
-        let suspects = suspects.map(|((index, part), level)| (part, Suspect { index, level }));
-        let suspects: BTreeMap<_, _> = suspects.collect();
-        if !suspects.is_empty() {
-            self.prompts.insert(suspects.keys().copied().collect());
-            self.suspects.extend(suspects);
-        }
-    }
-
-    /// Returns the crash with at most `max` suspects, those of the prompts whose
-    /// parts have the highest rank. Prompts that fit are kept or left out as a whole,
-    /// as their parts would otherwise seem to be in use without one another.
-    #[must_use]
-    pub fn limited<R: Ord>(&self, max: usize, rank: impl Fn(id::PartHash) -> R) -> Self {
-        if self.suspects.len() <= max {
-            return self.clone();
-        }
-        let mut prompts: Vec<_> = self.prompts.iter().collect();
-        prompts.sort_by_cached_key(|prompt| cmp::Reverse(prompt.parts().map(&rank).max()));
-        let mut crash = Self {
-            suspects: BTreeMap::new(),
-            prompts: BTreeSet::new(),
-            service: self.service.clone(),
-            ..*self
-        };
-        for prompt in prompts {
-            let mut prompt = prompt.clone();
-            if prompt.len() > max && crash.prompts.is_empty() {
-                let mut parts: Vec<_> = prompt.parts().collect();
-                parts.sort_by_cached_key(|part| cmp::Reverse(rank(*part)));
-                prompt = parts.into_iter().take(max).collect();
-            }
-            let added = prompt
-                .parts()
-                .filter(|part| !crash.suspects.contains_key(part));
-            if crash.suspects.len() + added.count() > max {
-                continue;
-            }
-            let known = |part| Some((part, *self.suspects.get(&part)?));
-            crash.suspects.extend(prompt.parts().filter_map(known));
-            crash.prompts.insert(prompt);
-        }
-        crash
-    }
-}
-
-/// A part of a prompt that may be the cause of a crash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Suspect {
-    /// Index of the part in the prompt.
-    pub index: u32,
-    /// How many crashes of the part had followed one another with this one, as far
-    /// as the router knew that sent the request.
-    pub level: u32,
-}
-
-/// Parts of which one crashes targets; prompts with all of them are refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RefusedParts {
-    /// The parts.
-    pub parts: PartSet,
-    /// Time of the latest crash that counted.
-    pub crashed: time::Mono,
-    /// When its refusal term ends.
-    pub until: time::Mono,
-}
-
-/// A part that requests were answered with after crashes at which it was in use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ClearedPart {
-    /// The part.
-    pub part: id::PartHash,
-    /// When the first event of such a response arrived.
-    pub answered: time::Mono,
-}
-
-/// What a router sends to the others.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Recent crashes, newest first.
-    pub crashes: Vec<Crash>,
-    /// Refused parts.
-    pub refused: Vec<RefusedParts>,
-    /// Parts that were cleared recently, the most suspected first.
-    pub cleared: Vec<ClearedPart>,
-}
-
-/// A change of what is refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// Prompts with all of these parts are refused from now on.
-    Refused {
-        /// The parts.
-        parts: PartSet,
-        /// Number of crashes that this router knows of at which they were in use.
-        crashes: u32,
-    },
-    /// Prompts with these parts are no longer refused.
-    Admitted(PartSet),
-}
-
 /// A crash that a router knows of.
 #[derive(Clone, Debug)]
 struct KnownCrash {
@@ -270,29 +150,6 @@
     trial: Option<time::Mono>,
 }
 
-/// When requests with a part were last answered, for the parts that were used
-/// most recently.
-#[derive(Clone, Debug, Default)]
-struct Survivors {
-    current: BTreeMap<id::PartHash, time::Mono>,
-    previous: BTreeMap<id::PartHash, time::Mono>,
-}
-
-impl Survivors {
-    fn record(&mut self, part: id::PartHash, answered: time::Mono) {
-        if self.current.len() >= MAX_SURVIVORS && !self.current.contains_key(&part) {
-            self.previous = std::mem::take(&mut self.current);
-        }
-        let known = self.latest(part).unwrap_or_default();
-        self.current.insert(part, known.max(answered));
-    }
-
-    fn latest(&self, part: id::PartHash) -> Option<time::Mono> {
-        let current = self.current.get(&part);
-        current.or_else(|| self.previous.get(&part)).copied()
-    }
-}
-
 /// Tracks which parts were in use at crashes, and which are refused.
 #[derive(Clone, Debug, Default)]
 pub struct CrashParts {
@@ -301,6 +158,7 @@
     /// Time until which a crash is sent to other routers, by the run of the target.
     announced: BTreeMap<u64, time::Mono>,
     refused: BTreeMap<PartSet, Refusal>,
+    lifted: Lifted,
     /// In the order in which they are sent.
     cleared: Vec<Announcement>,
     survivors: Survivors,
@@ -718,7 +576,7 @@
 
     /// Returns the crashes at which a part was in use since requests with it were
     /// last answered, without those that refused parts explain which it is not
-    /// among.
+    /// among, and those before a refusal that they led to was lifted.
     fn unexplained(&self, part: id::PartHash) -> impl Iterator<Item = &KnownCrash> {
         let survived = self.survivors.latest(part).unwrap_or_default();
         self.crashes.iter().filter(move |known| {
@@ -731,6 +589,7 @@
             known.crash.at > survived
                 && suspects.contains_key(&part)
                 && !self.refused.keys().any(explains)
+                && !self.lifted.explains(&known.crash)
         })
     }
 
@@ -761,8 +620,12 @@
     }
 
     /// Adopts a refusal by another router, without the parts that requests were
-    /// answered with here since the crash.
+    /// answered with here since the crash. The other router may not have learned
+    /// yet that the refusal was lifted.
     pub fn adopt(&mut self, now: time::Mono, mut refused: RefusedParts) {
+        if self.lifted.revokes(&refused) {
+            return;
+        }
         for part in refused.parts.clone().parts() {
             let survived = self.survivors.latest(part).unwrap_or_default();
             if survived > refused.crashed {
@@ -776,7 +639,7 @@
         }
         let until = refused.until.min(now + REFUSAL_TERM);
         match self.refused.get_mut(&refused.parts) {
-            Some(known) if refused.crashed > known.crashed => {
+            Some(known) if refused.crashed > known.crashed + AGE_ERROR => {
                 known.crashed = refused.crashed;
                 known.until = known.until.max(until);
             }
@@ -800,15 +663,25 @@
             until: now + REFUSAL_TERM,
         };
         if !self.refused.contains_key(&refused.parts) {
+            self.lifted.forget(&refused.parts);
             self.adopt(now, refused);
         }
     }
 
-    /// Stops refusing parts that another router no longer refuses.
-    pub fn lift(&mut self, parts: &PartSet) {
+    /// Stops refusing parts whose stored refusal was removed. The crashes up to now
+    /// no longer count, unless some of the parts are refused now in place of all.
+    pub fn lift(&mut self, now: time::Mono, parts: &PartSet) {
         if self.refused.remove(parts).is_some() {
             self.changes.push(Change::Admitted(parts.clone()));
         }
+        if !self.refused.keys().any(|narrower| parts.includes(narrower)) {
+            self.lifted.record(now, parts);
+        }
+    }
+
+    /// Returns whether exactly these parts are refused together.
+    pub fn has_refused(&self, parts: &PartSet) -> bool {
+        self.refused.contains_key(parts)
     }
 
     /// Merges what another router sent.
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -11,15 +11,18 @@
 pub mod bound;
 pub mod budget;
 pub mod controller;
+pub mod crash;
 pub mod crash_parts;
 pub mod external;
 mod fair_queue;
 pub mod fleet_retries;
 pub mod group;
 mod jitter;
+mod lifted;
 pub mod part_set;
 pub mod poison;
 pub mod quarantine;
 pub mod request;
 pub mod shares;
 pub mod shed;
+mod survivors;
--- a/crates/admit/src/poison.rs
+++ b/crates/admit/src/poison.rs
@@ -29,6 +29,10 @@
 /// Time for which several crashes are remembered after the longest term.
 const CRASH_MEMORY: span::Span = span::Span::from_secs(600);
 
+/// Time for which a lifted refusal is remembered: routers that cannot read the
+/// table send it on until the longest term, after [`MAX_CRASHES`] crashes, is over.
+const LIFT_MEMORY: span::Span = span::Span::from_secs(4_000);
+
 /// Time for which a crash is sent to other routers.
 const GOSSIP_TIME: span::Span = span::Span::from_secs(3);
 
@@ -90,6 +94,11 @@
         times.max().or(self.lifted).unwrap_or_default()
     }
 
+    /// Returns whether there was no crash since the refusal was lifted.
+    fn is_lifted(&self) -> bool {
+        self.lifted.is_some() && self.crashes.is_empty()
+    }
+
     /// Returns until when the content is refused if `limit` crashes are needed, and
     /// the start of time if there are fewer.
     fn refused_until(&self, limit: usize) -> time::Mono {
@@ -102,6 +111,9 @@
     /// Returns until when the crashes are remembered.
     fn expiry(&self) -> time::Mono {
         let short = self.latest() + REFUSAL_TERM;
+        if self.is_lifted() {
+            return self.latest() + LIFT_MEMORY;
+        }
         match self.crashes.len() < UNRETRIED_LIMIT {
             true => short,
             false => self.refused_until(UNRETRIED_LIMIT) + CRASH_MEMORY,
@@ -140,7 +152,8 @@
     fn record(&mut self, now: time::Mono, fingerprint: id::Fingerprint) -> &mut Record {
         self.forget(now);
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&fingerprint) {
-            let oldest = self.records.iter().min_by_key(|(_, it)| it.expiry());
+            let records = self.records.iter();
+            let oldest = records.min_by_key(|(_, it)| (!it.is_lifted(), it.expiry()));
             if let Some(oldest) = oldest.map(|(oldest, _)| *oldest) {
                 let record = self.records.remove(&oldest);
                 let is_stored = record.is_some_and(|record| record.stored > 0);
@@ -224,16 +237,21 @@
     /// Stops refusing a content whose stored crashes were removed. Reports of these
     /// crashes may still arrive from other routers.
     pub fn lift(&mut self, now: time::Mono, fingerprint: id::Fingerprint) {
-        if let Some(record) = self.records.get_mut(&fingerprint) {
-            *record = Record {
-                lifted: Some(now),
-                ..Record::default()
-            };
-        }
+        *self.record(now, fingerprint) = Record {
+            lifted: Some(now),
+            ..Record::default()
+        };
         self.recent
             .retain(|(_, crash)| crash.fingerprint != fingerprint);
     }
 
+    /// Returns the number of known crashes of a content, without those before its
+    /// refusal was lifted.
+    pub fn crashes(&self, fingerprint: id::Fingerprint) -> usize {
+        let record = self.records.get(&fingerprint);
+        record.map_or(0, |record| record.crashes.len())
+    }
+
     /// Returns the recent crashes, which other routers may not know yet.
     pub fn recent_crashes(&mut self, now: time::Mono) -> Vec<CrashReport> {
         self.forget(now);
--- a/crates/admit/tests/crash_parts.rs
+++ b/crates/admit/tests/crash_parts.rs
@@ -8,6 +8,7 @@
 };
 use base::{
     id::{PartHash, ServiceId},
+    span::Span,
     time::Mono,
 };
 
@@ -414,7 +415,7 @@
     let mut stored = CrashParts::default();
     stored.adopt_stored(at(10_000), set(&[DEADLY]));
     assert!(refuses(&mut stored, 10_001, &[DEADLY]));
-    stored.lift(&set(&[DEADLY]));
+    stored.lift(at(10_001), &set(&[DEADLY]));
     assert!(!refuses(&mut stored, 10_002, &[DEADLY]));
 }
 
@@ -482,3 +483,47 @@
         .collect();
     assert!(parts.len() <= 128 * 24);
 }
+
+/// A refusal is lifted. The crashes that led to it are still known here and at other
+/// routers, which have not learned of the lift, and send both.
+#[test]
+fn lifted_refusal() {
+    let mut tracker = refusing();
+    let mut other = tracker.clone();
+    tracker.lift(at(4_500), &set(&[DEADLY]));
+    for millis in (4_600..9_000).step_by(200) {
+        answer_others(&mut tracker, millis);
+        tracker.evaluate(at(millis));
+        let mut report = other.report(at(millis));
+        for refused in &mut report.refused {
+            // Each datagram makes the crash appear some time later.
+            refused.crashed = refused.crashed + Span::from_millis(200);
+        }
+        tracker.merge(at(millis), report.clone());
+        other.merge(at(millis), report);
+        assert!(!refuses(&mut tracker, millis, &[FIRST, SECOND, DEADLY]));
+    }
+    for number in 0..3 {
+        let millis = 10_000 + number * 1_000;
+        crash(&mut tracker, millis, 10 + number, &[FIRST, SECOND, DEADLY]);
+        answer_others(&mut tracker, millis + 100);
+        answer(&mut tracker, millis + 200, &[FIRST, SECOND]);
+    }
+    tracker.evaluate(at(13_100));
+    assert!(
+        refuses(&mut tracker, 13_101, &[DEADLY]),
+        "new crashes count"
+    );
+}
+
+/// The row of a set of parts is removed because fewer of them are refused now: the
+/// crashes go on to count.
+#[test]
+fn narrowed_row() {
+    let mut tracker = CrashParts::default();
+    tracker.adopt_stored(at(1_000), set(&[DEADLY, SECOND]));
+    tracker.adopt_stored(at(1_100), set(&[DEADLY]));
+    tracker.lift(at(1_200), &set(&[DEADLY, SECOND]));
+    assert!(refuses(&mut tracker, 1_300, &[DEADLY, SECOND]));
+    assert!(!refuses(&mut tracker, 1_300, &[SECOND]));
+}
--- a/crates/admit/tests/poison.rs
+++ b/crates/admit/tests/poison.rs
@@ -1,6 +1,6 @@
 //! Tests that content which crashes targets is refused by all routers.
 
-use admit::poison::{CrashReport, PoisonTracker};
+use admit::poison::{CrashReport, PoisonTracker, RefusedContent};
 use base::{id::Fingerprint, time::Mono};
 
 /// A crash at a time that nothing is known of.
@@ -160,3 +160,22 @@
     assert!(!tracker.is_refused(at(6_001), Fingerprint(1), false));
     assert_eq!(tracker.take_unstored(Fingerprint(1)), None);
 }
+
+/// The refusal is lifted at a router that had not learned of it, or long ago, and
+/// another one that cannot read the table still sends the crashes.
+#[test]
+fn lifted_elsewhere() {
+    let refused = |crashed| RefusedContent {
+        fingerprint: Fingerprint(1),
+        targets: (0..8).collect(),
+        crashed: at(crashed),
+    };
+    let mut tracker = PoisonTracker::default();
+    tracker.lift(at(5_000), Fingerprint(1));
+    tracker.adopt(at(6_000), refused(4_000));
+    assert!(!tracker.is_refused(at(6_001), Fingerprint(1), false));
+    tracker.adopt(at(3_000_000), refused(4_000));
+    assert!(!tracker.is_refused(at(3_000_001), Fingerprint(1), false));
+    tracker.adopt(at(3_000_000), refused(2_999_000));
+    assert!(tracker.is_refused(at(3_000_001), Fingerprint(1), false));
+}
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -294,8 +294,11 @@
     loop {
         match follower.next(RELAYED_WAIT).await {
             Ok(change) => {
-                let is_all = matches!(change, Change::All(_));
-                stored.apply(&shared, change.rows(), is_all);
+                let all = match &change {
+                    Change::All(_) => follower.position,
+                    Change::Some(_) => None,
+                };
+                stored.apply(&shared, change.rows(), all);
             }
             Err(_) => timer::sleep(FAILURE_PAUSE).await,
         }
@@ -389,7 +392,7 @@
             Err(error) => Err(Fault::new("encode row", key, error)),
         };
         match written {
-            Ok(()) => {
+            Ok(_) => {
                 tracing::info!(event = "registered", address);
                 return;
             }
@@ -401,12 +404,13 @@
     }
 }
 
-/// Sends a transaction to the table.
+/// Sends a transaction to the table. Returns the position of its changes, if the
+/// reply tells it.
 ///
 /// # Errors
 ///
 /// When the table does not confirm it; it may have been performed.
-pub async fn transact(service: &Service, body: Bytes) -> Result<(), Fault> {
+pub async fn transact(service: &Service, body: Bytes) -> Result<Option<Position>, Fault> {
     let client = service.client();
     let attempt = || {
         let request = Request::builder()
@@ -419,7 +423,7 @@
         .await
         .at("write row", service.peer())?;
     tracing::debug!(event = "row_written", status = reply.status.as_u16());
-    Ok(())
+    Ok(rows::written(&reply.body))
 }
 
 /// Reads the rows of the routers, writes this router's row again if it was
@@ -474,7 +478,7 @@
             Err(error) => Err(Fault::new("encode row", &key, error)),
         };
         match removed {
-            Ok(()) => tracing::info!(event = "router_gone", key),
+            Ok(_) => tracing::info!(event = "router_gone", key),
             Err(fault) => tracing::info!(event = "row_not_removed", key, %fault),
         }
     }
--- a/crates/edge/src/refusals.rs
+++ b/crates/edge/src/refusals.rs
@@ -12,9 +12,9 @@
 use admit::{crash_parts::Change, part_set::PartSet};
 use base::{
     fault::{At, Fault},
-    id,
+    id, span,
 };
-use platform::rows::{self, Row, Table};
+use platform::rows::{self, Page, Position, Row, Table};
 use prost::Message;
 use rand::RngExt;
 use store::service::Service;
@@ -29,6 +29,10 @@
 /// Pause after a row could not be written.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
+/// Maximum number of removed rows that are remembered, because a change of them may
+/// be read late.
+const MAX_REMOVED: usize = 256;
+
 /// Start of the keys of contents; those of prompt parts are hashes only.
 const CONTENT_PREFIX: &str = "content-";
 
@@ -95,31 +99,80 @@
     }
 }
 
-/// The rows, with the number of crashes that each has.
+/// What is known of a row.
+#[derive(Clone, Copy, Debug)]
+struct KnownRow {
+    /// Position of its latest change.
+    position: Position,
+    /// Number of the crashes that it names; `None` if it was removed.
+    crashes: Option<usize>,
+}
+
+/// The rows, as far as they are known.
+#[derive(Debug, Default)]
+struct Known {
+    rows: BTreeMap<RefusalKey, KnownRow>,
+    /// Position up to which all changes are known.
+    read: Option<Position>,
+}
+
+impl Known {
+    /// Records a change of a row, unless a later one is known. Returns whether it is
+    /// recorded.
+    fn record(&mut self, key: &RefusalKey, row: KnownRow) -> bool {
+        let known = self.rows.get(key);
+        if known.is_some_and(|known| known.position >= row.position) {
+            return false;
+        }
+        self.rows.insert(key.clone(), row);
+        // Late reads concern recent changes, so the oldest removal is forgotten first.
+        let removed = self.rows.iter().filter(|(_, row)| row.crashes.is_none());
+        if removed.clone().count() > MAX_REMOVED {
+            let oldest = removed.min_by_key(|(_, row)| row.position);
+            if let Some(oldest) = oldest.map(|(key, _)| key.clone()) {
+                self.rows.remove(&oldest);
+            }
+        }
+        true
+    }
+}
+
+/// The stored refusals.
 #[derive(Clone, Debug, Default)]
-pub struct StoredRefusals(Arc<Mutex<BTreeMap<RefusalKey, usize>>>);
+pub struct StoredRefusals(Arc<Mutex<Known>>);
 
 impl StoredRefusals {
-    fn rows(&self) -> MutexGuard<'_, BTreeMap<RefusalKey, usize>> {
+    fn known(&self) -> MutexGuard<'_, Known> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether a change has to be written.
-    fn needs(&self, change: &RowChange) -> bool {
-        let rows = self.rows();
-        let known = rows.get(&change.key);
+    /// Returns whether a change has to be written: the row differs from it, and it
+    /// still is what this router decides.
+    ///
+    /// Between the change and the write, the row may have been removed by an operator,
+    /// which lifted the refusal here. Rows that this router adopted are not
+    /// written again.
+    fn needs(&self, shared: &Shared, change: &RowChange) -> bool {
+        let known = self.known().rows.get(&change.key).copied();
+        let stored = known.and_then(|row| row.crashes);
         match &change.targets {
-            Some(targets) => known.is_none_or(|known| *known < targets.len()),
-            None => known.is_some(),
+            Some(targets) => {
+                let is_stored = stored.is_some_and(|crashes| crashes >= targets.len());
+                !is_stored && refuses(shared, &change.key, targets.len())
+            }
+            None => stored.is_some_and(|crashes| !refuses(shared, &change.key, crashes.max(1))),
         }
     }
 
-    /// Applies rows of the table; `is_all` is whether they are all rows.
-    pub fn apply(&self, shared: &Shared, rows: &[Row], is_all: bool) {
-        let mut removed = match is_all {
-            true => std::mem::take(&mut *self.rows()),
-            false => BTreeMap::new(),
-        };
+    /// Applies rows of the table; `all` is the position of the read if they are all
+    /// rows.
+    pub fn apply(&self, shared: &Shared, rows: &[Row], all: Option<Position>) {
+        let mut missing = BTreeMap::new();
+        if all.is_some() {
+            let mut known = self.known();
+            missing = std::mem::take(&mut known.rows);
+            known.read = all;
+        }
         for row in rows {
             let read = row.key.parse().at("read refusal", &row.key);
             let read = read.and_then(|key: RefusalKey| {
@@ -133,23 +186,35 @@
                 Ok((key, targets))
             });
             match read {
-                Ok((key, Some(targets))) => {
-                    removed.remove(&key);
-                    self.rows().insert(key.clone(), targets.len());
-                    adopt(shared, key, &targets);
-                }
-                Ok((key, None)) => {
-                    self.rows().remove(&key);
-                    lift(shared, &key);
+                Ok((key, targets)) => {
+                    missing.remove(&key);
+                    self.apply_row(shared, key, row.position, targets.as_deref());
                 }
                 Err(fault) => tracing::info!(event = "row_unusable", key = row.key, %fault),
             }
         }
-        for key in removed.keys() {
+        let missing = missing.iter().filter(|(_, row)| row.crashes.is_some());
+        for (key, _) in missing {
             lift(shared, key);
         }
     }
 
+    fn apply_row(
+        &self,
+        shared: &Shared,
+        key: RefusalKey,
+        position: Position,
+        targets: Option<&[u64]>,
+    ) {
+        let crashes = targets.map(<[u64]>::len);
+        let is_new = self.known().record(&key, KnownRow { position, crashes });
+        match targets {
+            Some(targets) if is_new => adopt(shared, key, targets),
+            None if is_new => lift(shared, &key),
+            _ => {}
+        }
+    }
+
     /// Writes the changes of this router, until the runtime ends.
     pub async fn write(self, shared: Arc<Shared>, service: Arc<Service>) {
         loop {
@@ -157,7 +222,7 @@
             let spread = WRITE_SPREAD.mul_f64(rand::rng().random());
             timer::sleep(spread).await;
             for change in shared.take_refusal_changes() {
-                while self.needs(&change) {
+                while self.needs(&shared, &change) {
                     match self.write_change(&shared, &service, &change).await {
                         Ok(()) => break,
                         Err(fault) => {
@@ -170,12 +235,31 @@
         }
     }
 
+    /// Reads the changes that the feed has not delivered yet. After an outage of the
+    /// table, rows may have been removed that this router has never read.
+    async fn catch_up(&self, shared: &Shared, service: &Service) -> Result<(), Fault> {
+        const STEP: &str = "read refusals";
+        let read = self.known().read;
+        let read = read.ok_or("no row was read yet").at(STEP, service.peer())?;
+        let path = rows::watch_path(Table::Refusals, read, span::Span::ZERO);
+        let reply = service.read(&path, &[]).await.at(STEP, service.peer())?;
+        let page = Page::decode(&reply.body).at(STEP, service.peer())?;
+        self.apply(shared, &page.rows, None);
+        let mut known = self.known();
+        known.read = known.read.max(Some(page.position));
+        Ok(())
+    }
+
     async fn write_change(
         &self,
         shared: &Shared,
         service: &Service,
         change: &RowChange,
     ) -> Result<(), Fault> {
+        self.catch_up(shared, service).await?;
+        if !self.needs(shared, change) {
+            return Ok(());
+        }
         let key = change.key.to_string();
         let process = shared.settings.process.as_str();
         let body = match (&change.key, &change.targets) {
@@ -192,11 +276,13 @@
             }
         };
         let body = body.map_err(|error| Fault::new("encode row", &key, error))?;
-        control::transact(service, body).await?;
-        match &change.targets {
-            Some(targets) => self.rows().insert(change.key.clone(), targets.len()),
-            None => self.rows().remove(&change.key),
-        };
+        let position = control::transact(service, body).await?;
+        let crashes = change.targets.as_ref().map(Vec::len);
+        let mut known = self.known();
+        // Without a position, the row counts as new when the feed delivers it.
+        let position = position.or(known.read).unwrap_or_default();
+        known.record(&change.key, KnownRow { position, crashes });
+        drop(known);
         let refused = change.targets.is_some();
         tracing::info!(event = "refusal_stored", part = key, refused);
         Ok(())
@@ -212,10 +298,20 @@
     }
 }
 
+/// Returns whether this router refuses what a row names, because of at least as many
+/// crashes as given.
+fn refuses(shared: &Shared, key: &RefusalKey, crashes: usize) -> bool {
+    match key {
+        RefusalKey::Parts(parts) => shared.crash_parts().has_refused(parts),
+        RefusalKey::Content(content) => shared.poison().crashes(*content) >= crashes,
+    }
+}
+
 /// Stops refusing what a removed row named.
 fn lift(shared: &Shared, key: &RefusalKey) {
+    let now = shared.clock.now();
     match key {
-        RefusalKey::Parts(parts) => shared.crash_parts().lift(parts),
-        RefusalKey::Content(content) => shared.poison().lift(shared.clock.now(), *content),
+        RefusalKey::Parts(parts) => shared.crash_parts().lift(now, parts),
+        RefusalKey::Content(content) => shared.poison().lift(now, *content),
     }
 }
