--- a/crates/edge/src/cold/mod.rs
+++ b/crates/edge/src/cold/mod.rs
@@ -28,7 +28,6 @@
 use crate::{
     exchange::Exchange,
     fleet::{Fleet, Target, TargetHash},
-    relays,
     shared::Shared,
     target_list::TargetList,
     update::{TargetRow, Update},
@@ -191,10 +190,9 @@
 /// Returns the routers that an exchange knows; `listed` is whether the list of the
 /// routers has been read.
 pub fn members(exchange: &Exchange, now: time::Mono, own: u64, listed: bool) -> Members {
-    let others = exchange.addresses().map(|address| Member {
-        address: relays::rank(address),
-        live: exchange.is_live(now, address),
-    });
+    let others = exchange
+        .ranks(now)
+        .map(|(address, live)| Member { address, live });
     Members {
         own,
         others: others.collect(),
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -236,6 +236,14 @@
         live.map(live_peer).collect()
     }
 
+    /// Returns the rank of each router that has a row or sent an update, and whether
+    /// it recently sent one.
+    pub fn ranks(&self, now: time::Mono) -> impl Iterator<Item = (u64, bool)> {
+        let timeout = self.peer_timeout();
+        let peers = self.peers.values();
+        peers.map(move |peer| (peer.rank, peer.active_within(now, timeout)))
+    }
+
     fn live(&self, now: time::Mono) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         let timeout = self.peer_timeout();
         let peers = self.peers.iter();
--- a/crates/edge/tests/cold_targets.rs
+++ b/crates/edge/tests/cold_targets.rs
@@ -3,15 +3,22 @@
 mod site;
 
 use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use base::{id, rate::Rate, span::Span, time::Mono};
+use base::{cores::Cores, id, rate::Rate, span::Span, time::Mono};
 use edge::{
-    cold::{ColdLimit, MAX_HOPS, Routers, TableRead, state::ColdState, state::Evidence},
+    cold::{
+        self, ColdLimit, MAX_HOPS, Routers, TableRead,
+        state::{ColdState, Evidence},
+    },
     decide::{Query, ServiceState},
+    exchange::Exchange,
     fleet::{Fleet, PrefixChain},
+    relays::{self, CentreHash, Router},
     target_list::TargetList,
     update::TargetRow,
 };
@@ -358,6 +365,38 @@
     );
 }
 
+/// The routers that are listed and those that were heard from are known; one that
+/// has been silent for two seconds is not counted as live any more.
+#[test]
+fn members_of_exchange() {
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let router = |port| Router {
+        address: address(port),
+        rank: relays::rank(address(port)),
+        centre: CentreHash(1),
+        share: Cores(100),
+        uses_relays: false,
+    };
+    let mut own = Exchange::new(router(1), 1, &[address(2), address(3)]);
+    let mut other = Exchange::new(router(2), 2, &[address(1)]);
+    let mut unlisted = Exchange::new(router(4), 4, &[address(1)]);
+    for (port, exchange) in [(2, &mut other), (4, &mut unlisted)] {
+        let sent = exchange.round(at(100), &BTreeMap::new());
+        own.receive(at(100), address(port), &sent[0].update);
+    }
+    let live = |now| {
+        let members = cold::members(&own, at(now), relays::rank(address(1)), true);
+        assert_eq!(members.others.len(), 3);
+        let live = members.others.iter().filter(|member| member.live);
+        live.map(|member| member.address).collect::<BTreeSet<_>>()
+    };
+    assert_eq!(
+        live(200),
+        [2, 4].map(|port| relays::rank(address(port))).into()
+    );
+    assert!(live(2_200).is_empty());
+}
+
 fn configure(table: &Rows, version: u64, cold: &str) {
     let config = format!(
         r#"{{"version":{version},"routes":[{{"name":"again","hostname":"h.example","prefix":"/again/",
