--- a/crates/edge/tests/evacuation.rs
+++ b/crates/edge/tests/evacuation.rs
@@ -9,7 +9,9 @@
 use edge::{
     evacuation::{Evacuation, Evacuations},
     fleet::{TargetHash, part_hash},
+    shared::Shared,
     update::{EvacuationEntry, Scope, Snapshot, Update},
+    view::View,
 };
 use fakes::{
     rows::Rows,
@@ -17,7 +19,7 @@
     site::Options,
 };
 use http::StatusCode;
-use platform::rows::Position;
+use platform::rows::{Position, Row};
 use proptest::prelude::*;
 use prost::Message;
 use site::{Response, Router};
@@ -379,6 +381,32 @@
     until_evacuated(&isolated, &[]).await;
 }
 
+/// A snapshot carries the set, also evacuations that ended, for a router that has not
+/// received an update with them.
+#[test]
+fn snapshots() {
+    let view = || {
+        let table = SocketAddr::from(([127, 0, 0, 1], 9));
+        View::new(Shared::new(site::settings(table, &[])))
+    };
+    let row = |name: &str, position, value: Option<&'static [u8]>| Row {
+        key: format!("evacuate/{name}"),
+        position: Position(position),
+        value: value.map(Into::into),
+    };
+    let first = view();
+    let rows = [row("a", 5, Some(b"")), row("b", 6, Some(b""))];
+    first.apply_evacuation_rows(&rows, Some(Position(7)));
+    first.apply_evacuation_rows(&[row("a", 8, None)], None);
+    let snapshot = first.snapshot().encode_to_vec();
+    let second = view();
+    second.adopt_snapshot(&Snapshot::decode(&snapshot[..]).expect("a snapshot"));
+    assert_eq!(names(&second.evacuations()), ["b"]);
+    let late = EvacuationEntry::from(&state("a", 5, true));
+    second.apply_peer_evacuations(&[late]);
+    assert_eq!(names(&second.evacuations()), ["b"]);
+}
+
 /// A router that starts during an evacuation asks no engine there for its cached parts,
 /// and no engine is told to fetch from one there, unlike from one that is leaving.
 #[tokio::test]
