Refuse parts together that only the first crash tells apart

Cause: of the first crash only a sound request may be known. Its document was then in use at one crash more than the part at fault, and was refused alone. Reports that were cut to fit a datagram, or to its last suspects, had the same effect. Change: if a part has no companion at all of its crashes, the first one is left out and companions count that were never answered. Prompts of the likeliest causes are sent first, and none is shortened to fill a datagram.

--- a/crates/admit/src/crash.rs
+++ b/crates/admit/src/crash.rs
@@ -11,6 +11,9 @@
 
 use crate::part_set::PartSet;
 
+/// Maximum number of parts that are reported for one crash.
+pub const MAX_REPORTED: usize = 24;
+
 /// A crash of a target, and the parts that may be its cause.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
@@ -42,15 +45,20 @@
     }
 
     /// Returns the crash with at most `max` suspects, those of the prompts whose
-    /// parts have the highest rank. Prompts that fit are kept or left out as a whole,
-    /// as their parts would otherwise seem to be in use without one another.
+    /// parts have the highest ranks. Prompts are kept or left out as a whole, as their
+    /// parts would otherwise seem to be in use without one another; only one that alone
+    /// has more than [`MAX_REPORTED`] parts is shortened.
     #[must_use]
     pub fn limited<R: Ord>(&self, max: usize, rank: impl Fn(id::PartHash) -> R) -> Self {
         if self.suspects.len() <= max {
             return self.clone();
         }
         let mut prompts: Vec<_> = self.prompts.iter().collect();
-        prompts.sort_by_cached_key(|prompt| cmp::Reverse(prompt.parts().map(&rank).max()));
+        prompts.sort_by_cached_key(|prompt| {
+            let mut ranks: Vec<_> = prompt.parts().map(&rank).collect();
+            ranks.sort_unstable_by(|a, b| b.cmp(a));
+            cmp::Reverse(ranks)
+        });
         let mut crash = Self {
             suspects: BTreeMap::new(),
             prompts: BTreeSet::new(),
@@ -59,7 +67,7 @@
         };
         for prompt in prompts {
             let mut prompt = prompt.clone();
-            if prompt.len() > max && crash.prompts.is_empty() {
+            if prompt.len() > max && max >= MAX_REPORTED && crash.prompts.is_empty() {
                 let mut parts: Vec<_> = prompt.parts().collect();
                 parts.sort_by_cached_key(|part| cmp::Reverse(rank(*part)));
                 prompt = parts.into_iter().take(max).collect();
--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -23,7 +23,7 @@
 use base::{id, span, time};
 
 pub use crate::crash::{Change, ClearedPart, Crash, RefusedParts, Report, Suspect};
-use crate::{lifted::Lifted, part_set::PartSet, survivors::Survivors};
+use crate::{crash::MAX_REPORTED, lifted::Lifted, part_set::PartSet, survivors::Survivors};
 
 /// Number of successive crashes from which a part is refused.
 const CRASH_LIMIT: u32 = 3;
@@ -71,9 +71,6 @@
 /// Maximum number of parts that are remembered for one crash.
 const MAX_SUSPECTS: usize = 64;
 
-/// Maximum number of parts that are reported for one crash.
-const MAX_REPORTED: usize = 24;
-
 /// Maximum number of prompts that are remembered for one crash.
 const MAX_PROMPTS: usize = 32;
 
@@ -490,8 +487,27 @@
     /// Returns a part with those that were in the same prompts at all crashes known
     /// since `before`, as far as they have not been answered since: each of them may
     /// be the cause.
+    ///
+    /// If there are none, the first crash is left out: of the crashes that a
+    /// part causes, the request that caused the first one is the likeliest to be
+    /// unknown, as its router may not have noticed the crash. Then only parts count
+    /// that were never answered; a further crash without them takes them out.
     fn together(&self, part: id::PartHash, before: time::Mono) -> PartSet {
-        let mut crashes = self.unexplained(part);
+        let always = self.always_with(part, before, 0);
+        if always.len() > 1 {
+            return always;
+        }
+        let mut later = self.always_with(part, before, 1);
+        let is_unanswered = |other: &id::PartHash| self.survivors.latest(*other).is_none();
+        later
+            .0
+            .retain(|other| *other == part || is_unanswered(other));
+        later
+    }
+
+    /// The same, without the first `skipped` crashes.
+    fn always_with(&self, part: id::PartHash, before: time::Mono, skipped: usize) -> PartSet {
+        let mut crashes = self.unexplained(part).skip(skipped);
         let Some(first) = crashes.next() else {
             return part.into();
         };
--- a/crates/admit/tests/crash_parts.rs
+++ b/crates/admit/tests/crash_parts.rs
@@ -306,6 +306,34 @@
     }
 }
 
+/// The same, but the shared part was never answered: the parts at the later crashes
+/// cannot be told apart, until one more crash is without one of them.
+#[test]
+fn partial_first_unanswered() {
+    let mut tracker = CrashParts::default();
+    for number in 1..6 {
+        let millis = number * 450;
+        let parts = match number {
+            1 => [FIRST, SECOND],
+            _ => [DEADLY, SECOND],
+        };
+        crash(&mut tracker, millis, number, &parts);
+        answer_others(&mut tracker, millis + 20);
+        answer(&mut tracker, millis + 30, &[FIRST]);
+        tracker.evaluate(at(millis + 300));
+    }
+    tracker.evaluate(at(4_000));
+    assert!(refuses(&mut tracker, 4_001, &[DEADLY, SECOND]));
+    assert!(!refuses(&mut tracker, 4_001, &[FIRST, SECOND]));
+    assert!(!refuses(&mut tracker, 4_001, &[FIRST, DEADLY]));
+    let mut document = tracker.clone();
+    crash(&mut document, 5_000, 6, &[FIRST, SECOND]);
+    document.evaluate(at(6_000));
+    assert!(refuses(&mut document, 6_001, &[FIRST, SECOND]));
+    answer(&mut tracker, 5_000, &[FIRST, SECOND]);
+    assert!(refuses(&mut tracker, 6_001, &[FIRST, DEADLY]));
+}
+
 /// A part begins to crash targets after it was sound, in prompts of several chats
 /// that were never answered.
 #[test]
--- a/crates/edge/src/crash_reports.rs
+++ b/crates/edge/src/crash_reports.rs
@@ -1,7 +1,10 @@
 //! Converts reports of crashes and refused prompt parts to and from the messages
 //! between routers, which carry ages instead of times.
 
-use std::{collections::BTreeSet, iter};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    iter,
+};
 
 use admit::{
     crash_parts::{self, Crash, Report, Suspect},
@@ -62,8 +65,9 @@
 /// not fit in one update are sent in turn; `round` numbers the updates.
 pub fn write(update: &mut Update, now: time::Mono, report: &Report, round: usize) {
     let mut space = MAX_SUSPECTS;
+    let uses = count_uses(report);
     for crash in &report.crashes {
-        let crash = crash.limited(space, |part| crash.suspects.get(&part).map(|it| it.level));
+        let crash = crash.limited(space, |part| uses.get(&part).copied());
         space -= crash.suspects.len();
         if !crash.suspects.is_empty() {
             update.part_crashes.push(write_crash(now, &crash));
@@ -92,6 +96,26 @@
         .collect();
 }
 
+/// Returns for each suspect whether no answer is known to a request with it, and at
+/// how many crashes it was in use. If prompts have to be left out, those of the
+/// likeliest causes have to stay, or the parts in the others seem to be the cause.
+fn count_uses(report: &Report) -> BTreeMap<id::PartHash, (bool, u32)> {
+    let mut uses: BTreeMap<id::PartHash, (bool, u32)> = BTreeMap::new();
+    for part in report
+        .crashes
+        .iter()
+        .flat_map(|crash| crash.suspects.keys())
+    {
+        uses.entry(*part).or_insert((true, 0)).1 += 1;
+    }
+    for cleared in &report.cleared {
+        if let Some(uses) = uses.get_mut(&cleared.part) {
+            uses.0 = false;
+        }
+    }
+    uses
+}
+
 /// Reads the report of an update. Crashes with a malformed service are left out.
 pub fn read(update: &Update, now: time::Mono) -> Report {
     let crashes = update.part_crashes.iter();
