Judge a new run of a target by its row

Cause: a run that was new to a router counted as cold until a second row of it. Change: the row that shows a new run says whether it is cold. A suspicion after silence ends after twice the cold time, whether the table can be read or not.

--- a/crates/edge/src/cold/mod.rs
+++ b/crates/edge/src/cold/mod.rs
@@ -16,10 +16,7 @@
 
 pub mod state;
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, atomic::Ordering},
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 use base::{id, rate, span, time};
 use place::cold::{self, Member, Members, Quota};
@@ -35,13 +32,11 @@
 
 use state::{ColdState, Evidence};
 
-/// While the table cannot be read, a target that was silent is treated as cold for
-/// this many times the cold time: it may start again some time after it was silent.
-const OUTAGE_FACTOR: u64 = 2;
-
-/// The same while the table can be read but the target's row is not written again.
-/// The row of a target that is down lapses sooner.
-const UNWRITTEN_FACTOR: u64 = 10;
+/// A target that was silent and has no row since is treated as cold for this many
+/// times the cold time. A row is only written again when it changes; that of a target
+/// that is down lapses, and one that starts again has another row, within a few
+/// seconds.
+const SILENT_FACTOR: u64 = 2;
 
 /// Maximum number of routers that pass on what a target said in a response: a
 /// router, its relay and a relay of another data centre.
@@ -361,17 +356,13 @@
     /// Ends the suspicion of targets that cannot be cold any more, although no row
     /// said so.
     pub fn expire_cold_suspicions(&self, now: time::Mono) {
-        let factor = match self.reads_table.load(Ordering::Relaxed) {
-            true => UNWRITTEN_FACTOR,
-            false => OUTAGE_FACTOR,
-        };
         let fleet = self.fleet.load();
         for target in fleet.iter().flat_map(|fleet| fleet.targets()) {
             if !target.cold().is_suspected() {
                 continue;
             }
             if let Some(limit) = self.cold_limit(&target.row.service) {
-                let silent_time = limit.time.as_micros().saturating_mul(factor);
+                let silent_time = limit.time.as_micros().saturating_mul(SILENT_FACTOR);
                 self.update_cold(now, target, |cold| {
                     cold.expire(now, limit.time, span::Span::from_micros(silent_time))
                 });
--- a/crates/edge/src/cold/state.rs
+++ b/crates/edge/src/cold/state.rs
@@ -2,8 +2,9 @@
 //!
 //! A target is cold while its row, a response of it, or another router to which it
 //! responded says so. It is also treated as cold if it may have restarted without
-//! notice: if the run is new to this router, or did not respond. This lasts until
-//! a row that was written later, or a response, says whether it is cold.
+//! notice, because it did not respond. This lasts until a row that was written later,
+//! or a response, says whether it is cold. A run that is new to the router is known by
+//! its row, which says so.
 
 use std::fmt;
 
@@ -27,8 +28,6 @@
     Response,
     /// Another router, which had a response of the target.
     Router,
-    /// The run of the target is new to this router.
-    New,
     /// The target did not respond.
     Silent,
     /// The stated time has passed.
@@ -41,7 +40,6 @@
             Self::Row => "row",
             Self::Response => "response",
             Self::Router => "router",
-            Self::New => "new",
             Self::Silent => "silent",
             Self::Time => "time",
         })
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -1,10 +1,7 @@
 //! A router's view of configuration and targets, from the table and from other
 //! routers.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, Ordering},
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use base::{span, time};
 use bytes::Bytes;
@@ -16,7 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    cold::{self, TableRead, state::Evidence},
+    cold::{self, TableRead},
     evacuation::{self, Evacuation, Evacuations},
     fleet::{Fleet, TargetHash},
     routes::Routes,
@@ -40,9 +37,6 @@
     evacuations: Mutex<Evacuations>,
     /// Signals a change that is announced to other routers immediately.
     pub changed: Notify,
-    /// Whether all targets have been listed once. Those that appear later have just
-    /// started, as far as this router knows.
-    has_listed: AtomicBool,
 }
 
 impl View {
@@ -54,7 +48,6 @@
             config: Mutex::default(),
             evacuations: Mutex::default(),
             changed: Notify::new(),
-            has_listed: AtomicBool::new(false),
         })
     }
 
@@ -208,7 +201,6 @@
         self.put(now, &snapshot.targets);
         if !snapshot.targets.is_empty() {
             self.publish("peer");
-            self.has_listed.store(true, Ordering::Relaxed);
         }
         if let Some(fleet) = self.shared.fleet.load().as_ref() {
             fleet.add_cached(now, &snapshot.cached);
@@ -262,7 +254,6 @@
     /// the table was read.
     pub fn publish_read(&self, read: TableRead) {
         self.publish_rows("table", Some(read));
-        self.has_listed.store(true, Ordering::Relaxed);
     }
 
     /// Replaces the fleet that the traffic thread uses, if a target changed.
@@ -282,9 +273,6 @@
             return;
         }
         let fleet = Fleet::new(&rows, old.as_deref());
-        if self.has_listed.load(Ordering::Relaxed) {
-            self.suspect_new(now, &fleet, old.as_deref(), &target_list);
-        }
         cold::apply_rows(&self.shared, now, &fleet, &target_list, read);
         drop(target_list);
         log_changes(old.as_deref(), &fleet, source);
@@ -294,29 +282,6 @@
     }
 }
 
-impl View {
-    /// Treats runs of targets that are not in `old` as cold until a later row.
-    fn suspect_new(
-        &self,
-        now: time::Mono,
-        fleet: &Fleet,
-        old: Option<&Fleet>,
-        target_list: &TargetList,
-    ) {
-        for target in fleet.targets() {
-            let known = old.and_then(|old| old.target(target.hash));
-            if known.is_some_and(|known| known.shares_state(target)) {
-                continue;
-            }
-            let row = target_list.cold(&target.row.id, target.row.started_at);
-            let position = row.map(|(position, _)| position);
-            self.shared.update_cold(now, target, |cold| {
-                cold.suspect(now, Evidence::New, position)
-            });
-        }
-    }
-}
-
 /// A configuration as stored in the table, and in the compressed form that peers
 /// get.
 #[derive(Debug, Default)]
