Let callers of plain services return by the backlog

Cause: Retry-After of a shed request knew only the excess of load, so that callers returned before the backlog was worked off and were refused again. Change: admit::returns computes the time from the backlog, the completions of this router times the routers, and a ledger of the callers that were told to return. It is used for plain services with enough completions. Engines keep the former times.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod poison;
 pub mod quarantine;
 pub mod request;
+pub mod returns;
 pub mod shares;
 pub mod shed;
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use admit::shed;
+use admit::{returns::Backlog, shed};
 use base::{hash, id, span, time};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -88,6 +88,7 @@
             };
             match result {
                 Ok(response) => {
+                    request.record_completion();
                     request.finish("answered", Some(response.status()), &attempts);
                     return response;
                 }
@@ -101,6 +102,19 @@
         }
     }
 
+    /// Records that a response of a plain service was completed. Streams of engines are
+    /// not counted: their callers do not return by the backlog.
+    fn record_completion(&self) {
+        if !self.uses_engines() {
+            let now = self.shared.clock.now();
+            self.shared.returns().record_completion(now, &self.service);
+        }
+    }
+
+    fn uses_engines(&self) -> bool {
+        self.service_config.is_some_and(|service| service.engines)
+    }
+
     fn record_failure(&self, attempts: &mut Attempts, error: &AttemptError) {
         let counter = match error {
             AttemptError::NotRun => return self.shared.metrics.count(Counter::NotRun),
@@ -254,6 +268,8 @@
             remaining: self.deadline.since(now),
         };
         let shed = state.shed(selection, request, rand::rng().random())?;
+        let assigned = self.assign_return(now, state, selection, request);
+        let after = assigned.unwrap_or(shed.after);
         self.shared.metrics.count(Counter::Shed);
         tracing::info!(
             event = "shed",
@@ -270,9 +286,35 @@
             told_age = %self.shared.peer_loads.age(now),
             told_by = self.shared.peer_loads.routers(),
             version = %self.version,
-            after = %shed.after,
+            assigned = assigned.is_some(),
+            %after,
         );
-        Some(shed.after)
+        Some(after)
+    }
+
+    /// Returns when the caller of a shed request should return by the backlog of the
+    /// service, if it is a plain service whose rate of completions is known.
+    fn assign_return(
+        &self,
+        now: time::Mono,
+        state: &ServiceState,
+        selection: &Selection,
+        request: shed::RequestInfo,
+    ) -> Option<span::Span> {
+        if self.uses_engines() {
+            return None;
+        }
+        let utilization = selection.choice.utilization;
+        let backlog = Backlog {
+            requests: utilization.load.saturating_sub(utilization.slots) as f64,
+            routers: state.routers,
+        };
+        let mut returns = self.shared.returns();
+        let random = rand::rng().random();
+        let after = returns.assign(now, &self.service, backlog, request.remaining, random)?;
+        drop(returns);
+        self.shared.metrics.count(Counter::AssignedReturns);
+        Some(after)
     }
 
     /// Resumes a stream at another target, after the event `last_event`.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -39,6 +39,9 @@
     Refused,
     /// Requests shed because the service was overloaded.
     Shed,
+    /// Shed requests whose callers were told to return when the backlog of the service
+    /// is worked off.
+    AssignedReturns,
     /// Attempts that targets did not process.
     NotRun,
     /// Attempts whose outcome is unknown, or that failed at the target and may be
@@ -67,7 +70,7 @@
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 19] = [
+    const ALL: [(Self, &'static str); 20] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -75,6 +78,7 @@
         (Self::Aborted, "streams_aborted"),
         (Self::Refused, "refused"),
         (Self::Shed, "shed"),
+        (Self::AssignedReturns, "returns_assigned"),
         (Self::NotRun, "attempts_not_run"),
         (Self::OutcomeUnknown, "attempts_lost"),
         (Self::Timeouts, "attempts_timed_out"),
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -12,6 +12,7 @@
     crash_parts::CrashParts,
     fleet_retries::{FleetRetryBudget, RetryLimit},
     poison::PoisonTracker,
+    returns::Returns,
     shares::TeamShares,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -68,6 +69,7 @@
     refusal_changes: Mutex<Vec<RowChange>>,
     speeds: Mutex<BTreeMap<id::ServiceId, ServiceLatencies>>,
     shares: Mutex<TeamShares>,
+    returns: Mutex<Returns>,
     announcements: Mutex<Vec<CachedPart>>,
 }
 
@@ -132,6 +134,7 @@
             refusal_changes: Mutex::default(),
             speeds: Mutex::default(),
             shares: Mutex::default(),
+            returns: Mutex::default(),
             announcements: Mutex::default(),
             settings,
         })
@@ -192,6 +195,11 @@
         self.shares.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the completions of services and the callers that were told to return.
+    pub fn returns(&self) -> MutexGuard<'_, Returns> {
+        self.returns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the contents of requests that targets were running when they
     /// crashed.
     pub fn poison(&self) -> MutexGuard<'_, PoisonTracker> {
