--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod poison;
 pub mod quarantine;
 pub mod request;
+pub mod returns;
 pub mod shares;
 pub mod shed;
 mod survivors;
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -6,7 +6,7 @@
     sync::{Arc, atomic::Ordering},
 };
 
-use admit::shed;
+use admit::{returns::Backlog, shed};
 use base::{hash, id, span, time};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -90,6 +90,7 @@
                     return EventStream::response(request, *response, attempts, active);
                 }
                 Ok(Answer::Whole(response)) => {
+                    request.record_completion();
                     request.finish("answered", Some(response.status()), &attempts);
                     return response;
                 }
@@ -103,6 +104,22 @@
         }
     }
 
+    /// Records that a response was completed, if callers of the service return by the
+    /// backlog.
+    fn record_completion(&self) {
+        if self.assigns_returns() {
+            let now = self.shared.clock.now();
+            self.shared.returns().record_completion(now, &self.service);
+        }
+    }
+
+    /// Returns whether refused callers are told to return by the backlog: where callers
+    /// compete for room, and not for engines, for which a replay showed no gain.
+    fn assigns_returns(&self) -> bool {
+        let uses_engines = self.service_config.is_some_and(|service| service.engines);
+        self.shared.settings.contended && !uses_engines
+    }
+
     /// Counts an attempt that failed.
     pub fn record_failure(&self, attempts: &mut Attempts, error: &AttemptError) {
         let counter = match error {
@@ -202,6 +219,8 @@
             input = self.head.input_tokens,
             output = self.head.output_tokens,
             missing = selection.missing,
+            contention = selection.contention.map(|(excess, _)| excess),
+            contention_age = selection.contention.map(|(_, age)| tracing::field::display(age)),
             source = selection.source.map(tracing::field::display),
             cold = selection.cold,
             withheld = selection.withheld,
@@ -246,6 +265,7 @@
                 fetches: service.fetches_cache,
             }),
             latency,
+            contention: self.shared.contention_model(&self.service),
             centre: &self.shared.settings.centre,
             rate: self.shared.shares().rate(now, &self.service),
             routers: self.shared.routers.load(Ordering::Relaxed),
@@ -285,6 +305,8 @@
             remaining: self.deadline.since(now),
         };
         let shed = state.shed(selection, request, rand::rng().random())?;
+        let assigned = self.assign_return(now, state, selection, request);
+        let after = assigned.unwrap_or(shed.after);
         self.shared.metrics.count(Counter::Shed);
         tracing::info!(
             event = "shed",
@@ -301,9 +323,35 @@
             told_age = %self.shared.peer_loads.age(now),
             told_by = self.shared.peer_loads.routers(),
             version = %self.version,
-            after = %shed.after,
+            assigned = assigned.is_some(),
+            %after,
         );
-        Some(shed.after)
+        Some(after)
+    }
+
+    /// Returns when the caller of a shed request should return by the backlog of the
+    /// service, if it is a plain service whose rate of completions is known.
+    fn assign_return(
+        &self,
+        now: time::Mono,
+        state: &ServiceState,
+        selection: &Selection,
+        request: shed::RequestInfo,
+    ) -> Option<span::Span> {
+        if !self.assigns_returns() {
+            return None;
+        }
+        let utilization = selection.choice.utilization;
+        let backlog = Backlog {
+            requests: utilization.load.saturating_sub(utilization.slots) as f64,
+            routers: state.routers,
+        };
+        let mut returns = self.shared.returns();
+        let random = rand::rng().random();
+        let after = returns.assign(now, &self.service, backlog, request.remaining, random)?;
+        drop(returns);
+        self.shared.metrics.count(Counter::AssignedReturns);
+        Some(after)
     }
 
     /// Resumes a stream at another target, after the event `last_event`.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -39,6 +39,9 @@
     Refused,
     /// Requests shed because the service was overloaded.
     Shed,
+    /// Shed requests whose callers were told to return when the backlog of the service
+    /// is worked off.
+    AssignedReturns,
     /// Attempts that targets did not process.
     NotRun,
     /// Attempts whose outcome is unknown, or that failed at the target and may be
@@ -66,6 +69,8 @@
     HedgesWon,
     /// Requests that waited unusually long and were not sent to a second target.
     HedgesSkipped,
+    /// Figures of contention received from targets.
+    ContentionFigures,
     /// Calls to the table.
     TableCalls,
     /// Calls to the table that failed.
@@ -82,7 +87,7 @@
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 26] = [
+    const ALL: [(Self, &'static str); 28] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -90,6 +95,7 @@
         (Self::Aborted, "streams_aborted"),
         (Self::Refused, "refused"),
         (Self::Shed, "shed"),
+        (Self::AssignedReturns, "returns_assigned"),
         (Self::NotRun, "attempts_not_run"),
         (Self::OutcomeUnknown, "attempts_lost"),
         (Self::Timeouts, "attempts_timed_out"),
@@ -103,6 +109,7 @@
         (Self::Hedges, "hedges"),
         (Self::HedgesWon, "hedges_won"),
         (Self::HedgesSkipped, "hedges_skipped"),
+        (Self::ContentionFigures, "contention_figures"),
         (Self::TableCalls, "table_calls"),
         (Self::TableFailures, "table_failures"),
         (Self::UpdatesReceived, "news_received"),
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -12,12 +12,13 @@
     crash_parts::CrashParts,
     fleet_retries::{FleetRetryBudget, RetryLimit},
     poison::PoisonTracker,
+    returns::Returns,
     shares::TeamShares,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use base::{id, span, time};
 use inlet::memory::MemoryBudget;
-use place::{hedge::Fraction, latency::LatencyModel};
+use place::{contention::ContentionModel, hedge::Fraction, latency::LatencyModel};
 use platform::settings::{Bounds, Settings};
 use tokio::sync::Notify;
 
@@ -74,6 +75,7 @@
     refusal_changes: Mutex<Vec<RowChange>>,
     speeds: Mutex<BTreeMap<id::ServiceId, ServiceLatencies>>,
     shares: Mutex<TeamShares>,
+    returns: Mutex<Returns>,
     announcements: Mutex<Vec<CachedPart>>,
 }
 
@@ -141,6 +143,7 @@
             refusal_changes: Mutex::default(),
             speeds: Mutex::default(),
             shares: Mutex::default(),
+            returns: Mutex::default(),
             announcements: Mutex::default(),
             settings,
         })
@@ -183,6 +186,15 @@
             .unwrap_or_default()
     }
 
+    /// Returns the contention at the targets of a service.
+    pub fn contention_model(&self, service: &id::ServiceId) -> ContentionModel {
+        let speeds = self.speeds();
+        speeds
+            .get(service)
+            .map(|known| known.contention)
+            .unwrap_or_default()
+    }
+
     /// Updates the measured times of a service with `note`, and returns the
     /// result of `note`.
     pub fn update_latencies<T>(
@@ -202,6 +214,11 @@
         self.shares.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the completions of services and the callers that were told to return.
+    pub fn returns(&self) -> MutexGuard<'_, Returns> {
+        self.returns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the contents of requests that targets were running when they
     /// crashed.
     pub fn poison(&self) -> MutexGuard<'_, PoisonTracker> {
--- a/crates/edge/src/timing.rs
+++ b/crates/edge/src/timing.rs
@@ -5,6 +5,7 @@
 
 use base::{span, time};
 use place::{
+    contention::ContentionModel,
     hedge::{Fraction, ResponseRatios},
     latency::{self, LatencyModel, Task},
 };
@@ -22,6 +23,8 @@
     pub events: LatencyModel,
     /// Times of responses relative to the expected ones, if requests may be hedged.
     pub ratios: Option<Box<ResponseRatios>>,
+    /// Contention at the targets.
+    pub contention: ContentionModel,
 }
 
 impl ServiceLatencies {
--- a/crates/edge/tests/cold_targets.rs
+++ b/crates/edge/tests/cold_targets.rs
@@ -27,7 +27,7 @@
     runner::{Behaviour, Runner},
 };
 use http::StatusCode;
-use place::{cold::Members, latency::LatencyModel, region::Placement};
+use place::{cold::Members, contention::ContentionModel, latency::LatencyModel, region::Placement};
 use platform::{
     rows::Position,
     settings::Settings,
@@ -243,6 +243,7 @@
     let select = |seed| {
         let state = ServiceState {
             placement: Placement::default(),
+            contention: ContentionModel::default(),
             targets: fleet.service(&service),
             capabilities: None,
             latency: &latency,
