Bound what a target sends before its response head

Cause: the HTTP library drops interim responses without telling, so that no limit applied to their number. The task of such a connection always had work and kept timers, other callers and the readiness check of its thread waiting. An attempt that ended by its time limit did not count against the target. Such a target, and one that sent a part of a head until the time limit, counts as one without a response.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -23,6 +23,7 @@
     body::{self, Body},
     decide::Selection,
     fleet::{InFlight, SharedParts, Target},
+    metered::Meter,
     metrics::Counter,
     request::CallerRequest,
     upstream::{Lease, Reachability, SendError},
@@ -95,12 +96,19 @@
         self.shared.announce_parts(target, learned.into_iter());
         let levels = self.shared.crash_parts().levels(now, self.chain.shared());
         let request = self.build_request(selection, remaining, last_event);
-        let sent = target.pool.send(request);
+        let mut meter = Meter::default();
+        let sent = target.pool.send_metered(request, &mut meter);
         let (response, lease) = match timer::timeout(remaining.duration(), sent).await {
             Ok(Ok(sent)) => sent,
             Ok(Err(error)) => return Err(self.send_failed(target, now, &levels, error)),
             Err(_) => {
-                self.log_missed(target, "timeout");
+                // A target that sends nothing may be busy, as the others are.
+                let has_begun = meter.has_begun();
+                if has_begun {
+                    let now = self.shared.clock.now();
+                    target.update_breaker(|breaker| breaker.record_no_response(now));
+                }
+                self.log_missed(target, if has_begun { "endless-head" } else { "timeout" });
                 return Err(AttemptError::Timeout);
             }
         };
@@ -157,7 +165,8 @@
                 target.update_breaker(Breaker::record_error);
                 self.check_crash(target, sent, levels, None);
             }
-            SendError::NotSent(_) | SendError::Unresponsive(_) => {
+            // A target may answer any request with interim responses without end.
+            SendError::NotSent(_) | SendError::Unresponsive(_) | SendError::Endless(_) => {
                 target.update_breaker(|breaker| breaker.record_no_response(now));
             }
         }
@@ -166,7 +175,9 @@
                 tracing::info!(event = "not_sent", id = %self.head.attempt, target = %target.row.id, %fault);
                 AttemptError::NotRun
             }
-            SendError::Closed(fault) | SendError::Unresponsive(fault) => {
+            SendError::Closed(fault)
+            | SendError::Unresponsive(fault)
+            | SendError::Endless(fault) => {
                 tracing::info!(event = "lost", id = %self.head.attempt, target = %target.row.id, %fault);
                 AttemptError::OutcomeUnknown
             }
--- a/crates/edge/src/engines.rs
+++ b/crates/edge/src/engines.rs
@@ -54,13 +54,13 @@
     let peer = target.row.address;
     let request = Request::get(cache::PATH).header(header::HOST, peer.to_string());
     let request = request.body(Full::new(Bytes::new())).at(STEP, peer)?;
-    let (response, _lease) =
-        target.pool.send(request).await.map_err(|failure| {
-            let (SendError::NotSent(fault)
-            | SendError::Closed(fault)
-            | SendError::Unresponsive(fault)) = failure;
-            fault
-        })?;
+    let (response, _lease) = target.pool.send(request).await.map_err(|failure| {
+        let (SendError::NotSent(fault)
+        | SendError::Closed(fault)
+        | SendError::Unresponsive(fault)
+        | SendError::Endless(fault)) = failure;
+        fault
+    })?;
     let body = Limited::new(response.into_body(), MAX_LIST_BYTES)
         .collect()
         .await;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod lag;
 pub mod listen;
 pub mod logs;
+pub mod metered;
 pub mod metrics;
 pub mod peers;
 pub mod process;
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -22,6 +22,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time};
 
+use crate::metered::{HeadTooLong, Meter, Metered};
+
 /// Timeout for opening a connection. A round trip takes a few milliseconds; if the
 /// first packet is lost, another target is faster than waiting for its
 /// retransmission.
@@ -32,7 +34,8 @@
 const ACK_TIMEOUT: span::Span = span::Span::from_millis(900);
 
 /// Maximum size of a connection's read buffer, in bytes. It also limits the head
-/// of a response, which a faulty target may send without end.
+/// of a response, which a faulty target may send without end; [`crate::metered`]
+/// limits interim responses.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Time to wait until an idle connection accepts a request. Opening a new
@@ -65,6 +68,9 @@
     /// The target's host acknowledged no bytes for the TCP user timeout; the request
     /// may have run.
     Unresponsive(Fault),
+    /// The target sent more than any proper response has before its body; the request
+    /// may have run.
+    Endless(Fault),
 }
 
 /// Result of an attempt to connect to a target.
@@ -94,6 +100,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    meter: Meter,
     /// Whether it was idle before, as a rule after an earlier response.
     reused: bool,
     _task: ConnectionTask,
@@ -143,8 +150,22 @@
     /// When there is no response; the error shows whether the target may have
     /// processed the request.
     pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        self.send_metered(request, &mut Meter::default()).await
+    }
+
+    /// The same; `meter` becomes the meter of the connection, also if the caller stops
+    /// waiting.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_metered(
         &self,
         mut request: Request<Full<Bytes>>,
+        meter: &mut Meter,
     ) -> Result<(Response<Incoming>, Lease), SendError> {
         loop {
             let idle = self.take_idle();
@@ -156,8 +177,11 @@
             if !fresh && !is_ready(&mut connection).await {
                 continue;
             }
+            *meter = connection.meter.clone();
+            meter.start();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
+                    meter.stop();
                     connection.reused = !fresh;
                     return Ok((response, Lease(connection)));
                 }
@@ -174,11 +198,14 @@
     }
 
     fn response_error(&self, error: hyper::Error) -> SendError {
-        let timed_out = is_timeout(&error);
+        let is = |test: fn(&io::Error) -> bool| io_error(&error).is_some_and(test);
+        let timed_out = is(|error| error.kind() == io::ErrorKind::TimedOut);
+        let is_endless = is(|error| error.get_ref().is_some_and(|it| it.is::<HeadTooLong>()));
         let fault = Fault::new("read response", self.address, error);
-        match timed_out {
-            true => SendError::Unresponsive(fault),
-            false => SendError::Closed(fault),
+        match (timed_out, is_endless) {
+            (true, _) => SendError::Unresponsive(fault),
+            (_, true) => SendError::Endless(fault),
+            _ => SendError::Closed(fault),
         }
     }
 
@@ -235,9 +262,10 @@
         let stream = time::timeout(CONNECT_TIMEOUT.duration(), connect).await;
         let stream = stream.at(STEP, self.address)?.at(STEP, self.address)?;
         configure_socket(&stream, ACK_TIMEOUT.duration()).at(STEP, self.address)?;
+        let meter = Meter::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Metered::new(stream, meter.clone())))
             .await
             .at(STEP, self.address)?;
         let address = self.address;
@@ -248,6 +276,7 @@
         });
         Ok(Connection {
             sender,
+            meter,
             reused: false,
             _task: ConnectionTask(task.abort_handle()),
         })
@@ -269,16 +298,16 @@
     }
 }
 
-/// Returns whether an error was caused by a timeout of the connection.
-fn is_timeout(error: &hyper::Error) -> bool {
+/// Returns the error of the connection that caused an error, if there was one.
+fn io_error(error: &hyper::Error) -> Option<&io::Error> {
     let mut source = error.source();
     while let Some(cause) = source {
         if let Some(io) = cause.downcast_ref::<io::Error>() {
-            return io.kind() == io::ErrorKind::TimedOut;
+            return Some(io);
         }
         source = cause.source();
     }
-    false
+    None
 }
 
 /// Disables Nagle's algorithm and sets the TCP user timeout, after which a
--- a/crates/edge/tests/endless.rs
+++ b/crates/edge/tests/endless.rs
@@ -257,3 +257,78 @@
     assert!(response.headers.contains_key("retry-after"));
     assert!(runner.runs().is_empty());
 }
+
+/// Interim responses never end. The router reads a bounded number of bytes, other
+/// callers and the timers on the same thread are served in time, and the target gets
+/// no further requests for some time.
+#[tokio::test]
+async fn endless_interim() {
+    let reply = Reply {
+        start: "HTTP/1.1 100\r\n\r\n",
+        piece: INTERIM,
+        pause: Duration::ZERO,
+    };
+    let (address, sent) = raw_target(reply).await;
+    let site = start(address).await;
+    let began = Instant::now();
+    let calls = (0..8).map(|number| {
+        let router = &site.router;
+        async move { router.call("/once/a", &format!("a{number}")).await.status }
+    });
+    let statuses = futures_util::future::join_all(calls).await;
+    assert!(began.elapsed() < Duration::from_millis(RULE_MILLIS / 2));
+    for status in statuses {
+        assert!(status.is_server_error(), "{status}");
+    }
+    assert!(is_aside(&site.router));
+    let total = stopped(&sent).await;
+    assert!(total < BUFFERS, "{total}");
+}
+
+/// Sixteen interim responses.
+const INTERIM: &str = "HTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\n\
+    HTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\n\
+    HTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\n\
+    HTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\nHTTP/1.1 100\r\n\r\n\
+    HTTP/1.1 100\r\n\r\n";
+
+/// Interim responses come so slowly that the time limit ends the request: the
+/// target never completed its head, and gets no further requests after some.
+#[tokio::test]
+async fn slow_interim() {
+    let reply = Reply {
+        start: "HTTP/1.1 100\r\n\r\n",
+        piece: "HTTP/1.1 102\r\n\r\n",
+        pause: Duration::from_millis(20),
+    };
+    let (address, _) = raw_target(reply).await;
+    let site = start(address).await;
+    for number in 0..10 {
+        let response = site.router.call("/once/a", &format!("a{number}")).await;
+        if response.status == StatusCode::SERVICE_UNAVAILABLE {
+            break;
+        }
+        assert_eq!(response.status, StatusCode::GATEWAY_TIMEOUT);
+        if is_aside(&site.router) {
+            break;
+        }
+    }
+    assert!(is_aside(&site.router));
+}
+
+/// A target that sends some interim responses before its answer is served as usual.
+#[tokio::test]
+async fn some_interim() {
+    let reply = Reply {
+        start: INTERIM,
+        piece: "HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\nx-response-signature: s\r\n\
+                content-length: 2\r\n\r\nok",
+        pause: Duration::from_millis(20),
+    };
+    let (address, _) = raw_target(reply).await;
+    let site = start(address).await;
+    let response = site.router.call("/once/a", "a1").await;
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(&response.body[..], b"ok");
+    assert!(!is_aside(&site.router));
+}
