--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod lag;
 pub mod listen;
 pub mod logs;
+pub mod metered;
 pub mod metrics;
 pub mod peers;
 pub mod process;
