--- a/crates/place/tests/contention.rs
+++ b/crates/place/tests/contention.rs
@@ -22,7 +22,7 @@
         for step in 0..400 {
             let millis = step * (interval + offset);
             // Hashes of the intervals give values without a period.
-            let is_slow = base::hash::mix(millis / change, 7) % 2 == 0;
+            let is_slow = base::hash::mix(millis / change, 7).is_multiple_of(2);
             let next = figure(millis, if is_slow { 300 } else { 100 });
             model.record(previous, next);
             previous = Some(next);
