Limit the prompts that routers send after a loss of all routers

Cause: after a loss of all routers, callers return within a second to routers that do not know what engines have cached. Long prompts are read again elsewhere, and engines work on the backlog for seconds. The lab has a fault `lose`, in which routers are away and callers return, and a policy `eager` without the limit.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod bound;
 pub mod budget;
+pub mod cold_prompts;
 pub mod controller;
 pub mod crash_parts;
 pub mod external;
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use admit::{returns::Backlog, shed};
+use admit::{cold_prompts::Engines, returns::Backlog, shed};
 use base::{hash, id, span, time};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -162,6 +162,11 @@
         {
             return Next::Refuse(Reason::Overloaded, after);
         }
+        if attempts.targets.is_empty()
+            && let Err(after) = self.limit_cold_prompts(now, &state, &selection)
+        {
+            return Next::Refuse(Reason::Overloaded, after);
+        }
         let target = &selection.target;
         if attempts.targets.is_empty() {
             self.shared.retries().record_request(now, &self.service);
@@ -292,6 +297,45 @@
         Some(after)
     }
 
+    /// Checks the limit on prompt tokens after a loss of all routers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller should retry if the request exceeds it.
+    fn limit_cold_prompts(
+        &self,
+        now: time::Mono,
+        state: &ServiceState,
+        selection: &Selection,
+    ) -> Result<(), span::Span> {
+        if !self.uses_engines() {
+            return Ok(());
+        }
+        let engines = Engines {
+            count: state.targets.len(),
+            prefill: state.latency.prefill(),
+            routers: state.routers,
+        };
+        let (missing, left) = (selection.missing, self.deadline.since(now));
+        let mut prompts = self.shared.cold_prompts();
+        let random = rand::rng().random();
+        let sent = prompts.send(now, &self.service, missing, engines, left, random);
+        drop(prompts);
+        sent.inspect_err(|after| {
+            self.shared.metrics.count(Counter::DeferredPrompts);
+            tracing::info!(
+                event = "prompt_deferred",
+                id = %self.head.attempt,
+                service = %self.service,
+                missing,
+                engines = engines.count,
+                routers = engines.routers,
+                version = %self.version,
+                %after,
+            );
+        })
+    }
+
     /// Returns when the caller of a shed request should return by the backlog of the
     /// service, if it is a plain service whose rate of completions is known.
     fn assign_return(
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -42,6 +42,9 @@
     /// Shed requests whose callers were told to return when the backlog of the service
     /// is worked off.
     AssignedReturns,
+    /// Requests whose callers were told to return because the router had just started
+    /// and did not know which prompt parts engines have cached.
+    DeferredPrompts,
     /// Attempts that targets did not process.
     NotRun,
     /// Attempts whose outcome is unknown, or that failed at the target and may be
@@ -70,7 +73,7 @@
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 20] = [
+    const ALL: [(Self, &'static str); 21] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -79,6 +82,7 @@
         (Self::Refused, "refused"),
         (Self::Shed, "shed"),
         (Self::AssignedReturns, "returns_assigned"),
+        (Self::DeferredPrompts, "prompts_deferred"),
         (Self::NotRun, "attempts_not_run"),
         (Self::OutcomeUnknown, "attempts_lost"),
         (Self::Timeouts, "attempts_timed_out"),
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -349,6 +349,7 @@
             return;
         };
         let now = self.shared.clock.now();
+        self.shared.cold_prompts().start(now);
         // Uses all known routers, not only live ones: routers that start
         // together divide the engines among themselves before they have received
         // updates from one another.
@@ -388,6 +389,7 @@
                         let holds = snapshot.cached.len();
                         tracing::info!(event = "kept_parts", source = "peer", %address, holds);
                         peers.cache_sync().finish();
+                        peers.shared.cold_prompts().finish();
                     }
                 }
                 Ok(Err(fault)) => tracing::info!(event = "snapshot_failed", %fault),
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -9,6 +9,7 @@
 };
 
 use admit::{
+    cold_prompts::ColdPrompts,
     crash_parts::CrashParts,
     fleet_retries::{FleetRetryBudget, RetryLimit},
     poison::PoisonTracker,
@@ -70,6 +71,7 @@
     speeds: Mutex<BTreeMap<id::ServiceId, ServiceLatencies>>,
     shares: Mutex<TeamShares>,
     returns: Mutex<Returns>,
+    cold_prompts: Mutex<ColdPrompts>,
     announcements: Mutex<Vec<CachedPart>>,
 }
 
@@ -135,6 +137,7 @@
             speeds: Mutex::default(),
             shares: Mutex::default(),
             returns: Mutex::default(),
+            cold_prompts: Mutex::default(),
             announcements: Mutex::default(),
             settings,
         })
@@ -200,6 +203,13 @@
         self.returns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the limit on prompt tokens after a loss of all routers.
+    pub fn cold_prompts(&self) -> MutexGuard<'_, ColdPrompts> {
+        self.cold_prompts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the contents of requests that targets were running when they
     /// crashed.
     pub fn poison(&self) -> MutexGuard<'_, PoisonTracker> {
--- a/crates/lab/src/event.rs
+++ b/crates/lab/src/event.rs
@@ -24,6 +24,8 @@
     Expire(u64),
     /// A router tells others what it knows.
     Round(usize),
+    /// A router that has started learns which parts engines have cached.
+    Learn(usize),
     /// A router hears another one.
     Hear(usize, SocketAddr, Box<Update>),
     /// A fault begins or ends.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -54,7 +54,7 @@
     Run {
         #[bpaf(external)]
         seeds: Seeds,
-        /// today, open, blind, random, two or hash
+        /// today, open, blind, eager, random, two or hash
         #[bpaf(argument("POLICY"), fallback(Policy::Today), display_fallback)]
         policy: Policy,
         /// Write the requests of the first seed as lines of JSON
@@ -85,7 +85,7 @@
     Sweep {
         #[bpaf(external)]
         seeds: Seeds,
-        /// today, open, blind, random, two or hash
+        /// today, open, blind, eager, random, two or hash
         #[bpaf(argument("POLICY"), fallback(Policy::Today), display_fallback)]
         policy: Policy,
         /// The setting and its values, such as routers.count=6,12,24
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -3,7 +3,11 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use admit::{shares::TeamShares, shed};
+use admit::{
+    cold_prompts::{ColdPrompts, Engines},
+    shares::TeamShares,
+    shed,
+};
 use base::{cores::Cores, hash, id, span, time};
 use edge::{
     decide::{Capabilities, Query, Selection, ServiceState},
@@ -43,6 +47,7 @@
     holds: Vec<CachedPart>,
     delay: span::Span,
     routers: u32,
+    cold_prompts: ColdPrompts,
 }
 
 /// A request as a router sees it.
@@ -140,6 +145,7 @@
             holds: Vec::new(),
             delay: span::Span::ZERO,
             routers: site.routers.count as u32,
+            cold_prompts: ColdPrompts::default(),
         }
     }
 
@@ -181,6 +187,19 @@
             if let Some(shed) = beliefs.shed(&pick, request, random.random()) {
                 return Decision::Shed(shed.after);
             }
+            if engines && policy.limits_cold_prompts() {
+                let engines = Engines {
+                    count: beliefs.targets.len(),
+                    prefill: beliefs.latency.prefill(),
+                    routers: self.routers,
+                };
+                let (missing, left) = (pick.missing, asked.left);
+                let spread = asked.ask.seed as f64 / u64::MAX as f64;
+                let prompts = &mut self.cold_prompts;
+                if let Err(after) = prompts.send(now, &id, missing, engines, left, spread) {
+                    return Decision::Shed(after);
+                }
+            }
         }
         if asked.ask.tried.is_empty() {
             self.shares.record(now, &id, asked.team);
@@ -188,6 +207,11 @@
         Decision::Send(pick)
     }
 
+    /// Starts after a loss, without knowing what engines have cached.
+    pub fn start_cold(&mut self, now: time::Mono) {
+        self.cold_prompts.start(now);
+    }
+
     /// Notes prompt parts that a target keeps.
     pub fn hold(&mut self, holds: impl Iterator<Item = CachedPart>) {
         self.holds.extend(holds);
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -8,7 +8,7 @@
 use base::{hash, id, span, time};
 use edge::{
     decide::{Query, Selection},
-    fleet::{InFlight, PrefixChain},
+    fleet::{InFlight, PrefixChain, part_hash},
     timing::{EventProgress, EventTimer},
     update::CachedPart,
 };
@@ -42,6 +42,13 @@
 /// milliseconds.
 const BUSY_AFTER: std::ops::Range<u64> = 250..750;
 
+/// Times after which a caller returns whose router was lost, in milliseconds.
+const LOST_AFTER: std::ops::Range<u64> = 100..1_000;
+
+/// Time after its start in which a router learns which parts engines have cached: it
+/// listens for other routers first.
+const LEARN_TIME: span::Span = span::Span::from_millis(600);
+
 /// Beyond how many requests over the factor times the mean a target is over the
 /// bound.
 const BEYOND: f64 = 3.0;
@@ -96,6 +103,8 @@
     numbers: u64,
     runs: u64,
     loss: f64,
+    /// Routers that are lost.
+    lost: BTreeSet<usize>,
     counter: Counter,
 }
 
@@ -198,6 +207,7 @@
             numbers: 0,
             runs: 0,
             loss: 0.0,
+            lost: BTreeSet::new(),
             counter: Counter::new(site),
             rows,
         };
@@ -239,6 +249,8 @@
             Event::Silent(number) => self.silent(now, number),
             Event::Expire(number) => self.expire(number),
             Event::Round(node) => self.round(now, node),
+            Event::Learn(node) => self.learn(now, node),
+            Event::Hear(node, ..) if self.lost.contains(&node) => {}
             Event::Hear(node, from, news) => self.nodes[node].hear(now, from, &news),
             Event::Fault(index, begins) => self.fault(now, index, begins),
             Event::Sample => self.sample(now),
@@ -247,10 +259,13 @@
 
     fn arrive(&mut self, now: time::Mono, arrival: Arrival) {
         let kind = &self.site.kinds[arrival.kind];
-        if arrival.repeats == 0 {
+        if arrival.at == arrival.first {
             self.counter.asked(arrival.kind, arrival.first, kind.worth);
         }
         let node = self.random.random_range(0..self.nodes.len());
+        if self.lost.contains(&node) {
+            return self.repeat(now, arrival);
+        }
         self.offer(now, arrival, node, Vec::new());
     }
 
@@ -536,7 +551,10 @@
     }
 
     fn round(&mut self, now: time::Mono, index: usize) {
-        let (letters, pause) = self.nodes[index].round(now);
+        let (mut letters, pause) = self.nodes[index].round(now);
+        if self.lost.contains(&index) {
+            letters.clear();
+        }
         let from = self.nodes[index].address;
         for letter in letters {
             let bytes = letter.update.encoded_len() as u64;
@@ -567,6 +585,14 @@
             What::Loss(share) => self.loss = if begins { *share } else { 0.0 },
             What::Restart(share) if begins => self.restart(*share),
             What::Restart(_) => {}
+            What::Lose(share) if begins => self.lose(now, *share),
+            What::Lose(_) => {
+                for number in std::mem::take(&mut self.lost) {
+                    self.nodes[number] = self.node(number);
+                    self.nodes[number].start_cold(now);
+                    self.queue.after(now, LEARN_TIME, Event::Learn(number));
+                }
+            }
             What::Slow(part) => {
                 let factor = if begins { part.factor } else { 1.0 };
                 for (service, number) in self.part(part) {
@@ -599,27 +625,85 @@
 
     /// Starts routers anew; what they had open breaks off.
     fn restart(&mut self, share: f64) {
+        for arrival in self.break_off(share) {
+            let (kind, first) = (arrival.kind, arrival.first);
+            self.counter
+                .end(&self.site.kinds[kind], kind, first, End::Failed);
+        }
+        for number in std::mem::take(&mut self.lost) {
+            self.nodes[number] = self.node(number);
+        }
+    }
+
+    /// Loses routers. Callers whose requests may be repeated return.
+    fn lose(&mut self, now: time::Mono, share: f64) {
+        for arrival in self.break_off(share) {
+            let (kind, first) = (arrival.kind, arrival.first);
+            match self.site.kinds[kind].repeatable {
+                true => self.repeat(now, arrival),
+                false => self
+                    .counter
+                    .end(&self.site.kinds[kind], kind, first, End::Failed),
+            }
+        }
+    }
+
+    /// A caller who found no router, or whose router was lost, returns.
+    fn repeat(&mut self, now: time::Mono, arrival: Arrival) {
+        let pause = span::Span::from_millis(self.random.random_range(LOST_AFTER));
+        let kind = &self.site.kinds[arrival.kind];
+        let at = now + pause;
+        if at >= time::Mono(arrival.first) + kind.limit {
+            let (index, first) = (arrival.kind, arrival.first);
+            self.counter.end(kind, index, first, End::Failed);
+            return;
+        }
+        let again = Arrival {
+            at: at.0,
+            ..arrival
+        };
+        self.queue.add(again.at(), Event::Arrive(Box::new(again)));
+    }
+
+    /// Loses a part of the routers; returns what they had open.
+    fn break_off(&mut self, share: f64) -> Vec<Arrival> {
         let mut numbers: Vec<usize> = (0..self.nodes.len()).collect();
         numbers.shuffle(&mut self.random);
         numbers.truncate((numbers.len() as f64 * share).round() as usize);
-        let lost: BTreeSet<usize> = numbers.into_iter().collect();
+        self.lost = numbers.into_iter().collect();
         let broken: Vec<u64> = self
             .open
             .iter()
-            .filter(|(_, open)| lost.contains(&open.node))
+            .filter(|(_, open)| self.lost.contains(&open.node))
             .map(|(number, _)| *number)
             .collect();
+        let mut arrivals = Vec::new();
         for number in broken {
             let Some(open) = self.open.remove(&number) else {
                 continue;
             };
             self.hosts[open.service][open.number].cancel(number);
-            let (kind, first) = (open.arrival.kind, open.arrival.first);
-            self.counter
-                .end(&self.site.kinds[kind], kind, first, End::Failed);
+            arrivals.push(open.arrival);
         }
-        for number in lost {
-            self.nodes[number] = self.node(number);
+        arrivals
+    }
+
+    /// A router learns what the engines have cached, by its own queries and those of
+    /// the others.
+    fn learn(&mut self, now: time::Mono, node: usize) {
+        for target in self.nodes[node].fleet.targets() {
+            let (service, number) = self.ids[&target.row.id];
+            let Machine::Engine(engine) = &self.hosts[service][number].machine else {
+                continue;
+            };
+            for (kind, of) in self.site.kinds.iter().enumerate() {
+                for part in 0..of.parts {
+                    if engine.holds(part_id(kind, part)) {
+                        let id = format!("part-{kind}-{part}");
+                        target.add_cached(now, part_hash(&id));
+                    }
+                }
+            }
         }
     }
 
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -20,6 +20,8 @@
     Open,
     /// The same without what is known of slow targets.
     Blind,
+    /// The same without the limit on prompts after a loss of all routers.
+    Eager,
     /// A target at random.
     Random,
     /// The less loaded of two targets at random.
@@ -30,10 +32,11 @@
 }
 
 /// All policies.
-pub const ALL: [Policy; 6] = [
+pub const ALL: [Policy; 7] = [
     Policy::Today,
     Policy::Open,
     Policy::Blind,
+    Policy::Eager,
     Policy::Random,
     Policy::Two,
     Policy::Hash,
@@ -41,7 +44,7 @@
 
 /// Reports a text that names no policy.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{0:?} is no policy; use today, open, blind, random, two or hash")]
+#[error("{0:?} is no policy; use today, open, blind, eager, random, two or hash")]
 pub struct PolicyError(String);
 
 impl Policy {
@@ -50,6 +53,7 @@
             Self::Today => "today",
             Self::Open => "open",
             Self::Blind => "blind",
+            Self::Eager => "eager",
             Self::Random => "random",
             Self::Two => "two",
             Self::Hash => "hash",
@@ -58,7 +62,12 @@
 
     /// Returns whether requests are refused because of the load.
     pub fn sheds(self) -> bool {
-        matches!(self, Self::Today | Self::Blind)
+        matches!(self, Self::Today | Self::Blind | Self::Eager)
+    }
+
+    /// Returns whether prompts are limited after a loss of all routers.
+    pub fn limits_cold_prompts(self) -> bool {
+        self.sheds() && self != Self::Eager
     }
 
     /// Returns whether routers learn which targets are slow.
@@ -74,7 +83,7 @@
         ask: Query,
         random: &mut ChaCha8Rng,
     ) -> Option<Selection> {
-        if matches!(self, Self::Today | Self::Open | Self::Blind) {
+        if matches!(self, Self::Today | Self::Open | Self::Blind | Self::Eager) {
             return beliefs.select(now, ask);
         }
         let candidates: Vec<cost::Candidate> = beliefs
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -163,6 +163,9 @@
     Dark(Part),
     /// This part of the routers starts anew at the beginning.
     Restart(f64),
+    /// This part of the routers is lost, and starts anew at the end. Callers whose
+    /// connection breaks or is refused return within a second.
+    Lose(f64),
     /// This part of the messages between routers is lost.
     Loss(f64),
 }
@@ -367,7 +370,9 @@
         let field = format!("{field}.what");
         match &self.what {
             What::Burst(factor) | What::Surge(factor) => positive(&field, *factor),
-            What::Hot(share) | What::Restart(share) | What::Loss(share) => part(&field, *share),
+            What::Hot(share) | What::Restart(share) | What::Lose(share) | What::Loss(share) => {
+                part(&field, *share)
+            }
             What::Dark(of) => part(&field, of.share),
             What::Slow(of) => {
                 part(&field, of.share)?;
