--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -89,9 +89,12 @@
     }
 
     /// Waits for the first frame of the body, which [`TargetResponse::frame`] then
-    /// returns.
-    pub async fn receive_first(&mut self) {
-        self.first = Some(self.body.frame().await);
+    /// returns. Returns whether there is one.
+    pub async fn receive_first(&mut self) -> bool {
+        let frame = self.body.frame().await;
+        let is_received = matches!(frame, Some(Ok(_)));
+        self.first = Some(frame);
+        is_received
     }
 }
 
@@ -137,12 +140,19 @@
             Ok(Err(error)) => return Err(self.send_failed(target, now, &levels, error)),
             Err(_) => {
                 // A target that sends nothing may be busy, as the others are.
-                let has_begun = meter.has_begun();
-                if has_begun {
+                let is_endless = meter.is_endless();
+                if is_endless {
                     let now = self.shared.clock.now();
                     target.update_breaker(|breaker| breaker.record_no_response(now));
                 }
-                self.log_missed(target, if has_begun { "endless-head" } else { "timeout" });
+                self.log_missed(
+                    target,
+                    if is_endless {
+                        "endless-head"
+                    } else {
+                        "timeout"
+                    },
+                );
                 return Err(AttemptError::Timeout);
             }
         };
@@ -194,7 +204,9 @@
         error: SendError,
     ) -> AttemptError {
         let now = self.shared.clock.now();
-        self.shared.report_silent(now, target);
+        if !matches!(error, SendError::Endless(_)) {
+            self.shared.report_silent(now, target);
+        }
         match &error {
             // A closed connection shows that the target's host is running.
             SendError::Closed(_) => {
@@ -233,7 +245,6 @@
         answering: Option<span::Span>,
     ) {
         let (shared, target) = (self.shared.clone(), target.clone());
-        shared.report_silent(shared.clock.now(), &target);
         let mut crash = Crash {
             target: target.run(),
             service: self.service.clone(),
@@ -401,6 +412,9 @@
                     ReadError::TooLarge(_) => breaker.record_no_response(now),
                     _ => breaker.record_error(),
                 });
+                if matches!(error, ReadError::Broken(_)) {
+                    self.shared.report_silent(now, &target);
+                }
                 self.check_crash(&target, sent, &levels, None);
                 tracing::info!(event = "lost", id = %self.head.attempt, target = %target.row.id, %error);
                 return Err(AttemptError::OutcomeUnknown);
--- a/crates/edge/src/cold/mod.rs
+++ b/crates/edge/src/cold/mod.rs
@@ -226,6 +226,7 @@
 /// Returns the rows of targets that said in a response that they are cold, for the
 /// other routers, at most `max`.
 pub fn statements(
+    shared: &Shared,
     fleet: &Fleet,
     now: time::Mono,
     target_list: &TargetList,
@@ -233,6 +234,7 @@
 ) -> Vec<TargetRow> {
     let said = fleet.targets().filter_map(|target| {
         let (left, hops) = target.cold().statement(now)?;
+        shared.cold_limit(&target.row.service)?;
         let (position, mut row) = target_list.row(now, &target.row.id)?;
         row.cold = left;
         Some(TargetRow {
@@ -331,6 +333,10 @@
         let row = &target.row;
         let (cause, left) = (change.cause, change.left);
         if change.is_cold {
+            if cause != Evidence::Silent {
+                // A run that turns cold has lost its state.
+                target.forget_parts();
+            }
             tracing::info!(event = "target_cold", target = %row.id, service = %row.service, %cause, %left);
         } else {
             tracing::info!(event = "target_warm", target = %row.id, service = %row.service, %cause);
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -300,11 +300,11 @@
     loop {
         match follower.next(RELAYED_WAIT).await {
             Ok(change) => {
-                let all = match &change {
-                    Change::All(_) => follower.position,
-                    Change::Some(_) => None,
-                };
-                stored.apply(&shared, change.rows(), all);
+                let position = follower.position.unwrap_or_default();
+                match &change {
+                    Change::All(rows) => stored.apply_all(&shared, rows, position),
+                    Change::Some(rows) => stored.apply(&shared, rows),
+                }
             }
             Err(_) => timer::sleep(FAILURE_PAUSE).await,
         }
@@ -416,6 +416,22 @@
     }
 }
 
+/// Reads all rows of a table, and returns the position of the read.
+///
+/// # Errors
+///
+/// When the table does not answer.
+pub async fn read_all(
+    shared: &Arc<Shared>,
+    service: &Arc<Service>,
+    table: Table,
+) -> Result<(Vec<Row>, Position), Fault> {
+    shared.metrics.count(Counter::TableCalls);
+    let mut follower = Follower::new(shared.clone(), service.clone(), table);
+    let rows = follower.read().await?;
+    Ok((rows, follower.position.unwrap_or_default()))
+}
+
 /// Sends a transaction to the table. Returns the position of its changes, if the
 /// reply tells it.
 ///
--- a/crates/edge/src/decide.rs
+++ b/crates/edge/src/decide.rs
@@ -141,8 +141,8 @@
             timings,
             query.seed,
         )?;
-        let ramped: u32 = ramps.iter().map(|(_, added)| *added).sum();
-        choice.utilization.load = choice.utilization.load.saturating_sub(ramped.into());
+        let ramped: u64 = ramps.iter().map(|(_, added)| u64::from(*added)).sum();
+        choice.utilization.load = choice.utilization.load.saturating_sub(ramped);
         for (index, added) in ramps {
             candidates[index].load -= added;
         }
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -370,6 +370,11 @@
         self.state().insert_part(part, cached)
     }
 
+    /// Forgets which parts the target has cached.
+    pub fn forget_parts(&self) {
+        self.state().parts.clear();
+    }
+
     /// Returns the shared parts that the target is known to have cached, with
     /// the time of their latest use.
     pub fn cached_parts(&self) -> Vec<(time::Mono, id::PartHash)> {
--- a/crates/edge/src/hedge/mod.rs
+++ b/crates/edge/src/hedge/mod.rs
@@ -38,7 +38,7 @@
 /// # Errors
 ///
 /// When neither attempt gives a response that the caller can receive: the error of
-/// the later one.
+/// the later one, or the error response of a target.
 pub async fn respond(
     request: &CallerRequest,
     attempts: &mut Attempts,
@@ -59,11 +59,11 @@
     let (result, winner) = match future::select(first, second).await {
         Either::Left((Err(error), second)) => {
             request.record_failure(attempts, &error);
-            return second.await;
+            return second.await.map_err(|later| prefer_response(error, later));
         }
         Either::Right((Err(error), first)) => {
             request.record_failure(attempts, &error);
-            return first.await;
+            return first.await.map_err(|later| prefer_response(error, later));
         }
         Either::Left((result, _)) => (result, selection),
         Either::Right((result, _)) => (result, &other),
@@ -74,6 +74,15 @@
     result
 }
 
+/// Returns the error of two failed attempts that the caller learns: that of a target
+/// which responded, if there is one.
+fn prefer_response(earlier: AttemptError, later: AttemptError) -> AttemptError {
+    match (&earlier, &later) {
+        (AttemptError::Failed(_), AttemptError::OutcomeUnknown | AttemptError::Timeout) => earlier,
+        _ => later,
+    }
+}
+
 impl CallerRequest {
     /// Sends the request to a target and waits for its whole response, or for the
     /// first bytes of a stream that may be hedged.
@@ -85,13 +94,25 @@
         if self.may_hedge() {
             let remaining = self.deadline.since(self.shared.clock.now());
             let first = response.receive_first();
-            if timer::timeout(remaining.duration(), first).await.is_err() {
-                return Err(AttemptError::Timeout);
+            match timer::timeout(remaining.duration(), first).await {
+                Ok(true) => {}
+                Ok(false) => return Err(self.broken_stream(&response)),
+                Err(_) => return Err(AttemptError::Timeout),
             }
         }
         Ok(Answer::Stream(Box::new(response)))
     }
 
+    /// Records that a stream ended before its first bytes, so that another attempt is
+    /// waited for or made.
+    fn broken_stream(&self, response: &TargetResponse) -> AttemptError {
+        let target = response.flight.target();
+        target.update_breaker(|breaker| breaker.record_error());
+        self.check_crash(target, response.sent, &response.levels, None);
+        tracing::info!(event = "stream_broken", id = %self.head.attempt, target = %target.row.id);
+        AttemptError::OutcomeUnknown
+    }
+
     /// Returns whether the request may be sent to a second target while the first
     /// still works on it.
     fn may_hedge(&self) -> bool {
@@ -121,6 +142,9 @@
         sent: time::Mono,
     ) -> Option<Selection> {
         let now = self.shared.clock.now();
+        if self.refused_part(now).is_some() {
+            return None;
+        }
         let latency = self.shared.latency_model(&self.service);
         let fleet = self.shared.fleet.load();
         let evacuated = self.shared.evacuated.load();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -220,7 +220,13 @@
         let mut joined: Vec<TargetRow> = joined.collect();
         if let Some(fleet) = fleet.as_ref() {
             let max = MAX_JOINED - joined.len().min(MAX_JOINED);
-            joined.extend(cold::statements(fleet, now, &target_list, max));
+            joined.extend(cold::statements(
+                &self.shared,
+                fleet,
+                now,
+                &target_list,
+                max,
+            ));
         }
         let last_change = target_list.last_change().0;
         drop(target_list);
@@ -369,6 +375,7 @@
             return;
         };
         let now = self.shared.clock.now();
+        self.shared.cold_prompts().start(now);
         // Uses all known routers, not only live ones: routers that start
         // together divide the engines among themselves before they have received
         // updates from one another.
@@ -410,6 +417,7 @@
                         let holds = snapshot.cached.len();
                         tracing::info!(event = "kept_parts", source = "peer", %address, holds);
                         peers.cache_sync().finish();
+                        peers.shared.cold_prompts().finish();
                     }
                 }
                 Ok(Err(fault)) => tracing::info!(event = "snapshot_failed", %fault),
--- a/crates/edge/src/refusals.rs
+++ b/crates/edge/src/refusals.rs
@@ -2,7 +2,7 @@
 //! later or receive no updates from the others.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fmt,
     str::FromStr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -12,9 +12,9 @@
 use admit::{crash_parts::Change, part_set::PartSet};
 use base::{
     fault::{At, Fault},
-    id, span,
+    id,
 };
-use platform::rows::{self, Page, Position, Row, Table};
+use platform::rows::{self, Position, Row, Table};
 use prost::Message;
 use rand::RngExt;
 use store::service::Service;
@@ -112,8 +112,9 @@
 #[derive(Debug, Default)]
 struct Known {
     rows: BTreeMap<RefusalKey, KnownRow>,
-    /// Position up to which all changes are known.
-    read: Option<Position>,
+    /// Position of the latest read of all rows. A row that is older and not known was
+    /// removed before that.
+    read: Position,
 }
 
 impl Known {
@@ -164,38 +165,35 @@
         }
     }
 
-    /// Applies rows of the table; `all` is the position of the read if they are all
-    /// rows.
-    pub fn apply(&self, shared: &Shared, rows: &[Row], all: Option<Position>) {
-        let mut missing = BTreeMap::new();
-        if all.is_some() {
-            let mut known = self.known();
-            missing = std::mem::take(&mut known.rows);
-            known.read = all;
+    /// Applies changed rows of the table.
+    pub fn apply(&self, shared: &Shared, rows: &[Row]) {
+        for row in rows {
+            if let Some((key, targets)) = decode(row) {
+                self.apply_row(shared, key, row.position, targets.as_deref());
+            }
+        }
+    }
+
+    /// Applies all rows of the table, read at a position. Rows that are missing were
+    /// removed, unless they were written later.
+    pub fn apply_all(&self, shared: &Shared, rows: &[Row], position: Position) {
+        let mut known = self.known();
+        if known.read > position {
+            return;
         }
+        known.read = position;
+        let stored = known.rows.iter();
+        let stored = stored.filter(|(_, row)| row.crashes.is_some() && row.position <= position);
+        let mut missing: BTreeSet<RefusalKey> = stored.map(|(key, _)| key.clone()).collect();
+        drop(known);
         for row in rows {
-            let read = row.key.parse().at("read refusal", &row.key);
-            let read = read.and_then(|key: RefusalKey| {
-                let targets = match (&key, &row.value) {
-                    (RefusalKey::Content(_), Some(value)) => {
-                        let value = StoredContent::decode(&value[..]);
-                        Some(value.at("read refusal", &key)?.targets)
-                    }
-                    (_, value) => value.as_ref().map(|_| Vec::new()),
-                };
-                Ok((key, targets))
-            });
-            match read {
-                Ok((key, targets)) => {
-                    missing.remove(&key);
-                    self.apply_row(shared, key, row.position, targets.as_deref());
-                }
-                Err(fault) => tracing::info!(event = "row_unusable", key = row.key, %fault),
+            if let Some((key, targets)) = decode(row) {
+                missing.remove(&key);
+                self.record_row(shared, key, row.position, targets.as_deref());
             }
         }
-        let missing = missing.iter().filter(|(_, row)| row.crashes.is_some());
-        for (key, _) in missing {
-            lift(shared, key);
+        for key in missing {
+            self.record_row(shared, key, position, None);
         }
     }
 
@@ -205,6 +203,21 @@
         key: RefusalKey,
         position: Position,
         targets: Option<&[u64]>,
+    ) {
+        let known = self.known();
+        let is_removed = !known.rows.contains_key(&key) && position <= known.read;
+        drop(known);
+        if !is_removed {
+            self.record_row(shared, key, position, targets);
+        }
+    }
+
+    fn record_row(
+        &self,
+        shared: &Shared,
+        key: RefusalKey,
+        position: Position,
+        targets: Option<&[u64]>,
     ) {
         let crashes = targets.map(<[u64]>::len);
         let is_new = self.known().record(&key, KnownRow { position, crashes });
@@ -235,28 +248,16 @@
         }
     }
 
-    /// Reads the changes that the feed has not delivered yet. After an outage of the
-    /// table, rows may have been removed that this router has never read.
-    async fn catch_up(&self, shared: &Shared, service: &Service) -> Result<(), Fault> {
-        const STEP: &str = "read refusals";
-        let read = self.known().read;
-        let read = read.ok_or("no row was read yet").at(STEP, service.peer())?;
-        let path = rows::watch_path(Table::Refusals, read, span::Span::ZERO);
-        let reply = service.read(&path, &[]).await.at(STEP, service.peer())?;
-        let page = Page::decode(&reply.body).at(STEP, service.peer())?;
-        self.apply(shared, &page.rows, None);
-        let mut known = self.known();
-        known.read = known.read.max(Some(page.position));
-        Ok(())
-    }
-
     async fn write_change(
         &self,
-        shared: &Shared,
-        service: &Service,
+        shared: &Arc<Shared>,
+        service: &Arc<Service>,
         change: &RowChange,
     ) -> Result<(), Fault> {
-        self.catch_up(shared, service).await?;
+        // After an outage of the table, rows may have been removed that the feed has
+        // not delivered yet.
+        let (rows, position) = control::read_all(shared, service, Table::Refusals).await?;
+        self.apply_all(shared, &rows, position);
         if !self.needs(shared, change) {
             return Ok(());
         }
@@ -280,7 +281,7 @@
         let crashes = change.targets.as_ref().map(Vec::len);
         let mut known = self.known();
         // Without a position, the row counts as new when the feed delivers it.
-        let position = position.or(known.read).unwrap_or_default();
+        let position = position.unwrap_or(known.read);
         known.record(&change.key, KnownRow { position, crashes });
         drop(known);
         let refused = change.targets.is_some();
@@ -289,6 +290,24 @@
     }
 }
 
+/// Decodes a row: what it refuses, and the targets of its crashes, `None` if it was
+/// removed. Returns `None`, with a log line, if it is malformed.
+fn decode(row: &Row) -> Option<(RefusalKey, Option<Vec<u64>>)> {
+    let read = row.key.parse().at("read refusal", &row.key);
+    let read = read.and_then(|key: RefusalKey| {
+        let targets = match (&key, &row.value) {
+            (RefusalKey::Content(_), Some(value)) => {
+                let value = StoredContent::decode(&value[..]);
+                Some(value.at("read refusal", &key)?.targets)
+            }
+            (_, value) => value.as_ref().map(|_| Vec::new()),
+        };
+        Ok((key, targets))
+    });
+    read.inspect_err(|fault| tracing::info!(event = "row_unusable", key = row.key, %fault))
+        .ok()
+}
+
 /// Refuses what a row names.
 fn adopt(shared: &Shared, key: RefusalKey, targets: &[u64]) {
     let now = shared.clock.now();
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -118,7 +118,11 @@
                 "the last event is incomplete",
             )),
             Ok(None) => Read::End,
-            Ok(Some(Err(error))) => Read::Broken(Fault::new("read stream", peer, error)),
+            Ok(Some(Err(error))) => {
+                let shared = &self.request.shared;
+                shared.report_silent(shared.clock.now(), self.response.flight.target());
+                Read::Broken(Fault::new("read stream", peer, error))
+            }
             Ok(Some(Ok(frame))) => {
                 let data = frame.into_data().unwrap_or_default();
                 match self.events.push(&data) {
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -227,8 +227,8 @@
     }
 
     /// Returns targets that are new, or turned cold or warm, and that other routers
-    /// may not know yet, at most `max`, in the same way as [`Self::rows`]. They are selected in the same way as
-    /// departures.
+    /// may not know yet, at most `max`, with what [`Self::rows`] returns of them. They
+    /// are selected in the same way as departures.
     pub fn joined(&mut self, now: time::Mono, max: usize) -> Vec<(Position, Target)> {
         self.joined.retain(|(until, _)| *until > now);
         let indices = rotate(self.joined.len(), max, self.rounds).into_iter();
