Read the changes of the refusals from the latest known position

Cause: the read before a write began at the position of the first full read. Once the table has forgotten its history up to there, it would fail, and no refusal would be stored any more (found by reading). Change: each read of the feed advances the position.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -294,11 +294,8 @@
     loop {
         match follower.next(RELAYED_WAIT).await {
             Ok(change) => {
-                let all = match &change {
-                    Change::All(_) => follower.position,
-                    Change::Some(_) => None,
-                };
-                stored.apply(&shared, change.rows(), all);
+                let is_all = matches!(change, Change::All(_));
+                stored.apply(&shared, change.rows(), follower.position, is_all);
             }
             Err(_) => timer::sleep(FAILURE_PAUSE).await,
         }
--- a/crates/edge/src/refusals.rs
+++ b/crates/edge/src/refusals.rs
@@ -164,15 +164,17 @@
         }
     }
 
-    /// Applies rows of the table; `all` is the position of the read if they are all
-    /// rows.
-    pub fn apply(&self, shared: &Shared, rows: &[Row], all: Option<Position>) {
+    /// Applies rows of the table, which were read at a position; `is_all` is whether
+    /// they are all rows.
+    pub fn apply(&self, shared: &Shared, rows: &[Row], read: Option<Position>, is_all: bool) {
         let mut missing = BTreeMap::new();
-        if all.is_some() {
-            let mut known = self.known();
+        let mut known = self.known();
+        if is_all {
             missing = std::mem::take(&mut known.rows);
-            known.read = all;
+            known.read = read;
         }
+        known.read = known.read.max(read);
+        drop(known);
         for row in rows {
             let read = row.key.parse().at("read refusal", &row.key);
             let read = read.and_then(|key: RefusalKey| {
@@ -244,9 +246,7 @@
         let path = rows::watch_path(Table::Refusals, read, span::Span::ZERO);
         let reply = service.read(&path, &[]).await.at(STEP, service.peer())?;
         let page = Page::decode(&reply.body).at(STEP, service.peer())?;
-        self.apply(shared, &page.rows, None);
-        let mut known = self.known();
-        known.read = known.read.max(Some(page.position));
+        self.apply(shared, &page.rows, Some(page.position), false);
         Ok(())
     }
 
