Count five crashes at one or two moments as sufficient

Cause: crashes at one moment counted as one step, so that a part that crashes many targets at once was refused after three groups only, whatever their size. Change: five crashes at one or two moments suffice (admit::bursts) if 1.5 s later others are answered, the part is not, and nearly all crashes of the service in that time had it.

--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -23,7 +23,13 @@
 use base::{id, span, time};
 
 pub use crate::crash::{Change, ClearedPart, Crash, RefusedParts, Report, Suspect};
-use crate::{crash::MAX_REPORTED, lifted::Lifted, part_set::PartSet, survivors::Survivors};
+use crate::{
+    bursts::{self, Answers, Step},
+    crash::MAX_REPORTED,
+    lifted::Lifted,
+    part_set::PartSet,
+    survivors::Survivors,
+};
 
 /// Number of successive crashes from which a part is refused.
 const CRASH_LIMIT: u32 = 3;
@@ -162,6 +168,7 @@
     /// Times at which the latest answered requests of each service began to be
     /// answered.
     answered: BTreeMap<id::ServiceId, VecDeque<time::Mono>>,
+    answers: BTreeMap<id::ServiceId, Answers>,
     changes: Vec<Change>,
 }
 
@@ -215,7 +222,10 @@
     ) {
         if self.answered.len() >= MAX_SERVICES && !self.answered.contains_key(service) {
             self.answered.clear();
+            self.answers.clear();
         }
+        let answers = self.answers.entry(service.clone()).or_default();
+        answers.record(answered);
         let latest = self.answered.entry(service.clone()).or_default();
         if latest.len() >= MIN_SURVIVALS {
             latest.pop_front();
@@ -561,12 +571,57 @@
     /// Returns the time of the latest crash of a part, if its crashes suffice.
     fn sufficient(&self, now: time::Mono, part: id::PartHash) -> Option<time::Mono> {
         let counted = self.counted(part)?;
-        let reached = counted.reached.filter(|_| counted.crashes >= CRASH_LIMIT)?;
         let first = &counted.first.crash;
-        let answered = self.answered.get(&first.service)?;
-        let others = answered.iter().filter(|at| **at >= first.at).count();
-        let settled = now >= reached + SETTLE_TIME;
-        (settled && others >= MIN_SURVIVALS).then_some(counted.latest.crash.at)
+        let is_successive = || {
+            let answered = self.answered.get(&first.service);
+            let others = answered.map(|at| at.iter().filter(|at| **at >= first.at).count());
+            let settled = counted.reached.is_some_and(|at| now >= at + SETTLE_TIME);
+            let is_reached = settled && counted.crashes >= CRASH_LIMIT;
+            is_reached && others >= Some(MIN_SURVIVALS) && !self.is_bystander(part, first)
+        };
+        let is_sufficient = is_successive() || self.is_burst(now, part, &counted);
+        is_sufficient.then_some(counted.latest.crash.at)
+    }
+
+    /// Returns whether so many targets crashed at the same moments that fewer successive
+    /// crashes suffice.
+    fn is_burst(&self, now: time::Mono, part: id::PartHash, counted: &Counted<'_>) -> bool {
+        let first = &counted.first.crash;
+        let Some(answers) = self.answers.get(&first.service) else {
+            return false;
+        };
+        let crashes = counted.crashes;
+        let others = self.crashes_without(part, first).count();
+        if !bursts::may_be_cause(crashes, others) {
+            return false;
+        }
+        let steps = self.unexplained(part).map(|known| Step {
+            at: known.crash.at,
+            known: known.known,
+            level: self.level(known, part),
+        });
+        let steps: Vec<_> = steps.collect();
+        bursts::is_cause(now, &steps, answers)
+    }
+
+    /// Returns whether many targets crashed with the part's ones that it does not explain.
+    fn is_bystander(&self, part: id::PartHash, first: &Crash) -> bool {
+        let steps: Vec<_> = self.unexplained(part).map(|known| known.crash.at).collect();
+        let others = self.crashes_without(part, first);
+        bursts::is_bystander(&steps, others.map(|crash| crash.at))
+    }
+
+    /// Returns the crashes of the service since `first` at which a part was not in use.
+    fn crashes_without<'a>(
+        &'a self,
+        part: id::PartHash,
+        first: &'a Crash,
+    ) -> impl Iterator<Item = &'a Crash> {
+        let crashes = self.crashes.iter().map(|known| &known.crash);
+        crashes.filter(move |crash| {
+            let is_later = crash.at >= first.at && crash.service == first.service;
+            is_later && !crash.suspects.contains_key(&part)
+        })
     }
 
     /// Returns the crashes at which a part was in use since requests with it were
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod bound;
 pub mod budget;
+mod bursts;
 pub mod controller;
 pub mod crash;
 pub mod crash_parts;
--- a/crates/admit/tests/crash_parts.rs
+++ b/crates/admit/tests/crash_parts.rs
@@ -147,6 +147,82 @@
     assert_eq!(tracker.refused().count(), 0);
 }
 
+/// Groups of requests with the part crash as many targets at the same moment, while the
+/// other targets answer. Five crashes suffice, before the next group comes.
+#[test]
+fn bursts() {
+    for (size, groups) in [(5, 1), (6, 1), (30, 1), (3, 2), (4, 2)] {
+        let mut tracker = CrashParts::default();
+        let mut last = 0;
+        for group in 0..groups {
+            last = 1_000 + group * 3_500;
+            for number in 0..size {
+                let target = group * 100 + number;
+                let parts = [FIRST, DEADLY, 200 + target % 3];
+                crash_sent(&mut tracker, last - 50, last + number, target, &parts);
+            }
+            for step in 0..4 {
+                answer(&mut tracker, last + 200 + step * 300, &[FIRST, OTHER]);
+                tracker.evaluate(at(last + 700 + step * 200));
+            }
+        }
+        let label = format!("{groups} groups of {size}");
+        assert!(!refuses(&mut tracker, last + 1_400, &[DEADLY]), "{label}");
+        tracker.evaluate(at(last + 1_700));
+        assert!(refuses(&mut tracker, last + 1_701, &[DEADLY]), "{label}");
+        assert!(!refuses(&mut tracker, last + 1_702, &[FIRST, OTHER]));
+    }
+}
+
+/// All targets crash three times, some seconds apart, and are back after two: no part
+/// is at fault, though some were in use at many crashes.
+#[test]
+fn all_targets_down_again() {
+    let mut tracker = CrashParts::default();
+    for event in 0..3 {
+        let millis = 1_000 + event * 6_000;
+        for target in 0..12 {
+            let parts = [FIRST, SECOND, 100 + target % 2];
+            crash_sent(
+                &mut tracker,
+                millis - 50,
+                millis + target,
+                event * 100 + target,
+                &parts,
+            );
+        }
+        for step in 0..30 {
+            let now = millis + 100 + step * 100;
+            if step > 20 {
+                answer(&mut tracker, now, &[FIRST, SECOND, 100 + step % 3]);
+                answer(&mut tracker, now, &[OTHER]);
+            }
+            tracker.evaluate(at(now));
+            assert_eq!(tracker.refused().count(), 0);
+        }
+    }
+}
+
+/// The targets of a data centre crash together, the others go on. Some of the crashed
+/// ones ran no request with the part.
+#[test]
+fn part_of_targets_down() {
+    let mut tracker = CrashParts::default();
+    for target in 0..20 {
+        let part = if target % 3 == 0 {
+            100 + target
+        } else {
+            SECOND
+        };
+        crash_sent(&mut tracker, 950, 1_000 + target, target, &[FIRST, part]);
+    }
+    for step in 0..40 {
+        answer(&mut tracker, 1_100 + step * 100, &[FIRST, OTHER]);
+        tracker.evaluate(at(1_600 + step * 100));
+    }
+    assert_eq!(tracker.refused().count(), 0);
+}
+
 /// A busy router reads reports seconds late, so that targets which crashed together
 /// seem to have crashed one after the other.
 #[test]
--- a/crates/edge/tests/crash_reports.rs
+++ b/crates/edge/tests/crash_reports.rs
@@ -49,8 +49,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Scenario {
     routers: usize,
-    /// Steps between two requests with the part.
+    /// Steps between two groups of requests with the part.
     interval: u64,
+    /// Number of requests with the part that are sent at once.
+    group: usize,
     /// Time allowed after the fifth crash, in milliseconds.
     contact: u64,
     /// Whether the first router receives no updates and is not heard.
@@ -129,7 +131,9 @@
             self.answer(now);
             let is_calm = self.scenario.partial && now < CALM;
             if step % self.scenario.interval == 0 && !is_calm {
-                self.send_deadly(now);
+                for _ in 0..self.scenario.group {
+                    self.send_deadly(now);
+                }
             }
             if self.scenario.document.is_some_and(|it| step % it == 0) {
                 self.send_document(now);
@@ -160,6 +164,45 @@
         }
     }
 
+    /// Returns the parts of a request of the usual traffic.
+    fn usual(&mut self) -> [PartHash; 2] {
+        let own = PartHash(self.rng.random_range(100..200));
+        [
+            FIRST,
+            if self.rng.random_bool(0.3) {
+                SECOND
+            } else {
+                own
+            },
+        ]
+    }
+
+    /// Answers requests of the usual traffic at some routers.
+    fn answer_usual(&mut self, now: u64) {
+        for router in 0..self.routers.len() {
+            let parts = self.usual().into_iter();
+            if self.rng.random_bool(0.5) {
+                self.routers[router].record_answered(at(now), &service(), at(now - 500), parts);
+            }
+        }
+    }
+
+    /// Crashes a target with up to four requests of the usual traffic.
+    fn crash_usual(&mut self, now: u64, target: u64) {
+        for _ in 0..self.rng.random_range(0..5) {
+            let router = self.rng.random_range(0..self.routers.len());
+            let parts = self.usual();
+            let sent = now - 150;
+            let flight = Flight {
+                router,
+                target,
+                sent,
+                levels: self.routers[router].levels(at(sent), parts.into_iter()),
+            };
+            self.record(now, &flight, &parts);
+        }
+    }
+
     /// Sends a sound request with the document, which is answered.
     fn send_document(&mut self, now: u64) {
         let router = self.rng.random_range(0..self.routers.len());
@@ -302,6 +345,7 @@
 const SMALL: Scenario = Scenario {
     routers: 4,
     interval: 20,
+    group: 1,
     contact: 3_000,
     cut: false,
     restart: None,
@@ -324,6 +368,70 @@
     });
 }
 
+/// Several requests come at the same moment, and the next ones sooner or later than the
+/// time allowed after the fifth crash: the part is refused before the later ones.
+#[test]
+fn groups() {
+    for (routers, contact, groups) in [
+        (4, 3_000, &[2, 3, 4, 5, 6, 12][..]),
+        (29, 4_000, &[3, 5, 12]),
+        (103, 5_000, &[6]),
+    ] {
+        for group in groups {
+            for interval in [50, contact / STEP + 10] {
+                play(Scenario {
+                    routers,
+                    interval,
+                    group: *group,
+                    contact,
+                    ..SMALL
+                });
+            }
+        }
+    }
+}
+
+/// Targets crash together three times for another reason, all of them or those of one
+/// data centre, with requests of the usual parts and of a popular one. They are back
+/// after some seconds, and the others answer on.
+#[test]
+fn targets_down() {
+    for (routers, targets, crashed, back) in [
+        (4, 18, 18, 3_000),
+        (29, 50, 50, 3_000),
+        (29, 50, 50, 500),
+        (4, 18, 6, 3_000),
+        (29, 50, 17, 3_000),
+    ] {
+        for seed in 0..20 {
+            let mut fleet = Fleet::new(Scenario { routers, ..SMALL }, seed);
+            for step in 20..600 {
+                let now = step * STEP;
+                // The crashes are at 5, 11 and 17 s.
+                let event = (now + 1_000) / 6_000;
+                let since = (now + 1_000) % 6_000;
+                let is_down = (1..4).contains(&event) && since < back;
+                if !is_down || crashed < targets {
+                    fleet.answer_usual(now);
+                }
+                if is_down && since == 0 {
+                    for target in 0..crashed {
+                        fleet.crash_usual(now, event * 1_000 + target);
+                    }
+                }
+                if step % ROUND == 0 {
+                    fleet.exchange(now);
+                }
+                let refused: usize = fleet.routers.iter().map(|it| it.refused().count()).sum();
+                assert_eq!(
+                    refused, 0,
+                    "{routers}, {crashed} of {targets}, {seed}, {now}"
+                );
+            }
+        }
+    }
+}
+
 /// The requests come so often that many of them are sent before the first crash
 /// is known.
 #[test]
