Count any unfinished head against its target again

Cause: the change after the review let a target that sends interim responses slowly until the time limit go uncounted; endless: slow_interim failed.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -140,14 +140,14 @@
             Ok(Err(error)) => return Err(self.send_failed(target, now, &levels, error)),
             Err(_) => {
                 // A target that sends nothing may be busy, as the others are.
-                let is_endless = meter.is_endless();
-                if is_endless {
+                let has_begun = meter.has_begun();
+                if has_begun {
                     let now = self.shared.clock.now();
                     target.update_breaker(|breaker| breaker.record_no_response(now));
                 }
                 self.log_missed(
                     target,
-                    if is_endless {
+                    if has_begun {
                         "endless-head"
                     } else {
                         "timeout"
--- a/crates/edge/src/metered.rs
+++ b/crates/edge/src/metered.rs
@@ -22,10 +22,6 @@
 /// request.
 const MAX_HEAD_BYTES: u64 = 256 * 1024;
 
-/// Number of bytes from which a head that is not complete at the deadline counts
-/// against the target. A sound target sends a few interim responses at most.
-const ENDLESS_BYTES: u64 = 4 * 1024;
-
 /// Number of bytes after which a connection lets the other tasks of the thread run.
 /// Interim responses of so many bytes are parsed in about a millisecond.
 const TURN_BYTES: usize = 64 * 1024;
@@ -61,10 +57,9 @@
         self.0.store(NOT_AWAITED, Ordering::Relaxed);
     }
 
-    /// Returns whether the target has sent more than a few interim responses, but no
-    /// complete head.
-    pub fn is_endless(&self) -> bool {
-        (ENDLESS_BYTES..NOT_AWAITED).contains(&self.0.load(Ordering::Relaxed))
+    /// Returns whether the target has sent something, but no complete head.
+    pub fn has_begun(&self) -> bool {
+        (1..NOT_AWAITED).contains(&self.0.load(Ordering::Relaxed))
     }
 
     /// Adds read bytes; returns whether they are too many.
