Bound what clients occupy in a router

A client that stopped kept its memory until its deadline. Change: the budget covers heads, prompt parts and buffers by their capacity; bodies that make no progress release it first, then those of the address with the most; large request bodies use three quarters. Connections are bounded by memory and descriptors at each listener; unused ones give way first. Heads may have as many fields as fit into their limit.

--- a/crates/daemon/tests/clients.rs
+++ b/crates/daemon/tests/clients.rs
@@ -429,6 +429,20 @@
     .await;
 }
 
+/// Heads inside the limit whose prompt has as many parts as fit, and bodies that
+/// stop. The parts take many times their bytes once they are decoded.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_parts() {
+    let mut site = Site::start("many_parts").await;
+    let parts = "p:1,".repeat(3_900);
+    site.play(200, |place, number| {
+        let head = place.head("POST", number);
+        let first = format!("{head}X-Prompt-Prefix: {parts}q:1\r\nContent-Length: 10\r\n\r\nx");
+        Script::new(first, b"", 0)
+    })
+    .await;
+}
+
 /// Heads far over the limit that never end.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_fields() {
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -14,7 +14,7 @@
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use inlet::ReadError;
+use inlet::{ReadError, memory::Reservation};
 use place::{breaker::Breaker, latency::Task};
 use platform::{request, response::ResponseHead};
 use tokio::time as timer;
@@ -325,7 +325,8 @@
         } = response;
         let target = flight.target().clone();
         let remaining = self.deadline.since(self.shared.clock.now());
-        let whole = inlet::collect(&mut body, MAX_RESPONSE_BYTES, &self.shared.room);
+        let reservation = Reservation::for_response(&self.shared.room, self.client.clone());
+        let whole = inlet::collect(&mut body, MAX_RESPONSE_BYTES, reservation);
         let bytes = match timer::timeout(remaining.duration(), whole).await {
             Ok(Ok(whole)) => whole,
             Ok(Err(error)) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod body;
 pub mod cache_sync;
+pub mod clients;
 pub mod control;
 pub mod crash_reports;
 pub mod decide;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -13,7 +13,7 @@
 use base::{fault::Fault, span};
 use http::{HeaderValue, Response, header};
 
-use crate::{body, listen, logs, shared::Shared};
+use crate::{body, clients::MAX_METRICS, listen, logs, shared::Shared};
 
 /// Upper bounds of the histogram buckets, in milliseconds; a further bucket counts
 /// all higher values. They range from the response time of a plain service to the
@@ -157,6 +157,13 @@
         let routers = shared.routers.load(Ordering::Relaxed);
         writeln!(text, "ebonywall_routers {routers}")?;
         writeln!(text, "ebonywall_body_bytes {}", shared.room.used())?;
+        let connections = shared.connections.count();
+        writeln!(text, "ebonywall_caller_connections {connections}")?;
+        for (name, total) in shared.limits.totals() {
+            writeln!(text, "ebonywall_{name}_total {total}")?;
+        }
+        let released = shared.room.released();
+        writeln!(text, "ebonywall_clients_released_total {released}")?;
         writeln!(text, "ebonywall_ready {}", u8::from(shared.is_ready()))?;
         self.head_latency.write(&mut text, "response_head_ms")?;
         self.total_latency.write(&mut text, "request_ms")?;
@@ -170,7 +177,9 @@
 ///
 /// When the address cannot be bound.
 pub async fn serve(shared: Arc<Shared>) -> Result<(), Fault> {
-    listen::serve(shared.settings.metrics, move || response(&shared)).await
+    let address = shared.settings.metrics;
+    let state = shared.clone();
+    listen::serve(&state, address, MAX_METRICS, move || response(&shared)).await
 }
 
 fn response(shared: &Shared) -> Response<body::Body> {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -19,21 +19,23 @@
 use rand::{RngExt, seq::IndexedRandom};
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::Notify,
+    sync::{Notify, Semaphore},
     time as timer,
 };
 
 use crate::{
     cache_sync::{self, CacheSync, Step},
+    clients::{Connections, MAX_PEERS},
     crash_reports, engines,
     exchange::{Exchange, Outgoing},
     lag::{Lag, VersionState},
+    listen,
     metrics::Counter,
     readers::{self, Router},
     refusals::{RefusalKey, RowChange},
     relays::{self, CentreHash},
     shared::Shared,
-    snapshot,
+    snapshot::{self, MAX_SENDING},
     target_list::Departure,
     target_status,
     update::{
@@ -398,23 +400,29 @@
 
     /// Sends a snapshot to each peer that connects.
     async fn serve_snapshots(self: Arc<Self>, listener: TcpListener) {
+        let connections = Connections::new(MAX_PEERS);
+        let sending = Arc::new(Semaphore::new(MAX_SENDING));
         loop {
-            match listener.accept().await {
-                Ok((stream, address)) => {
-                    let sent = snapshot::send(self.view.clone(), stream, address);
-                    tokio::spawn(async move {
-                        match timer::timeout(FETCH_TIMEOUT, sent).await {
-                            Ok(Ok(())) => {}
-                            Ok(Err(fault)) => tracing::info!(event = "snapshot_unsent", %fault),
-                            Err(_) => tracing::info!(event = "snapshot_unsent", %address),
-                        }
-                    });
+            let accepted = listener.accept().await;
+            let admitted = listen::admit(&self.shared, &connections, accepted).await;
+            let Some((stream, slot)) = admitted else {
+                continue;
+            };
+            let address = slot.connection.client.address();
+            let peer = SocketAddr::new(address, 0);
+            let sent = snapshot::send(self.view.clone(), stream, peer, sending.clone());
+            tokio::spawn(async move {
+                let sent = timer::timeout(FETCH_TIMEOUT, sent);
+                let sent = tokio::select! {
+                    sent = sent => sent,
+                    () = slot.connection.evicted() => return,
+                };
+                match sent {
+                    Ok(Ok(())) => {}
+                    Ok(Err(fault)) => tracing::info!(event = "snapshot_unsent", %fault),
+                    Err(_) => tracing::info!(event = "snapshot_unsent", %address),
                 }
-                Err(error) => {
-                    tracing::warn!(event = "accept_failed", %error);
-                    timer::sleep(FAILURE_PAUSE).await;
-                }
-            }
+            });
         }
     }
 }
--- a/crates/edge/src/ready.rs
+++ b/crates/edge/src/ready.rs
@@ -5,7 +5,7 @@
 use base::fault::Fault;
 use http::{Response, StatusCode};
 
-use crate::{body, listen, shared::Shared};
+use crate::{body, clients::MAX_READY, listen, shared::Shared};
 
 /// Serves the readiness address until the runtime ends.
 ///
@@ -13,7 +13,12 @@
 ///
 /// When the address cannot be bound.
 pub async fn serve(shared: Arc<Shared>) -> Result<(), Fault> {
-    listen::serve(shared.settings.ready, move || response(shared.is_ready())).await
+    let address = shared.settings.ready;
+    let state = shared.clone();
+    listen::serve(&state, address, MAX_READY, move || {
+        response(shared.is_ready())
+    })
+    .await
 }
 
 fn response(ready: bool) -> Response<body::Body> {
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -1,21 +1,22 @@
 //! Reads a caller's request and matches it with its routing rule.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::sync::{Arc, atomic::Ordering};
 
 use base::{hash, id, span, time};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, request::Parts};
 use hyper::body::Incoming;
-use inlet::{ReadError, memory::MemoryBudget};
+use inlet::{
+    ReadError,
+    memory::{Client, Reservation},
+};
 use platform::{
     config::{Rule, Service, Team},
     request::{self, RequestHead},
 };
 
 use crate::{
+    clients::LimitReached,
     error_response::Reason,
     fleet::PrefixChain,
     routes::{self, RouteError, Routes},
@@ -32,6 +33,26 @@
 /// Divides the connections that a target accepts; the quotient may be idle.
 const IDLE_DIVISOR: usize = 2;
 
+/// Bytes of a header field that are neither its name nor its value.
+const FIELD_FRAMING: usize = 4;
+
+/// Memory of a decoded header field, in bytes: an entry of the map and of its index.
+const FIELD_BYTES: usize = 112;
+
+/// Memory of a decoded part of a prompt with its hash, in bytes.
+const PART_BYTES: usize = 96;
+
+/// Memory of a request in progress without its fields and its body, in bytes: the
+/// buffer of its head, that of the connection to a target, and the state of the tasks.
+const REQUEST_BYTES: usize = 24 * 1024;
+
+/// Memory for the events of a stream that are on their way to the caller, in bytes.
+const STREAM_BYTES: usize = 16 * 1024;
+
+/// Memory of a usual request without its body, in bytes. One that needs more does
+/// not wait for memory.
+const SMALL_HEAD_BYTES: usize = 64 * 1024;
+
 /// A caller's request, completely read, with what the configuration says about
 /// it.
 #[derive(Debug)]
@@ -67,6 +88,10 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// The caller's connection, as the memory budget sees it.
+    pub client: Option<Arc<Client>>,
+    /// Memory of the head and of the state of the request.
+    _memory: Reservation,
 }
 
 /// Why a request was refused before it was sent to a target.
@@ -91,7 +116,8 @@
         started: time::Mono,
         request: Request<Incoming>,
     ) -> Result<Self, Refusal> {
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
+        let client = parts.extensions.remove::<Arc<Client>>();
         let head = match RequestHead::decode(&parts) {
             Ok(head) => head,
             Err(error) => {
@@ -117,9 +143,22 @@
         let deadline = route.deadline(&head, started);
         let remaining = deadline.since(shared.clock.now()).duration();
         let limit = route.routes.config.limits.max_body;
-        let memory = &shared.room;
-        let body = read_body(&parts.headers, body, limit, remaining, memory).await;
-        let body = body.map_err(refusal)?;
+        let prompt = head.prompt.len() * PART_BYTES;
+        let stream = match route.rule.class.is_stream() {
+            true => STREAM_BYTES,
+            false => 0,
+        };
+        let bytes = REQUEST_BYTES + head_bytes(&parts) + prompt + stream;
+        let memory = match reserve_head(shared, bytes, &client).await {
+            Ok(memory) => memory,
+            Err(reason) => {
+                inlet::discard(&parts.headers, body);
+                return Err(refusal(reason));
+            }
+        };
+        let reservation = Reservation::for_request(&shared.room, client.clone());
+        let body = inlet::read(&parts.headers, body, limit, remaining, reservation).await;
+        let body = body.map_err(|error| refusal(body_refused(shared, error)))?;
         if shared.exits_before(deadline) {
             return Err(refusal(Reason::Stopping));
         }
@@ -144,6 +183,8 @@
             service: route.service,
             fingerprint,
             body,
+            client,
+            _memory: memory,
         })
     }
 
@@ -212,17 +253,41 @@
     }
 }
 
-async fn read_body(
-    headers: &HeaderMap,
-    body: Incoming,
-    limit: usize,
-    timeout: Duration,
-    memory: &Arc<MemoryBudget>,
-) -> Result<Bytes, Reason> {
-    let read = inlet::read(headers, body, limit, timeout, memory).await;
-    read.map_err(|error| match error {
+/// Returns the memory of a request's head, in bytes: the buffer that it was read into
+/// and two copies of the decoded headers.
+fn head_bytes(parts: &Parts) -> usize {
+    let lengths = parts.headers.iter();
+    let lengths = lengths.map(|(name, value)| name.as_str().len() + value.len() + FIELD_FRAMING);
+    let text = lengths.sum::<usize>() + parts.uri.path().len();
+    2 * (text + parts.headers.capacity() * FIELD_BYTES)
+}
+
+/// Reserves the memory of a request without its body.
+async fn reserve_head(
+    shared: &Shared,
+    bytes: usize,
+    client: &Option<Arc<Client>>,
+) -> Result<Reservation, Reason> {
+    let mut memory = Reservation::for_request(&shared.room, client.clone());
+    let reserved = match bytes {
+        ..=SMALL_HEAD_BYTES => memory.grow_patiently(bytes).await,
+        // The head already occupies this memory while it waits.
+        _ => memory.grow(bytes),
+    };
+    match reserved {
+        Ok(()) => Ok(memory),
+        Err(error) => Err(body_refused(shared, error.into())),
+    }
+}
+
+fn body_refused(shared: &Shared, error: ReadError) -> Reason {
+    match error {
         ReadError::OutOfMemory(error) => {
-            tracing::warn!(event = "no_room", of = "caller", %error);
+            shared.limit_reached(LimitReached::NoRoom, &error);
+            Reason::Busy
+        }
+        ReadError::Stalled => {
+            shared.limit_reached(LimitReached::Stalled, &error);
             Reason::Busy
         }
         ReadError::TooLarge(_) => Reason::BodyTooLarge,
@@ -231,7 +296,7 @@
             tracing::debug!(event = "body_broken", error);
             Reason::Malformed
         }
-    })
+    }
 }
 
 /// Hashes the content of a request: the caller's key, the path and the body.
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -2,9 +2,11 @@
 
 use std::{
     convert::Infallible,
+    net::IpAddr,
+    pin::pin,
     sync::{
         Arc,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -17,14 +19,15 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
+use inlet::memory::Registration;
 use platform::config::Limits;
-use tokio::{net::TcpListener, net::TcpStream, sync::watch, time as timer};
+use tokio::{net::TcpListener, net::TcpStream, sync::watch, task, time as timer};
 
 use crate::{
     body::Body,
+    clients::{Connection, LimitReached, Slot, WatchedStream},
     error_response::{self, Reason},
-    handler,
-    listen::ACCEPT_RETRY_DELAY,
+    handler, listen,
     shared::Shared,
     upstream,
 };
@@ -55,6 +58,27 @@
 /// size the configuration limits.
 const MAX_REQUEST_LINE: usize = 8 * 1024;
 
+/// Time beyond the limit after which a head that has begun and is not complete ends
+/// its connection. The first bytes may have waited for the process.
+const HEAD_MARGIN: span::Span = span::Span::from_secs(1);
+
+/// Length of the shortest header field with its line break, in bytes.
+const MIN_FIELD_BYTES: usize = 4;
+
+/// Maximum number of header fields; the library's map holds no more than this.
+const MAX_FIELDS: usize = 16 * 1024;
+
+/// Time for the response to a request whose memory was taken back.
+const RELEASE_TIME: Duration = Duration::from_secs(2);
+
+/// Limits until a configuration is known.
+const DEFAULT_LIMITS: Limits = Limits {
+    max_head: 16 * 1024,
+    max_body: 4 * 1024 * 1024,
+    head_timeout: span::Span::from_secs(3),
+    idle_timeout: span::Span::from_secs(15),
+};
+
 /// TCP user timeout: a caller's connection is closed if sent bytes are not
 /// acknowledged for this long.
 const ACK_TIMEOUT: Duration = Duration::from_secs(5);
@@ -74,30 +98,27 @@
     pub connections: AtomicU32,
 }
 
-/// Use of one connection: the requests in progress and the time of the last one.
-struct Usage {
-    active: AtomicU32,
-    /// When the latest request ended, or else when the connection was opened, in
-    /// microseconds of the process's clock.
-    last: AtomicU64,
+/// Returns whether the idle timeout of a connection has passed.
+fn is_expired(connection: &Connection, idle: span::Span, limits: Limits) -> bool {
+    let limit = limits.idle_timeout.as_micros() + IDLE_MARGIN.as_micros();
+    !connection.is_busy() && idle.as_micros() > limit
 }
 
-impl Usage {
-    /// Returns whether the idle timeout has passed.
-    fn is_expired(&self, idle: span::Span, limits: Limits) -> bool {
-        let limit = limits.idle_timeout.as_micros() + IDLE_MARGIN.as_micros();
-        self.active.load(Ordering::Relaxed) == 0 && idle.as_micros() > limit
-    }
+/// Returns whether the idle timeout and then the time allowed for a request head
+/// have passed without a complete head. A graceful shutdown waits for a head
+/// that has begun, so one that never ends would keep the connection open.
+fn is_head_overdue(connection: &Connection, idle: span::Span, limits: Limits) -> bool {
+    let overdue = idle
+        .as_micros()
+        .saturating_sub(limits.head_timeout.as_micros());
+    is_expired(connection, span::Span::from_micros(overdue), limits)
+}
 
-    /// Returns whether the idle timeout and then the time allowed for a request head
-    /// have passed without a complete head. A graceful shutdown waits for a head
-    /// that has begun, so one that never ends would keep the connection open.
-    fn is_head_overdue(&self, idle: span::Span, limits: Limits) -> bool {
-        let overdue = idle
-            .as_micros()
-            .saturating_sub(limits.head_timeout.as_micros());
-        self.is_expired(span::Span::from_micros(overdue), limits)
-    }
+/// What the timeouts of a connection demand.
+enum Check {
+    Keep,
+    ShutDown,
+    Close,
 }
 
 impl Server {
@@ -160,41 +181,45 @@
                 _ = closing.wait_for(|closing| *closing) => break,
             };
             match accepted {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.clone().connection(stream));
-                }
-                Err(error) => {
-                    tracing::warn!(event = "accept_failed", %error);
-                    timer::sleep(ACCEPT_RETRY_DELAY).await;
+                Ok((stream, address)) => {
+                    self.admit(stream, address.ip());
+                    // Connections that gave way are closed before more are accepted.
+                    task::yield_now().await;
                 }
+                Err(error) => listen::accept_failed(&self.shared, &error).await,
             }
         }
         // Closing the listener resets connections that are not accepted yet, so they
         // are accepted first.
-        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-            tokio::spawn(self.clone().connection(stream));
+        while let Some(Ok((stream, address))) = listener.accept().now_or_never() {
+            self.admit(stream, address.ip());
         }
     }
 
-    async fn connection(self: Arc<Self>, stream: TcpStream) {
+    /// Serves a connection in the background, unless there are too many.
+    fn admit(self: &Arc<Self>, stream: TcpStream, address: IpAddr) {
+        let registration = self.shared.room.register(address);
+        let client = registration.client().clone();
+        if let Some(slot) = listen::place(&self.shared, &self.shared.connections, client) {
+            tokio::spawn(self.clone().connection(stream, slot, registration));
+        }
+    }
+
+    async fn connection(self: Arc<Self>, stream: TcpStream, slot: Slot, _client: Registration) {
         if let Err(error) = upstream::configure_socket(&stream, ACK_TIMEOUT) {
             tracing::debug!(event = "caller_options", %error);
         }
         self.connections.fetch_add(1, Ordering::Relaxed);
-        let usage = Arc::new(Usage {
-            active: AtomicU32::new(0),
-            last: AtomicU64::new(self.shared.clock.now().0),
-        });
-        let service = service_fn(|request| self.clone().request(request, usage.clone()));
-        let mut builder = http1::Builder::new();
-        builder.half_close(false);
-        if let Some(limits) = self.limits() {
-            builder.max_header_size(limits.max_head + MAX_REQUEST_LINE);
-        }
+        let state = slot.connection.clone();
+        let service = service_fn(|request| self.clone().request(request, state.clone()));
+        let stream = WatchedStream::new(stream, state.clone(), self.shared.clock);
+        let builder = self.builder();
         let connection = builder.serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
+        let mut connection = pin!(connection);
         let mut closing = self.closing.clone();
         let mut shutting_down = false;
+        let mut released = false;
+        let mut close_at = pin!(timer::sleep(Duration::MAX));
         loop {
             tokio::select! {
                 result = connection.as_mut() => {
@@ -207,36 +232,84 @@
                     shutting_down = true;
                     connection.as_mut().graceful_shutdown();
                 }
-                () = timer::sleep(IDLE_CHECK_INTERVAL) => match self.limits() {
-                    Some(limits) if usage.is_head_overdue(self.idle(&usage), limits) => break,
-                    Some(limits) if !shutting_down && usage.is_expired(self.idle(&usage), limits) => {
+                () = state.evicted() => break,
+                () = state.client.released(), if !released => {
+                    released = true;
+                    if state.client.is_writing() {
+                        break;
+                    }
+                    // The body's reader responds.
+                    shutting_down = true;
+                    connection.as_mut().graceful_shutdown();
+                    close_at.as_mut().reset(timer::Instant::now() + RELEASE_TIME);
+                }
+                () = close_at.as_mut(), if released => break,
+                () = timer::sleep(IDLE_CHECK_INTERVAL) => match self.check(&state, shutting_down) {
+                    Check::Keep => {}
+                    Check::ShutDown => {
                         shutting_down = true;
                         connection.as_mut().graceful_shutdown();
                     }
-                    _ => {}
+                    Check::Close => break,
                 },
             }
         }
         self.connections.fetch_sub(1, Ordering::Relaxed);
     }
 
-    fn limits(&self) -> Option<Limits> {
-        let routes = self.shared.routes.load();
-        routes.as_ref().map(|routes| routes.config.limits)
+    /// Returns the settings of a connection's HTTP library. Its read buffer holds the
+    /// largest head and no more; fields have four bytes at least.
+    fn builder(&self) -> http1::Builder {
+        let max_head = self.limits().max_head + MAX_REQUEST_LINE;
+        let mut builder = http1::Builder::new();
+        builder
+            .half_close(false)
+            .max_header_size(max_head)
+            .max_buf_size(max_head + 1)
+            .max_headers((max_head / MIN_FIELD_BYTES).min(MAX_FIELDS));
+        builder
     }
 
-    /// Returns the time since the connection's latest request ended.
-    fn idle(&self, usage: &Usage) -> span::Span {
-        let last = time::Mono(usage.last.load(Ordering::Relaxed));
-        self.shared.clock.now().since(last)
+    /// Checks the timeouts of a connection.
+    fn check(&self, state: &Connection, shutting_down: bool) -> Check {
+        let limits = self.limits();
+        let now = self.shared.clock.now();
+        let address = state.client.address();
+        let idle = state.idle(now);
+        let unread = limits.idle_timeout.max(IDLE_MARGIN).duration();
+        if state.is_unread(unread) {
+            self.shared.limit_reached(LimitReached::Unread, &address);
+            return Check::Close;
+        }
+        let head = limits.head_timeout.as_micros() + HEAD_MARGIN.as_micros();
+        if state.head_age(now).as_micros() > head {
+            self.shared.limit_reached(LimitReached::LateHead, &address);
+            return Check::Close;
+        }
+        if is_head_overdue(state, idle, limits) {
+            return Check::Close;
+        }
+        match is_expired(state, idle, limits) && !shutting_down {
+            true => Check::ShutDown,
+            false => Check::Keep,
+        }
+    }
+
+    /// Returns the limits in force; until a configuration is known, the usual ones.
+    fn limits(&self) -> Limits {
+        let routes = self.shared.routes.load();
+        routes
+            .as_ref()
+            .map_or(DEFAULT_LIMITS, |routes| routes.config.limits)
     }
 
     async fn request(
         self: Arc<Self>,
-        request: Request<Incoming>,
-        usage: Arc<Usage>,
+        mut request: Request<Incoming>,
+        connection: Arc<Connection>,
     ) -> Result<Response<Body>, Infallible> {
-        let active = ActiveRequest::new(self.clone(), usage);
+        request.extensions_mut().insert(connection.client.clone());
+        let active = ActiveRequest::new(self.clone(), connection);
         let mut ending = self.ending.subscribe();
         let mut response = tokio::select! {
             response = handler::handle(&self.shared, request, active) => response,
@@ -258,22 +331,20 @@
 /// has disconnected.
 pub struct ActiveRequest {
     server: Arc<Server>,
-    usage: Arc<Usage>,
+    connection: Arc<Connection>,
 }
 
 impl ActiveRequest {
-    fn new(server: Arc<Server>, usage: Arc<Usage>) -> Self {
+    fn new(server: Arc<Server>, connection: Arc<Connection>) -> Self {
         server.active.fetch_add(1, Ordering::Relaxed);
-        usage.active.fetch_add(1, Ordering::Relaxed);
-        Self { server, usage }
+        connection.begin();
+        Self { server, connection }
     }
 }
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         self.server.active.fetch_sub(1, Ordering::Relaxed);
-        self.usage.active.fetch_sub(1, Ordering::Relaxed);
-        let now = self.server.shared.clock.now();
-        self.usage.last.store(now.0, Ordering::Relaxed);
+        self.connection.end(self.server.shared.clock.now());
     }
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -22,6 +23,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    clients::{self, Connections, LimitCounts, LimitReached},
     exchange::LoadFreshness,
     fleet::{Fleet, Target},
     metrics::Metrics,
@@ -56,6 +58,10 @@
     pub peer_loads: PeerLoads,
     /// Memory for the bodies of requests and responses.
     pub room: Arc<MemoryBudget>,
+    /// Connections of callers.
+    pub connections: Arc<Connections>,
+    /// How often the limits for clients were reached.
+    pub limits: LimitCounts,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Bounds, which may change while the process runs.
@@ -123,6 +129,8 @@
             routers: AtomicU32::new(INITIAL_ROUTERS),
             peer_loads: PeerLoads::default(),
             room: MemoryBudget::new(settings.memory.as_usize() / BODY_MEMORY_DIVISOR),
+            connections: Connections::new(clients::max_callers(&settings)),
+            limits: LimitCounts::default(),
             refusals_changed: Notify::new(),
             retry_budget: Mutex::new(FleetRetryBudget::new(retry_limit(&bounds))),
             metrics: Metrics::default(),
@@ -282,6 +290,11 @@
         self.exit.get().is_some_and(|exit| *exit < deadline)
     }
 
+    /// Counts and logs that a limit for clients was reached.
+    pub fn limit_reached(&self, limit: LimitReached, detail: &dyn fmt::Display) {
+        self.limits.record(self.clock.now(), limit, detail);
+    }
+
     /// Returns whether this router is ready for requests.
     pub fn is_ready(&self) -> bool {
         let is_configured = self.routes.load().is_some() && self.fleet.load().is_some();
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -16,6 +16,10 @@
 
 use crate::body;
 
+/// Most header fields of a request; the library's default of 100 is less than
+/// routers forward.
+const MAX_FIELDS: usize = 8 * 1024;
+
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -213,6 +217,7 @@
         }
     });
     let served: Result<(), hyper::Error> = http1::Builder::new()
+        .max_headers(MAX_FIELDS)
         .serve_connection(TokioIo::new(stream), answer)
         .await;
     if let Err(error) = served {
--- a/crates/inlet/src/lib.rs
+++ b/crates/inlet/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub mod memory;
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, header};
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use tokio::time;
 
-use memory::{BudgetExceeded, MemoryBudget, Reservation};
+use memory::{BudgetExceeded, Client, Reservation};
 
 /// Largest part of a refused request's body that is discarded, in bytes; about
 /// what a caller on a fast link sends before the response reaches it.
@@ -40,26 +40,45 @@
     /// malformed.
     #[error("the body cannot be read: {0}")]
     Broken(String),
+    /// The body's memory was taken back, because others needed it and its client
+    /// made no progress.
+    #[error("the body made no progress while others needed its memory")]
+    Stalled,
     /// The bodies of all connections together reached the memory limit.
     #[error("{0}")]
     OutOfMemory(#[from] BudgetExceeded),
 }
 
+/// Capacity of the buffer for a body that has just begun, in bytes. Most bodies
+/// are smaller.
+const FIRST_CAPACITY: usize = 16 * 1024;
+
 /// Reads a request body. On an error other than [`ReadError::Broken`], discards
 /// the rest of the body in the background.
 ///
 /// # Errors
 ///
 /// When the body exceeds `limit` bytes or the memory budget, does not arrive
-/// within `within`, or is malformed or incomplete.
+/// within `within`, is malformed or incomplete, or its memory is taken back because
+/// its client makes no progress.
 pub async fn read(
     headers: &HeaderMap,
     mut body: Incoming,
     limit: usize,
     within: Duration,
-    budget: &Arc<MemoryBudget>,
+    reservation: Reservation,
 ) -> Result<Bytes, ReadError> {
-    let body_read = time::timeout(within, collect(&mut body, limit, budget)).await;
+    let client = reservation.sender();
+    let released = async {
+        match &client {
+            Some(client) => client.released().await,
+            None => std::future::pending().await,
+        }
+    };
+    let body_read = tokio::select! {
+        body_read = time::timeout(within, collect(&mut body, limit, reservation)) => body_read,
+        () = released => Ok(Err(ReadError::Stalled)),
+    };
     let error = match body_read {
         Ok(Ok(bytes)) => return Ok(bytes),
         Ok(Err(error)) => error,
@@ -73,6 +92,11 @@
 
 /// Reads a body without a time limit.
 ///
+/// The reservation covers the buffer's capacity, and the former buffer as well
+/// while its bytes are copied into a larger one. Once a body has shown that it is
+/// not small, its declared length is reserved as a whole, so that it cannot be
+/// stopped half-way by another that also needs more.
+///
 /// # Errors
 ///
 /// When the body exceeds `limit` bytes or the memory budget, or is malformed or
@@ -80,24 +104,70 @@
 pub async fn collect(
     body: &mut Incoming,
     limit: usize,
-    budget: &Arc<MemoryBudget>,
+    mut reservation: Reservation,
 ) -> Result<Bytes, ReadError> {
+    let declared = body.size_hint().exact();
+    let declared = declared.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+    if declared.is_some_and(|length| length > limit) {
+        return Err(ReadError::TooLarge(limit));
+    }
     let mut bytes = Vec::new();
-    let mut reservation = Reservation::new(budget);
+    let client = reservation.sender();
+    let mut waiting = client.as_deref().map(Waiting::new);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| ReadError::Broken(error.to_string()))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if bytes.len() + data.len() > limit {
+        if let Some(client) = &client {
+            client.record_moved(data.len());
+        }
+        let length = bytes.len() + data.len();
+        if length > limit {
             return Err(ReadError::TooLarge(limit));
         }
-        reservation.grow(data.len())?;
+        let former = bytes.capacity();
+        if length > former {
+            let capacity = next_capacity(former, length, declared, limit);
+            drop(waiting);
+            reservation.grow_patiently(capacity).await?;
+            waiting = client.as_deref().map(Waiting::new);
+            let mut larger = Vec::with_capacity(capacity);
+            larger.extend_from_slice(&bytes);
+            bytes = larger;
+            reservation.shrink(former);
+        }
         bytes.extend_from_slice(&data);
     }
+    drop(waiting);
     Ok(reservation.into_bytes(bytes))
 }
 
+/// Returns the capacity of the next buffer for a body of `length` bytes so far.
+fn next_capacity(former: usize, length: usize, declared: Option<usize>, limit: usize) -> usize {
+    match declared {
+        Some(declared) if length > FIRST_CAPACITY => declared.max(length),
+        Some(declared) => declared.min(FIRST_CAPACITY).max(length),
+        None => (2 * former).max(FIRST_CAPACITY).min(limit).max(length),
+    }
+}
+
+/// Marks that the process waits for a client's body, until dropped.
+struct Waiting<'a>(&'a Client);
+
+impl<'a> Waiting<'a> {
+    fn new(client: &'a Client) -> Self {
+        client.set_reading(true);
+        Self(client)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set_reading(false);
+    }
+}
+
 /// Reads and discards, in the background, the body of a request that is answered
 /// without it.
 ///
--- a/crates/roles/src/front.rs
+++ b/crates/roles/src/front.rs
@@ -10,7 +10,10 @@
 use conf::{state, value};
 use http::{HeaderMap, HeaderName, Request, header, request};
 use hyper::body::Incoming;
-use inlet::{ReadError, memory::MemoryBudget};
+use inlet::{
+    ReadError,
+    memory::{MemoryBudget, Reservation},
+};
 use sha2::{Digest, Sha256};
 use wire::{convert, msg};
 
@@ -134,14 +137,15 @@
     body: Incoming,
     limits: &Limits,
 ) -> Result<Bytes, Problem> {
-    match inlet::read(headers, body, limits.body, limits.body_time, &ROOM).await {
+    let reservation = Reservation::new(&ROOM);
+    match inlet::read(headers, body, limits.body, limits.body_time, reservation).await {
         Ok(bytes) => Ok(body::own(bytes)),
         Err(error) => {
             let code = match error {
                 ReadError::TooLarge(_) => Code::BodyTooLarge,
                 ReadError::Timeout(_) => Code::BodyTimeout,
                 ReadError::Broken(_) => Code::BadRequest,
-                ReadError::OutOfMemory(_) => Code::Overloaded,
+                ReadError::OutOfMemory(_) | ReadError::Stalled => Code::Overloaded,
             };
             Err(Problem::new(code, error.to_string()))
         }
