Let other callers in between requests that were sent ahead

Cause: with 140 connections that send requests ahead, an ordinary request waited up to 20 s (requests_ahead, code before this commit): each turn of a connection served 16 requests, and one connection was accepted a turn. Responses that waited up to 5 s for memory gave 504 in place of 502 (endless_bodies). Change: a request that was sent ahead is served after the other tasks had a turn; eight connections are accepted at once; a body waits 0.7 s for memory, in all.

--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -22,6 +22,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    task,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -35,9 +36,9 @@
 /// Fewest connections of callers, whatever the limits.
 const MIN_CONNECTIONS: usize = 16;
 
-/// Descriptors that callers and their targets leave free, for the other listeners,
-/// the table and the log. Small limits leave half.
-const RESERVED_FILES: usize = 256;
+/// Descriptors that callers and their requests leave free, for the other listeners,
+/// idle connections to targets, the table and the log. Small limits leave half.
+const RESERVED_FILES: usize = 512;
 
 /// Most connections at the readiness address; the platform opens about one each
 /// second.
@@ -49,6 +50,11 @@
 /// Most connections of peers that fetch snapshots. Each ends after 1.5 s.
 pub const MAX_PEERS: usize = 32;
 
+/// Connections that a listener accepts before other tasks run, so that those which
+/// gave way are closed meanwhile. One at a time made new callers wait for seconds
+/// behind a crowd.
+pub const ACCEPTED_AT_ONCE: usize = 8;
+
 /// Time after which a client that takes no byte of a response is cut off, if the
 /// listener has no other limit.
 pub const UNREAD_TIMEOUT: Duration = Duration::from_secs(15);
@@ -135,6 +141,11 @@
         self.open().len()
     }
 
+    /// Returns whether a further connection makes another one give way.
+    pub fn is_full(&self) -> bool {
+        self.count() >= self.limit
+    }
+
     /// Admits a new connection. At the limit, another one gives way; if none may,
     /// the new one is refused.
     pub fn admit(self: &Arc<Self>, now: time::Mono, client: Arc<Client>) -> Admission {
@@ -243,6 +254,15 @@
         self.ahead.store(!received, Ordering::Relaxed);
     }
 
+    /// Lets the other tasks run before a request that the client sent ahead. The HTTP
+    /// library takes several such requests from its buffer without a pause, and a
+    /// crowd of such clients would hold up all others.
+    pub async fn take_turn(&self) {
+        if self.ahead.load(Ordering::Relaxed) {
+            task::yield_now().await;
+        }
+    }
+
     /// Records the end of a request.
     pub fn end(&self, now: time::Mono) {
         self.active.fetch_sub(1, Ordering::Relaxed);
@@ -293,6 +313,8 @@
     Unread,
     /// A connection could not be accepted.
     Accept,
+    /// A peer's connection got no snapshot.
+    Snapshot,
 }
 
 /// How often each limit was reached.
@@ -309,7 +331,7 @@
 }
 
 impl LimitReached {
-    const ALL: [(Self, &'static str); 7] = [
+    const ALL: [(Self, &'static str); 8] = [
         (Self::Evicted, "connections_evicted"),
         (Self::Refused, "connections_refused"),
         (Self::NoRoom, "bodies_without_memory"),
@@ -317,6 +339,7 @@
         (Self::LateHead, "heads_late"),
         (Self::Unread, "responses_unread"),
         (Self::Accept, "accepts_failed"),
+        (Self::Snapshot, "snapshots_unsent"),
     ];
 }
 
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -73,9 +73,9 @@
     Ok(())
 }
 
-/// Admits an accepted connection. Other tasks run before the next one is accepted,
-/// so that a connection which gave way is closed, and one whose request has arrived
-/// is served before it may have to give way itself.
+/// Admits an accepted connection. At the limit, other tasks run before the next one
+/// is accepted, so that a connection which gave way is closed, and one whose request
+/// has arrived is served before it may have to give way itself.
 pub async fn admit(
     shared: &Shared,
     connections: &Arc<Connections>,
@@ -85,7 +85,9 @@
         Ok((stream, address)) => {
             let client = Arc::new(Client::new(address.ip()));
             let slot = place(shared, connections, client);
-            task::yield_now().await;
+            if connections.is_full() {
+                task::yield_now().await;
+            }
             slot.map(|slot| (stream, slot))
         }
         Err(error) => {
@@ -126,10 +128,14 @@
     }
     let state = &slot.connection;
     let service = service_fn(|_: Request<Incoming>| {
-        state.begin();
-        let response = respond();
-        state.end(shared.clock.now());
-        async move { Ok::<_, Infallible>(response) }
+        let (state, shared, respond) = (&state, &shared, &respond);
+        async move {
+            state.begin();
+            state.take_turn().await;
+            let response = respond();
+            state.end(shared.clock.now());
+            Ok::<_, Infallible>(response)
+        }
     });
     let stream = WatchedStream::new(stream, state.clone(), shared.clock);
     let mut builder = http1::Builder::new();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     cache_sync::{self, CacheSync, Step},
-    clients::{Connections, MAX_PEERS},
+    clients::{Connections, LimitReached, MAX_PEERS},
     crash_reports, engines,
     exchange::{Exchange, Outgoing},
     lag::{Lag, VersionState},
@@ -411,6 +411,7 @@
             let address = slot.connection.client.address();
             let peer = SocketAddr::new(address, 0);
             let sent = snapshot::send(self.view.clone(), stream, peer, sending.clone());
+            let shared = self.shared.clone();
             tokio::spawn(async move {
                 let sent = timer::timeout(FETCH_TIMEOUT, sent);
                 let sent = tokio::select! {
@@ -419,8 +420,8 @@
                 };
                 match sent {
                     Ok(Ok(())) => {}
-                    Ok(Err(fault)) => tracing::info!(event = "snapshot_unsent", %fault),
-                    Err(_) => tracing::info!(event = "snapshot_unsent", %address),
+                    Ok(Err(fault)) => shared.limit_reached(LimitReached::Snapshot, &fault),
+                    Err(_) => shared.limit_reached(LimitReached::Snapshot, &address),
                 }
             });
         }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     body::Body,
-    clients::{Connection, LimitReached, Slot, WatchedStream},
+    clients::{ACCEPTED_AT_ONCE, Connection, LimitReached, Slot, WatchedStream},
     error_response::{self, Reason},
     handler, listen,
     shared::Shared,
@@ -175,6 +175,7 @@
     /// might not finish before the process has to exit.
     async fn accept(self: Arc<Self>, listener: TcpListener) {
         let mut closing = self.closing.clone();
+        let mut count: usize = 0;
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -183,8 +184,10 @@
             match accepted {
                 Ok((stream, address)) => {
                     self.admit(stream, address.ip());
-                    // Connections that gave way are closed before more are accepted.
-                    task::yield_now().await;
+                    count += 1;
+                    if count % ACCEPTED_AT_ONCE == 0 {
+                        task::yield_now().await;
+                    }
                 }
                 Err(error) => listen::accept_failed(&self.shared, &error).await,
             }
@@ -309,7 +312,8 @@
         connection: Arc<Connection>,
     ) -> Result<Response<Body>, Infallible> {
         request.extensions_mut().insert(connection.client.clone());
-        let active = ActiveRequest::new(self.clone(), connection);
+        let active = ActiveRequest::new(self.clone(), connection.clone());
+        connection.take_turn().await;
         let mut ending = self.ending.subscribe();
         let mut response = tokio::select! {
             response = handler::handle(&self.shared, request, active) => response,
--- a/crates/inlet/src/memory.rs
+++ b/crates/inlet/src/memory.rs
@@ -36,13 +36,10 @@
 /// packet is sent again within this time.
 pub const STALL_TIME: Duration = Duration::from_millis(500);
 
-/// Longest time that a request waits for memory. It is longer than [`STALL_TIME`],
-/// so that clients which stop at the same moment are found.
-const REQUEST_WAIT: Duration = Duration::from_millis(700);
-
-/// Longest time that a response waits for memory. Its work is done, so that it waits
-/// until clients that do not read their responses are cut off.
-const RESPONSE_WAIT: Duration = Duration::from_secs(5);
+/// Longest time that a body waits for memory, in all. It is longer than [`STALL_TIME`], so
+/// that clients which stop at the same moment are found. Bodies without a declared
+/// length can wait for one another, so that the wait has to end.
+const MAX_WAIT: Duration = Duration::from_millis(700);
 
 /// Interval at which clients without progress are looked for while the budget is
 /// short.
@@ -359,6 +356,8 @@
     /// Whether a large body may use only a part of the budget.
     is_request: bool,
     bytes: usize,
+    /// Time that it has waited for memory.
+    waited: Duration,
     permit: Option<OwnedSemaphorePermit>,
     large: Option<OwnedSemaphorePermit>,
 }
@@ -371,6 +370,7 @@
             client: None,
             is_request: false,
             bytes: 0,
+            waited: Duration::ZERO,
             permit: None,
             large: None,
         }
@@ -450,12 +450,11 @@
             let permit = budget.free.clone().acquire_many_owned(count(bytes)).await;
             large.and_then(|large| Ok((permit?, large)))
         };
-        let wait = if self.is_request {
-            REQUEST_WAIT
-        } else {
-            RESPONSE_WAIT
-        };
-        match time::timeout(wait, permits).await {
+        let began = Instant::now();
+        let left = MAX_WAIT.saturating_sub(self.waited);
+        let permits = time::timeout(left, permits).await;
+        self.waited += began.elapsed();
+        match permits {
             Ok(Ok((permit, large))) => {
                 self.add(bytes, permit, large);
                 Ok(())
