Keep connections whose refused body arrives late

Cause: the rest of a body that arrives after its response was taken for the start of a head, so that the connection ended after header_timeout_ms and a second. A client that was told to release its memory was closed after 2 s also if its request had been sent meanwhile. Change: bytes that are discarded do not start a head; a released client is closed when its response is written, or stops again.

--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -402,7 +402,9 @@
         let before = buffer.filled().len();
         let read = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
         let connection = &self.connection;
-        if buffer.filled().len() > before && connection.active.load(Ordering::Relaxed) == 0 {
+        let is_head =
+            connection.active.load(Ordering::Relaxed) == 0 && !connection.client.is_discarding();
+        if is_head && buffer.filled().len() > before {
             let now = self.clock.now().0.max(1);
             let head = &connection.head;
             let _ = head.compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -122,7 +122,7 @@
             Ok(head) => head,
             Err(error) => {
                 tracing::info!(event = "malformed", %error);
-                inlet::discard(&parts.headers, body);
+                inlet::discard(&parts.headers, body, client);
                 return Err(Refusal {
                     attempt: None,
                     reason: Reason::Malformed,
@@ -136,7 +136,7 @@
         let route = match RouteMatch::find(shared, &parts, &head) {
             Ok(route) => route,
             Err(reason) => {
-                inlet::discard(&parts.headers, body);
+                inlet::discard(&parts.headers, body, client);
                 return Err(refusal(reason));
             }
         };
@@ -152,7 +152,7 @@
         let memory = match reserve_head(shared, bytes, &client).await {
             Ok(memory) => memory,
             Err(reason) => {
-                inlet::discard(&parts.headers, body);
+                inlet::discard(&parts.headers, body, client);
                 return Err(refusal(reason));
             }
         };
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -19,7 +19,7 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use inlet::memory::Registration;
+use inlet::memory::{Registration, STALL_TIME};
 use platform::config::Limits;
 use tokio::{net::TcpListener, net::TcpStream, sync::watch, task, time as timer};
 
@@ -68,9 +68,6 @@
 /// Maximum number of header fields; the library's map holds no more than this.
 const MAX_FIELDS: usize = 16 * 1024;
 
-/// Time for the response to a request whose memory was taken back.
-const RELEASE_TIME: Duration = Duration::from_secs(2);
-
 /// Limits until a configuration is known.
 const DEFAULT_LIMITS: Limits = Limits {
     max_head: 16 * 1024,
@@ -185,7 +182,7 @@
                 Ok((stream, address)) => {
                     self.admit(stream, address.ip());
                     count += 1;
-                    if count % ACCEPTED_AT_ONCE == 0 {
+                    if count.is_multiple_of(ACCEPTED_AT_ONCE) {
                         task::yield_now().await;
                     }
                 }
@@ -222,7 +219,6 @@
         let mut closing = self.closing.clone();
         let mut shutting_down = false;
         let mut released = false;
-        let mut close_at = pin!(timer::sleep(Duration::MAX));
         loop {
             tokio::select! {
                 result = connection.as_mut() => {
@@ -244,9 +240,7 @@
                     // The body's reader responds.
                     shutting_down = true;
                     connection.as_mut().graceful_shutdown();
-                    close_at.as_mut().reset(timer::Instant::now() + RELEASE_TIME);
                 }
-                () = close_at.as_mut(), if released => break,
                 () = timer::sleep(IDLE_CHECK_INTERVAL) => match self.check(&state, shutting_down) {
                     Check::Keep => {}
                     Check::ShutDown => {
@@ -279,7 +273,11 @@
         let now = self.shared.clock.now();
         let address = state.client.address();
         let idle = state.idle(now);
-        let unread = limits.idle_timeout.max(IDLE_MARGIN).duration();
+        // A client whose memory was taken back must not occupy it again.
+        let unread = match state.client.is_released() {
+            true => STALL_TIME,
+            false => limits.idle_timeout.max(IDLE_MARGIN).duration(),
+        };
         if state.is_unread(unread) {
             self.shared.limit_reached(LimitReached::Unread, &address);
             return Check::Close;
--- a/crates/edge/tests/callers.rs
+++ b/crates/edge/tests/callers.rs
@@ -72,3 +72,28 @@
     assert!(closed(stream).await);
     assert!(answered.elapsed() > Duration::from_millis(OPTIONS.idle));
 }
+
+/// The rest of a body that arrives after the response is not taken for the beginning
+/// of a head: the connection stays usable for longer than a head may take.
+#[tokio::test]
+async fn late_body() {
+    let table = Rows::start().expect("a table");
+    let runner = Runner::start("i-1", Behaviour::Echo).expect("a target");
+    let router = start(&table, &runner).await;
+    let connect = TcpStream::connect(router.shared.settings.callers);
+    let mut stream = connect.await.expect("connects");
+    let body = [b'x'; 1_000];
+    let head = format!(
+        "POST /none/a HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    for _ in 0..2 {
+        stream.write_all(head.as_bytes()).await.expect("sends");
+        let mut answer = [0; 1_024];
+        let read = stream.read(&mut answer).await.expect("an answer");
+        assert!(answer[..read].starts_with(b"HTTP/1.1 404"));
+        stream.write_all(&body).await.expect("sends");
+        time::sleep(Duration::from_millis(OPTIONS.head + 2_200)).await;
+    }
+}
--- a/crates/inlet/src/lib.rs
+++ b/crates/inlet/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub mod memory;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, header};
@@ -85,7 +85,7 @@
         Err(_) => ReadError::Timeout(within),
     };
     if !matches!(error, ReadError::Broken(_)) {
-        discard(headers, body);
+        discard(headers, body, client);
     }
     Err(error)
 }
@@ -172,10 +172,13 @@
 /// without it.
 ///
 /// A caller that sent `Expect: 100-continue` has sent no body yet.
-pub fn discard(headers: &HeaderMap, mut body: Incoming) {
+pub fn discard(headers: &HeaderMap, mut body: Incoming, client: Option<Arc<Client>>) {
     if body.is_end_stream() || headers.contains_key(header::EXPECT) {
         return;
     }
+    if let Some(client) = &client {
+        client.set_discarding(true);
+    }
     tokio::spawn(async move {
         if time::timeout(DISCARD_TIMEOUT, discard_frames(&mut body))
             .await
@@ -183,6 +186,9 @@
         {
             tracing::debug!(event = "body_not_dropped", reason = "late");
         }
+        if let Some(client) = &client {
+            client.set_discarding(false);
+        }
     });
 }
 
--- a/crates/inlet/src/memory.rs
+++ b/crates/inlet/src/memory.rs
@@ -76,6 +76,8 @@
     /// Bytes that it waits for.
     wanted: AtomicUsize,
     pace: Mutex<Pace>,
+    /// Whether the rest of a body is read after its response.
+    discarding: AtomicBool,
     released: CancellationToken,
 }
 
@@ -105,6 +107,7 @@
                 since: Instant::now(),
                 moved: 0,
             }),
+            discarding: AtomicBool::new(false),
             released: CancellationToken::new(),
         }
     }
@@ -154,6 +157,22 @@
         self.released.cancelled().await;
     }
 
+    /// Records whether the rest of a body is read after its response.
+    pub fn set_discarding(&self, discarding: bool) {
+        self.discarding.store(discarding, Ordering::Relaxed);
+    }
+
+    /// Returns whether bytes that arrive after a response may belong to the body of its
+    /// request.
+    pub fn is_discarding(&self) -> bool {
+        self.discarding.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the client was told to release its memory.
+    pub fn is_released(&self) -> bool {
+        self.released.is_cancelled()
+    }
+
     /// Makes the client release its memory.
     pub fn release(&self) {
         self.released.cancel();
@@ -290,7 +309,7 @@
             used: self.used.load(Ordering::Relaxed),
             wanted: self.wanted.load(Ordering::Relaxed),
             stalled: self.stalled(),
-            is_released: self.released.is_cancelled(),
+            is_released: self.is_released(),
         }
     }
 }
--- a/crates/roles/src/router.rs
+++ b/crates/roles/src/router.rs
@@ -148,7 +148,7 @@
         let team = match team {
             Ok(team) => team,
             Err(problem) => {
-                inlet::discard(&parts.headers, incoming);
+                inlet::discard(&parts.headers, incoming, None);
                 return Err(problem);
             }
         };
