--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -15,7 +15,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use inlet::ReadError;
+use inlet::{ReadError, memory::Reservation};
 use place::{breaker::Breaker, contention::Figure, latency::Task};
 use platform::{load::Load, request, response::ResponseHead};
 use tokio::time as timer;
@@ -145,14 +145,7 @@
                     let now = self.shared.clock.now();
                     target.update_breaker(|breaker| breaker.record_no_response(now));
                 }
-                self.log_missed(
-                    target,
-                    if has_begun {
-                        "endless-head"
-                    } else {
-                        "timeout"
-                    },
-                );
+                self.log_missed(target, if has_begun { "endless-head" } else { "timeout" });
                 return Err(AttemptError::Timeout);
             }
         };
@@ -402,7 +395,8 @@
         } = response;
         let target = flight.target().clone();
         let remaining = self.deadline.since(self.shared.clock.now());
-        let whole = inlet::collect(&mut body, MAX_RESPONSE_BYTES, &self.shared.room);
+        let reservation = Reservation::for_response(&self.shared.room, self.client.clone());
+        let whole = inlet::collect(&mut body, MAX_RESPONSE_BYTES, reservation);
         let bytes = match timer::timeout(remaining.duration(), whole).await {
             Ok(Ok(whole)) => whole,
             Ok(Err(error)) => {
