Explain where a request would go

Cause: the log shows why a request went to its target only after it was sent, and only the cost of the target that was chosen.

Change: the metrics listener answers GET /explain with the decision on a described request from the router's present inputs, as JSON; 'ebonywalld explain' asks and prints it. place::cost::assess returns what choose compares; both use one Comparison. Wrong arguments of ebonywalld now exit with 2, as explain needs it.

--- a/crates/admit/src/crash_parts.rs
+++ b/crates/admit/src/crash_parts.rs
@@ -183,24 +183,49 @@
             return None;
         }
         let prompt: PartSet = parts.collect();
-        let mut trials = Vec::new();
-        for (parts, refusal) in &mut self.refused {
+        let refused = self.refusal(now, &prompt, routers, random);
+        if refused.is_none() {
+            let trials = self.refused.iter_mut();
+            for (_, refusal) in trials.filter(|(parts, _)| prompt.includes(parts)) {
+                refusal.trial = Some(now + TRIAL_TIME);
+            }
+        }
+        refused
+    }
+
+    /// Returns what [`Self::refuses`] would return, and begins no trial.
+    pub fn would_refuse(
+        &self,
+        now: time::Mono,
+        parts: impl Iterator<Item = id::PartHash>,
+        routers: u32,
+        random: f64,
+    ) -> Option<(PartSet, span::Span)> {
+        if self.refused.is_empty() {
+            return None;
+        }
+        self.refusal(now, &parts.collect(), routers, random)
+    }
+
+    fn refusal(
+        &self,
+        now: time::Mono,
+        prompt: &PartSet,
+        routers: u32,
+        random: f64,
+    ) -> Option<(PartSet, span::Span)> {
+        let is_trial = random * f64::from(routers.max(1)) < 1.0;
+        let mut refused = self.refused.iter();
+        refused.find_map(|(parts, refusal)| {
             if !prompt.includes(parts) {
-                continue;
+                return None;
             }
             if refusal.until > now {
                 return Some((parts.clone(), refusal.until.since(now)));
             }
-            let is_trial = random * f64::from(routers.max(1)) < 1.0;
-            if refusal.trial.is_some_and(|until| until > now) || !is_trial {
-                return Some((parts.clone(), TRIAL_TIME));
-            }
-            trials.push(refusal);
-        }
-        for refusal in trials {
-            refusal.trial = Some(now + TRIAL_TIME);
-        }
-        None
+            let is_tried = refusal.trial.is_some_and(|until| until > now);
+            (is_tried || !is_trial).then(|| (parts.clone(), TRIAL_TIME))
+        })
     }
 
     /// Records that a request with these parts began to be answered at `answered`
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,14 +1,17 @@
 //! The daemon: a router before the callers or an agent beside a target.
 
+mod explain;
+
 #[cfg(feature = "agents")]
 use std::path::PathBuf;
+use std::process::{self, ExitCode};
 
-use bpaf::Bpaf;
+use bpaf::{Args, Bpaf};
 #[cfg(feature = "agents")]
 use conf::settings::{self, Role};
 use place::hedge;
 #[cfg(feature = "agents")]
-use roles::process;
+use roles::process as roles_process;
 
 /// Ebonywall daemon
 #[derive(Clone, Debug, Bpaf)]
@@ -26,6 +29,11 @@
         #[bpaf(argument("FRACTION"), fallback(hedge::Fraction::default()))]
         second_attempts: hedge::Fraction,
     },
+    /// Asks a router of the users' platform where a request would go now, and why;
+    /// exits with 0 if it would be sent, 1 if it would be refused, 2 after wrong
+    /// arguments, and 3 if the router gives no explanation
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain::arguments))] explain::Arguments),
     /// Accepts callers and forwards their requests to agents
     #[cfg(feature = "agents")]
     #[bpaf(command)]
@@ -52,21 +60,38 @@
     },
 }
 
-fn main() -> anyhow::Result<()> {
-    match command().run() {
+/// Exit code after wrong arguments. 1 means that a command ran and failed.
+const USAGE: i32 = 2;
+
+fn main() -> anyhow::Result<ExitCode> {
+    let parsed = command().run_inner(Args::current_args());
+    let command = parsed.unwrap_or_else(|failure| {
+        failure.print_message(WIDTH);
+        process::exit(if failure.exit_code() == 0 { 0 } else { USAGE })
+    });
+    match command {
         Command::Edge {
             log,
             second_attempts,
-        } => edge::process::run(&log, second_attempts),
+        } => edge::process::run(&log, second_attempts)?,
+        Command::Explain(arguments) => return Ok(arguments.run()),
         #[cfg(feature = "agents")]
-        Command::Router { settings } => process::run(settings::load(&settings)?, Role::Router),
+        Command::Router { settings } => {
+            roles_process::run(settings::load(&settings)?, Role::Router)?;
+        }
         #[cfg(feature = "agents")]
-        Command::Agent { settings } => process::run(settings::load(&settings)?, Role::Agent),
+        Command::Agent { settings } => {
+            roles_process::run(settings::load(&settings)?, Role::Agent)?;
+        }
         #[cfg(feature = "agents")]
-        Command::Check { settings } => check(&settings::load(&settings)?),
+        Command::Check { settings } => check(&settings::load(&settings)?)?,
     }
+    Ok(ExitCode::SUCCESS)
 }
 
+/// Width of messages about arguments, in characters.
+const WIDTH: usize = 100;
+
 #[cfg(feature = "agents")]
 fn check(settings: &settings::Settings) -> anyhow::Result<()> {
     if let Some(bootstrap) = &settings.bootstrap {
--- a/crates/edge/src/decide.rs
+++ b/crates/edge/src/decide.rs
@@ -104,19 +104,43 @@
     pub work: Option<span::Span>,
 }
 
+/// What the choice among the targets of a service depends on.
+struct Inputs {
+    /// The targets, with the loads that the choice assumes.
+    candidates: Vec<cost::Candidate>,
+    /// Targets that were cold until recently, and by how much their loads were raised.
+    ramps: Vec<(usize, u32)>,
+    /// Cold targets that were left out because of their limit.
+    withheld: Vec<usize>,
+    prompt: cost::Prompt,
+    spill: cost::SpillFactor,
+    timings: cost::Timings,
+}
+
+/// How the choice regards one target.
+#[derive(Clone, Copy, Debug)]
+pub struct Assessed {
+    /// The properties of the target.
+    pub candidate: cost::Candidate,
+    /// Whether it was left out because of the limit of cold targets.
+    pub is_withheld: bool,
+    /// How it compares with the other targets.
+    pub assessment: cost::Assessment,
+}
+
 impl ServiceState<'_> {
-    /// Selects the best target, or returns `None` if no target accepts requests.
-    pub fn select(&self, now: time::Mono, query: Query) -> Option<Selection> {
+    /// Returns the targets and the prompt as the choice regards them.
+    fn inputs(&self, now: time::Mono, query: Query) -> Inputs {
         let mut candidates = Vec::with_capacity(self.targets.len());
-        let mut withheld = 0;
-        for target in self.targets {
+        let mut withheld = Vec::new();
+        for (index, target) in self.targets.iter().enumerate() {
             let mut candidate = target.candidate(now, query.chain, self.centre);
             candidate.accepting &= !query.tried.contains(&target.row.id);
             candidate.excluded = self.excludes(target);
             candidate.accepting &= !candidate.excluded;
             if candidate.accepting && self.cold.is_some_and(|cold| !cold.may_send(now, target)) {
                 candidate.accepting = false;
-                withheld += 1;
+                withheld.push(index);
             }
             if self.contention.is_known() {
                 candidate.contention = self.contention.excess(now, target.contention());
@@ -131,8 +155,53 @@
                 .capabilities
                 .is_some_and(|capabilities| capabilities.fetches),
         };
-        let spill = cost::SpillFactor::below(self.load_factor);
-        let timings = cost::Timings::from(self.latency);
+        Inputs {
+            candidates,
+            ramps,
+            withheld,
+            prompt,
+            spill: cost::SpillFactor::below(self.load_factor),
+            timings: cost::Timings::from(self.latency),
+        }
+    }
+
+    /// Returns how [`Self::select`] regards each target, in the order of the targets.
+    pub fn assess(&self, now: time::Mono, query: Query) -> Vec<Assessed> {
+        let inputs = self.inputs(now, query);
+        let mut assessments = cost::assess(
+            &inputs.candidates,
+            inputs.prompt,
+            inputs.spill,
+            self.unseen_requests(),
+            inputs.timings,
+            query.seed,
+        )
+        .into_iter();
+        let mut candidates = inputs.candidates;
+        for (index, added) in inputs.ramps {
+            candidates[index].load -= added;
+        }
+        let candidates = candidates.into_iter().enumerate();
+        let assessed = candidates.filter_map(|(index, candidate)| {
+            Some(Assessed {
+                candidate,
+                is_withheld: inputs.withheld.contains(&index),
+                assessment: assessments.next()?,
+            })
+        });
+        assessed.collect()
+    }
+
+    /// Selects the best target, or returns `None` if no target accepts requests.
+    pub fn select(&self, now: time::Mono, query: Query) -> Option<Selection> {
+        let Inputs {
+            mut candidates,
+            ramps,
+            withheld,
+            prompt,
+            spill,
+            timings,
+        } = self.inputs(now, query);
         let mut choice = cost::choose(
             &candidates,
             prompt,
@@ -161,7 +230,7 @@
             cold: self
                 .cold
                 .is_some_and(|_| self.targets[choice.index].cold().is_cold(now)),
-            withheld,
+            withheld: withheld.len() as u32,
             choice,
         })
     }
@@ -254,6 +323,20 @@
         request: shed::RequestInfo,
         random: [f64; 2],
     ) -> Option<Shed> {
+        let (probability, work) = self.shed_probability(selection, request);
+        (random[0] < probability).then(|| Shed {
+            after: shed::retry_after(probability, request, random[1]),
+            work,
+        })
+    }
+
+    /// Returns the probability that a request is shed, and the expected time that the
+    /// service works on it, if known.
+    pub fn shed_probability(
+        &self,
+        selection: &Selection,
+        request: shed::RequestInfo,
+    ) -> (f64, Option<span::Span>) {
         let rounds = shed::rounds(selection.load, selection.target.row.slots);
         // The estimate includes queueing that this router's load reports do not show.
         let work = self.latency.is_ready().then(|| {
@@ -267,9 +350,6 @@
             (_, Some(work)) => shed::plain_fraction(work, rounds, request),
             _ => 0.0,
         };
-        (random[0] < probability).then(|| Shed {
-            after: shed::retry_after(probability, request, random[1]),
-            work,
-        })
+        (probability, work)
     }
 }
--- a/crates/edge/src/error_response.rs
+++ b/crates/edge/src/error_response.rs
@@ -68,7 +68,7 @@
 
     /// Returns the time after which the caller should retry, before the random
     /// factor of [`response`] is applied.
-    fn retry_after(self) -> Option<span::Span> {
+    pub fn retry_after(self) -> Option<span::Span> {
         match self {
             Self::NotReady => Some(NOT_READY_RETRY),
             Self::CrashesTargets => Some(CRASHES_RETRY),
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -449,6 +449,11 @@
         (!is_leaving).then(|| pause.since(now))
     }
 
+    /// Returns whether the target is leaving, as its row or the target itself said.
+    pub fn is_leaving(&self, now: time::Mono) -> bool {
+        self.row.leaving || self.state().says_leaving(now)
+    }
+
     /// Updates the circuit breaker after the outcome of a request.
     pub fn update_breaker(&self, update: impl FnOnce(&mut Breaker)) {
         update(&mut self.state().breaker);
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -115,7 +115,7 @@
 
     /// Returns whether refused callers are told to return by the backlog: where callers
     /// compete for room, and not for engines, for which a replay showed no gain.
-    fn assigns_returns(&self) -> bool {
+    pub fn assigns_returns(&self) -> bool {
         let uses_engines = self.service_config.is_some_and(|service| service.engines);
         self.shared.settings.contended && !uses_engines
     }
@@ -279,31 +279,42 @@
     /// Extends a time by up to a third of what the caller has left, so that callers
     /// do not all return at the same moment.
     fn spread(&self, after: span::Span) -> span::Span {
-        let left = self.deadline.since(self.shared.clock.now()).as_micros() / 3;
-        let spread = left as f64 * rand::rng().random::<f64>();
-        span::Span::from_micros(after.as_micros() + spread as u64)
+        self.spread_by(self.shared.clock.now(), after, rand::rng().random())
     }
 
-    /// Returns the time after which the caller should retry if the request is shed,
-    /// and `None` if it is accepted.
-    fn shed(
-        &self,
-        now: time::Mono,
-        state: &ServiceState,
-        selection: &Selection,
-    ) -> Option<span::Span> {
+    /// Extends a time like [`Self::spread`], by the part `random` of the largest
+    /// extension.
+    pub fn spread_by(&self, now: time::Mono, after: span::Span, random: f64) -> span::Span {
+        let left = self.deadline.since(now).as_micros() / 3;
+        span::Span::from_micros(after.as_micros() + (left as f64 * random) as u64)
+    }
+
+    /// Returns the properties of the request that decide whether it is shed.
+    pub fn shed_info(&self, now: time::Mono) -> shed::RequestInfo {
         let team = self.team.as_ref().map(|team| &team.id);
         let share = team.map_or(1.0, |team| {
             self.shared
                 .shares()
                 .relative_share(now, &self.service, team)
         });
-        let request = shed::RequestInfo {
+        shed::RequestInfo {
             rank: self.priority(),
             share,
             latency_goal: self.rule.latency_goal,
             remaining: self.deadline.since(now),
-        };
+        }
+    }
+
+    /// Returns the time after which the caller should retry if the request is shed,
+    /// and `None` if it is accepted.
+    fn shed(
+        &self,
+        now: time::Mono,
+        state: &ServiceState,
+        selection: &Selection,
+    ) -> Option<span::Span> {
+        let team = self.team.as_ref().map(|team| &team.id);
+        let request = self.shed_info(now);
         let shed = state.shed(selection, request, rand::rng().random())?;
         let assigned = self.assign_return(now, state, selection, request);
         let after = assigned.unwrap_or(shed.after);
@@ -341,11 +352,7 @@
         if !self.assigns_returns() {
             return None;
         }
-        let utilization = selection.choice.utilization;
-        let backlog = Backlog {
-            requests: utilization.load.saturating_sub(utilization.slots) as f64,
-            routers: state.routers,
-        };
+        let backlog = backlog(state, selection);
         let mut returns = self.shared.returns();
         let random = rand::rng().random();
         let after = returns.assign(now, &self.service, backlog, request.remaining, random)?;
@@ -437,3 +444,12 @@
         );
     }
 }
+
+/// Returns the requests of a service that wait at its targets.
+pub fn backlog(state: &ServiceState, selection: &Selection) -> Backlog {
+    let utilization = selection.choice.utilization;
+    Backlog {
+        requests: utilization.load.saturating_sub(utilization.slots) as f64,
+        routers: state.routers,
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod events;
 pub mod exchange;
 pub mod expiry;
+pub mod explain;
 pub mod fleet;
 pub mod handler;
 pub mod hedge;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -1,9 +1,9 @@
-//! Minimal HTTP servers that treat every request alike, for readiness and metrics.
+//! Minimal HTTP servers that respond by the URI alone, for readiness and metrics.
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use base::fault::{At, Fault};
-use http::{Request, Response};
+use http::{Request, Response, Uri};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, time};
@@ -22,7 +22,7 @@
 /// When the address cannot be bound.
 pub async fn serve(
     address: SocketAddr,
-    respond: impl Fn() -> Response<Body> + Send + Sync + 'static,
+    respond: impl Fn(&Uri) -> Response<Body> + Send + Sync + 'static,
 ) -> Result<(), Fault> {
     let listener = TcpListener::bind(address).await.at("listen", address)?;
     let respond = Arc::new(respond);
@@ -31,8 +31,8 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let respond = respond.clone();
-                    let service = service_fn(move |_: Request<Incoming>| {
-                        let response = respond();
+                    let service = service_fn(move |request: Request<Incoming>| {
+                        let response = respond(request.uri());
                         async move { Ok::<_, Infallible>(response) }
                     });
                     let connection =
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -11,9 +11,14 @@
 };
 
 use base::{fault::Fault, span};
-use http::{HeaderValue, Response, header};
+use http::{HeaderValue, Response, Uri, header};
 
-use crate::{body, listen, logs, shared::Shared};
+use crate::{
+    body,
+    explain::{self, Explainer},
+    listen, logs,
+    shared::Shared,
+};
 
 /// Upper bounds of the histogram buckets, in milliseconds; a further bucket counts
 /// all higher values. They range from the response time of a plain service to the
@@ -200,13 +205,19 @@
     }
 }
 
-/// Serves the metrics address until the runtime ends.
+/// Serves the metrics address, and explanations of decisions beside, until the runtime ends.
 ///
 /// # Errors
 ///
 /// When the address cannot be bound.
 pub async fn serve(shared: Arc<Shared>) -> Result<(), Fault> {
-    listen::serve(shared.settings.metrics, move || response(&shared)).await
+    let address = shared.settings.metrics;
+    let explainer = Explainer::new(shared.clone());
+    let respond = move |uri: &Uri| match uri.path() {
+        explain::PATH => explainer.respond(uri),
+        _ => response(&shared),
+    };
+    listen::serve(address, respond).await
 }
 
 fn response(shared: &Shared) -> Response<body::Body> {
--- a/crates/edge/src/ready.rs
+++ b/crates/edge/src/ready.rs
@@ -13,7 +13,7 @@
 ///
 /// When the address cannot be bound.
 pub async fn serve(shared: Arc<Shared>) -> Result<(), Fault> {
-    listen::serve(shared.settings.ready, move || response(shared.is_ready())).await
+    listen::serve(shared.settings.ready, move |_| response(shared.is_ready())).await
 }
 
 fn response(ready: bool) -> Response<body::Body> {
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -197,14 +197,8 @@
         })
     }
 
-    /// Returns the time by which the response is due: the rule's timeout, or the
-    /// caller's deadline less a margin if that is earlier.
     fn deadline(&self, head: &RequestHead, started: time::Mono) -> time::Mono {
-        let timeout = started + self.rule.timeout;
-        match head.remaining {
-            Some(remaining) => timeout.min(started + saturating_sub(remaining, RESPONSE_MARGIN)),
-            None => timeout,
-        }
+        due(&self.rule, head.remaining, started)
     }
 
     fn service_config(&self) -> Option<Service> {
@@ -212,6 +206,16 @@
     }
 }
 
+/// Returns the time by which the response to a request is due: the rule's timeout, or
+/// the caller's deadline less a margin if that is earlier.
+pub fn due(rule: &Rule, remaining: Option<span::Span>, started: time::Mono) -> time::Mono {
+    let timeout = started + rule.timeout;
+    match remaining {
+        Some(remaining) => timeout.min(started + saturating_sub(remaining, RESPONSE_MARGIN)),
+        None => timeout,
+    }
+}
+
 async fn read_body(
     headers: &HeaderMap,
     body: Incoming,
--- a/crates/edge/src/routes.rs
+++ b/crates/edge/src/routes.rs
@@ -74,8 +74,13 @@
     shares: &'a [WeightedService],
     attempt: &id::AttemptId,
 ) -> Option<&'a id::ServiceId> {
+    select_by_hash(shares, hash::bytes(attempt.as_str().as_bytes()))
+}
+
+/// Selects the service for an attempt, like [`select_service`], by the hash of its id.
+pub fn select_by_hash(shares: &[WeightedService], hash: u64) -> Option<&id::ServiceId> {
     let total: u64 = shares.iter().map(|share| u64::from(share.weight)).sum();
-    let mut point = hash::bytes(attempt.as_str().as_bytes()).checked_rem(total)?;
+    let mut point = hash.checked_rem(total)?;
     let share = shares.iter().find(|share| {
         let weight = u64::from(share.weight);
         let found = point < weight;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -195,6 +195,11 @@
             .unwrap_or_default()
     }
 
+    /// Returns the measured times of a service.
+    pub fn latencies(&self, service: &id::ServiceId) -> ServiceLatencies {
+        self.speeds().get(service).cloned().unwrap_or_default()
+    }
+
     /// Updates the measured times of a service with `note`, and returns the
     /// result of `note`.
     pub fn update_latencies<T>(
--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -276,77 +276,196 @@
     timings: Timings,
     seed: u64,
 ) -> Option<Choice> {
-    let excludes_blocked = enough_unblocked(candidates);
-    let accepts = |c: &Candidate| c.accepting && (c.unblocked || !excludes_blocked);
-    let eligible = || candidates.iter().enumerate().filter(|(_, c)| accepts(c));
-    let utilization = utilization(eligible().map(|(_, c)| c));
-    let spill_load =
-        utilization.load * spill.0 / (100 * utilization.targets.max(1)) + SPILL_MARGIN_REQUESTS;
-    let full = |c: &Candidate| u64::from(c.load) >= spill_load;
-    let holder = prompt
-        .part
-        .and_then(|_| best_holder(candidates, prompt.own));
-    let home = prompt.part.filter(|_| holder.is_none()).and_then(|part| {
-        let ranked =
-            eligible().max_by_key(|(_, c)| (!full(c), c.slowdown == 0, hash::mix(c.hash, part)));
-        ranked.map(|(index, _)| index)
-    });
-    let min_missing = holder.map(|index| candidates[index].missing);
-    let least_contention = eligible().map(|(_, c)| c.contention).fold(0, i32::min);
-    let cost = |index: usize, c: &Candidate| {
-        let (prefilled, fetched) = match (home == Some(index), min_missing) {
+    Comparison::new(candidates, prompt, spill, timings).choose(peers, seed)
+}
+
+/// How [`choose`] compares one candidate with the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Assessment {
+    /// Whether it may be chosen: it accepts work and is not excluded as blocked.
+    pub is_eligible: bool,
+    /// Whether it is in the sample that this request considers.
+    pub is_considered: bool,
+    /// The considered candidate with the least rank is chosen.
+    pub rank: Rank,
+}
+
+/// Order of preference of the candidates, the least being the best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Whether the candidate counts as full.
+    pub is_full: bool,
+    /// Expected cost in microseconds.
+    pub micros: u64,
+    /// Decides between equal costs.
+    tie: u64,
+    index: usize,
+}
+
+/// Returns, for each candidate, what [`choose`] compares with the same arguments.
+pub fn assess(
+    candidates: &[Candidate],
+    prompt: Prompt,
+    spill: SpillFactor,
+    peers: PeerTraffic,
+    timings: Timings,
+    seed: u64,
+) -> Vec<Assessment> {
+    let comparison = Comparison::new(candidates, prompt, spill, timings);
+    let considered: Vec<_> = comparison.considered(peers, seed).collect();
+    let assess = |(index, candidate)| Assessment {
+        is_eligible: comparison.accepts(candidate),
+        is_considered: considered.contains(&index),
+        rank: comparison.rank(index, seed),
+    };
+    candidates.iter().enumerate().map(assess).collect()
+}
+
+/// What the choice derives from all candidates together.
+struct Comparison<'a> {
+    candidates: &'a [Candidate],
+    prompt: Prompt,
+    timings: Timings,
+    excludes_blocked: bool,
+    utilization: Utilization,
+    spill_load: u64,
+    /// Index of the candidate that holds the shared parts.
+    holder: Option<usize>,
+    /// Index of the candidate that is first in the ranking, if none holds the parts.
+    home: Option<usize>,
+    min_missing: Option<u32>,
+    least_contention: i32,
+}
+
+impl<'a> Comparison<'a> {
+    fn new(
+        candidates: &'a [Candidate],
+        prompt: Prompt,
+        spill: SpillFactor,
+        timings: Timings,
+    ) -> Self {
+        let holder = prompt
+            .part
+            .and_then(|_| best_holder(candidates, prompt.own));
+        let mut comparison = Self {
+            candidates,
+            prompt,
+            timings,
+            excludes_blocked: enough_unblocked(candidates),
+            utilization: Utilization::default(),
+            spill_load: 0,
+            holder,
+            home: None,
+            min_missing: holder.map(|index| candidates[index].missing),
+            least_contention: 0,
+        };
+        let utilization = utilization(comparison.eligible().map(|(_, c)| c));
+        comparison.utilization = utilization;
+        comparison.spill_load =
+            utilization.load * spill.0 / (100 * utilization.targets.max(1)) + SPILL_MARGIN_REQUESTS;
+        comparison.home = prompt.part.filter(|_| holder.is_none()).and_then(|part| {
+            let ranked = comparison.eligible().max_by_key(|(_, c)| {
+                let hash = hash::mix(c.hash, part);
+                (!comparison.is_full(c), c.slowdown == 0, hash)
+            });
+            ranked.map(|(index, _)| index)
+        });
+        let contention = comparison.eligible().map(|(_, c)| c.contention);
+        comparison.least_contention = contention.fold(0, i32::min);
+        comparison
+    }
+
+    fn accepts(&self, c: &Candidate) -> bool {
+        c.accepting && (c.unblocked || !self.excludes_blocked)
+    }
+
+    fn eligible(&self) -> impl Iterator<Item = (usize, &'a Candidate)> {
+        let candidates = self.candidates.iter().enumerate();
+        candidates.filter(|(_, c)| self.accepts(c))
+    }
+
+    fn is_full(&self, c: &Candidate) -> bool {
+        u64::from(c.load) >= self.spill_load
+    }
+
+    fn cost(&self, index: usize) -> u64 {
+        let c = &self.candidates[index];
+        let (prefilled, fetched) = match (self.home == Some(index), self.min_missing) {
             // All routers send this part to its home, so that the shared tokens are
             // prefilled there anyway and are not counted as a cost of this request.
-            (true, _) => (prompt.own, 0),
-            (false, Some(least)) if prompt.fetches && c.missing > least => {
+            (true, _) => (self.prompt.own, 0),
+            (false, Some(least)) if self.prompt.fetches && c.missing > least => {
                 (least, c.missing - least)
             }
             _ => (c.missing, 0),
         };
-        timings.micros(c, prefilled, fetched, least_contention)
-    };
-    let class = |(_, c): &(usize, &Candidate)| Class {
-        full: full(c),
-        holds: Some(c.missing) == min_missing,
-        local: c.local,
-        slow: c.slowdown > 0,
-    };
-    let sampled = sample(eligible(), class, peers, seed);
-    let idle = |c: &Candidate| {
-        let load = u64::from(c.load.max(c.reported)).saturating_sub(LESS_CONTENDED_MARGIN);
-        load * utilization.targets <= utilization.load
-    };
-    let less_contended = less_contended(eligible().filter(|(_, c)| !full(c) && idle(c)), seed);
-    let considered = sampled.into_iter().chain(home).chain(less_contended);
-    let key = |index: usize| {
-        let c = &candidates[index];
-        (full(c), cost(index, c), hash::mix(c.hash, seed), index)
-    };
-    let (saturated, micros, _, index) = considered.map(key).min()?;
-    let chosen = &candidates[index];
-    let source = holder.filter(|holder| {
-        let gain = chosen.missing.saturating_sub(candidates[*holder].missing);
-        prompt.fetches && *holder != index && gain >= MIN_FETCH_TOKENS
-    });
-    let reason = if !excludes_blocked {
-        Reason::MostBlocked
-    } else if saturated {
-        Reason::Saturated
-    } else if home == Some(index) {
-        Reason::Home
-    } else if prompt.part.is_some() && Some(chosen.missing) == min_missing {
-        Reason::Holder
-    } else {
-        Reason::Cheapest
-    };
-    Some(Choice {
-        index,
-        reason,
-        micros,
-        source,
-        utilization,
-        spill_load,
-    })
+        let least_contention = self.least_contention;
+        self.timings.micros(c, prefilled, fetched, least_contention)
+    }
+
+    fn rank(&self, index: usize, seed: u64) -> Rank {
+        let c = &self.candidates[index];
+        Rank {
+            is_full: self.is_full(c),
+            micros: self.cost(index),
+            tie: hash::mix(c.hash, seed),
+            index,
+        }
+    }
+
+    /// Returns the indices of the candidates that a request considers.
+    fn considered(&self, peers: PeerTraffic, seed: u64) -> impl Iterator<Item = usize> {
+        let class = |(_, c): &(usize, &Candidate)| Class {
+            full: self.is_full(c),
+            holds: Some(c.missing) == self.min_missing,
+            local: c.local,
+            slow: c.slowdown > 0,
+        };
+        let sampled = sample(self.eligible(), class, peers, seed);
+        let idle = |c: &Candidate| {
+            let load = u64::from(c.load.max(c.reported)).saturating_sub(LESS_CONTENDED_MARGIN);
+            load * self.utilization.targets <= self.utilization.load
+        };
+        let idle = self.eligible().filter(|(_, c)| !self.is_full(c) && idle(c));
+        let less_contended = less_contended(idle, seed);
+        sampled.into_iter().chain(self.home).chain(less_contended)
+    }
+
+    fn choose(&self, peers: PeerTraffic, seed: u64) -> Option<Choice> {
+        let considered = self.considered(peers, seed);
+        let Rank {
+            is_full,
+            micros,
+            index,
+            ..
+        } = considered.map(|index| self.rank(index, seed)).min()?;
+        let chosen = &self.candidates[index];
+        let source = self.holder.filter(|holder| {
+            let gain = chosen
+                .missing
+                .saturating_sub(self.candidates[*holder].missing);
+            self.prompt.fetches && *holder != index && gain >= MIN_FETCH_TOKENS
+        });
+        let reason = if !self.excludes_blocked {
+            Reason::MostBlocked
+        } else if is_full {
+            Reason::Saturated
+        } else if self.home == Some(index) {
+            Reason::Home
+        } else if self.prompt.part.is_some() && Some(chosen.missing) == self.min_missing {
+            Reason::Holder
+        } else {
+            Reason::Cheapest
+        };
+        Some(Choice {
+            index,
+            reason,
+            micros,
+            source,
+            utilization: self.utilization,
+            spill_load: self.spill_load,
+        })
+    }
 }
 
 /// Targets of the same class differ, for a prompt, in their loads only.
