Remove a documentation link to a private item

Cause: cargo doc with -D warnings fails on public documentation that links to a private item.

Change: the comment on spread_by says the limit itself.

--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -282,8 +282,8 @@
         self.spread_by(self.shared.clock.now(), after, rand::rng().random())
     }
 
-    /// Extends a time like [`Self::spread`], by the part `random` of the largest
-    /// extension.
+    /// Extends a time by the part `random` of the largest extension, a third of what the
+    /// caller has left.
     pub fn spread_by(&self, now: time::Mono, after: span::Span, random: f64) -> span::Span {
         let left = self.deadline.since(now).as_micros() / 3;
         span::Span::from_micros(after.as_micros() + (left as f64 * random) as u64)
