--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -246,7 +246,8 @@
 
     /// Returns the length of the whole prompt, in tokens.
     pub fn tokens(&self) -> u32 {
-        self.0.iter().map(|part| part.tokens).sum()
+        let tokens = self.0.iter().map(|part| part.tokens);
+        tokens.fold(0, u32::saturating_add)
     }
 
     /// Returns the length of the part that only this request has, in tokens.
@@ -454,6 +455,11 @@
         (!is_leaving).then(|| pause.since(now))
     }
 
+    /// Returns whether the target is leaving, as its row or the target itself said.
+    pub fn is_leaving(&self, now: time::Mono) -> bool {
+        self.row.leaving || self.state().says_leaving(now)
+    }
+
     /// Updates the circuit breaker after the outcome of a request.
     pub fn update_breaker(&self, update: impl FnOnce(&mut Breaker)) {
         update(&mut self.state().breaker);
@@ -537,7 +543,9 @@
             .0
             .iter()
             .take_while(|part| self.parts.contains_key(&part.hash));
-        chain.tokens() - cached.map(|part| part.tokens).sum::<u32>()
+        let cached = cached.map(|part| part.tokens);
+        let cached = cached.fold(0, u32::saturating_add);
+        chain.tokens().saturating_sub(cached)
     }
 
     fn insert_part(&mut self, part: id::PartHash, cached: CacheEntry) -> bool {
--- a/crates/edge/src/hedge/mod.rs
+++ b/crates/edge/src/hedge/mod.rs
@@ -2,10 +2,10 @@
 //! returns the first response.
 //!
 //! The steps: [`respond`] waits for the first target until the delay that
-//! [`place::hedge`] has learned; [`CallerRequest::next_hedge`] selects another target
-//! and decides; both attempts then run until one has a usable response, and the other
-//! one is cancelled by closing its connection. Hedging is off unless the process was
-//! started with a fraction. See [the design note](../../../../docs/design/hedging.md).
+//! [`place::hedge`] has learned; `next_hedge` selects another target and decides; both
+//! attempts then run until one has a usable response, and the other one is cancelled
+//! by closing its connection. Hedging is off unless the process was started with a
+//! fraction. See [the design note](../../../../docs/design/hedging.md).
 
 use std::{pin::pin, sync::atomic::Ordering};
 
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -1,4 +1,4 @@
-//! Minimal HTTP servers that treat every request alike, for readiness and metrics.
+//! Minimal HTTP servers that respond by the URI alone, for readiness and metrics.
 
 use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -6,7 +6,7 @@
     fault::{At, Fault},
     span,
 };
-use http::{Request, Response};
+use http::{Request, Response, Uri};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use inlet::memory::Client;
@@ -54,7 +54,7 @@
     shared: &Arc<Shared>,
     address: SocketAddr,
     limit: usize,
-    respond: impl Fn() -> Response<Body> + Send + Sync + 'static,
+    respond: impl Fn(&Uri) -> Response<Body> + Send + Sync + 'static,
 ) -> Result<(), Fault> {
     let listener = TcpListener::bind(address).await.at("listen", address)?;
     let respond = Arc::new(respond);
@@ -121,18 +121,18 @@
     shared: Arc<Shared>,
     stream: TcpStream,
     slot: Slot,
-    respond: Arc<impl Fn() -> Response<Body>>,
+    respond: Arc<impl Fn(&Uri) -> Response<Body>>,
 ) {
     if let Err(error) = upstream::configure_socket(&stream, ACK_TIMEOUT) {
         tracing::debug!(event = "client_options", %error);
     }
     let state = &slot.connection;
-    let service = service_fn(|_: Request<Incoming>| {
+    let service = service_fn(|request: Request<Incoming>| {
         let (state, shared, respond) = (&state, &shared, &respond);
         async move {
             state.begin();
             state.take_turn().await;
-            let response = respond();
+            let response = respond(request.uri());
             state.end(shared.clock.now());
             Ok::<_, Infallible>(response)
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -11,9 +11,15 @@
 };
 
 use base::{fault::Fault, span};
-use http::{HeaderValue, Response, header};
+use http::{HeaderValue, Response, Uri, header};
 
-use crate::{body, clients::MAX_METRICS, listen, logs, shared::Shared};
+use crate::{
+    body,
+    clients::MAX_METRICS,
+    explain::{self, Explainer},
+    listen, logs,
+    shared::Shared,
+};
 
 /// Upper bounds of the histogram buckets, in milliseconds; a further bucket counts
 /// all higher values. They range from the response time of a plain service to the
@@ -211,7 +217,7 @@
     }
 }
 
-/// Serves the metrics address until the runtime ends.
+/// Serves the metrics address, and explanations of decisions beside, until the runtime ends.
 ///
 /// # Errors
 ///
@@ -219,7 +225,12 @@
 pub async fn serve(shared: Arc<Shared>) -> Result<(), Fault> {
     let address = shared.settings.metrics;
     let state = shared.clone();
-    listen::serve(&state, address, MAX_METRICS, move || response(&shared)).await
+    let explainer = Explainer::new(shared.clone());
+    let respond = move |uri: &Uri| match uri.path() {
+        explain::PATH => explainer.respond(uri),
+        _ => response(&shared),
+    };
+    listen::serve(&state, address, MAX_METRICS, respond).await
 }
 
 fn response(shared: &Shared) -> Response<body::Body> {
--- a/crates/edge/src/ready.rs
+++ b/crates/edge/src/ready.rs
@@ -15,7 +15,7 @@
 pub async fn serve(shared: Arc<Shared>) -> Result<(), Fault> {
     let address = shared.settings.ready;
     let state = shared.clone();
-    listen::serve(&state, address, MAX_READY, move || {
+    listen::serve(&state, address, MAX_READY, move |_| {
         response(shared.is_ready())
     })
     .await
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -91,7 +91,7 @@
     /// The caller's connection, as the memory budget sees it.
     pub client: Option<Arc<Client>>,
     /// Memory of the head and of the state of the request.
-    _memory: Reservation,
+    pub memory: Reservation,
 }
 
 /// Why a request was refused before it was sent to a target.
@@ -184,7 +184,7 @@
             fingerprint,
             body,
             client,
-            _memory: memory,
+            memory,
         })
     }
 
@@ -238,14 +238,8 @@
         })
     }
 
-    /// Returns the time by which the response is due: the rule's timeout, or the
-    /// caller's deadline less a margin if that is earlier.
     fn deadline(&self, head: &RequestHead, started: time::Mono) -> time::Mono {
-        let timeout = started + self.rule.timeout;
-        match head.remaining {
-            Some(remaining) => timeout.min(started + saturating_sub(remaining, RESPONSE_MARGIN)),
-            None => timeout,
-        }
+        due(&self.rule, head.remaining, started)
     }
 
     fn service_config(&self) -> Option<Service> {
@@ -253,6 +247,16 @@
     }
 }
 
+/// Returns the time by which the response to a request is due: the rule's timeout, or
+/// the caller's deadline less a margin if that is earlier.
+pub fn due(rule: &Rule, remaining: Option<span::Span>, started: time::Mono) -> time::Mono {
+    let timeout = started + rule.timeout;
+    match remaining {
+        Some(remaining) => timeout.min(started + saturating_sub(remaining, RESPONSE_MARGIN)),
+        None => timeout,
+    }
+}
+
 /// Returns the memory of a request's head, in bytes: the buffer that it was read into
 /// and two copies of the decoded headers.
 fn head_bytes(parts: &Parts) -> usize {
