Mend what the review of the bounds for clients found

Cause: a large body that waited for memory held what was free, so that smaller ones were refused; a process that woke from a freeze checked timeouts before it read what had arrived; a connection whose head was arriving counted as the longest unused; a new peer took the place of one that was being served; a response that found no memory at the router counted against its target; the listener of explain cut questions that its page allows. Change: a waiting body tries again every 10 ms; connections are polled before their timeouts; the rest as named.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -404,12 +404,16 @@
                 target.update_breaker(|breaker| match &error {
                     // The target may send an endless body for any request.
                     ReadError::TooLarge(_) => breaker.record_no_response(now),
+                    // The router's own memory is short.
+                    ReadError::OutOfMemory(_) => {}
                     _ => breaker.record_error(),
                 });
                 if matches!(error, ReadError::Broken(_)) {
                     self.shared.report_silent(now, &target);
                 }
-                self.check_crash(&target, sent, &levels, None);
+                if !matches!(error, ReadError::OutOfMemory(_)) {
+                    self.check_crash(&target, sent, &levels, None);
+                }
                 tracing::info!(event = "lost", id = %self.head.attempt, target = %target.row.id, %error);
                 return Err(AttemptError::OutcomeUnknown);
             }
--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -235,7 +235,12 @@
         State {
             address: self.client.address(),
             is_busy: self.is_busy(),
-            last: time::Mono(self.last.load(Ordering::Relaxed)),
+            // A head that is arriving is use as well.
+            last: time::Mono(
+                self.last
+                    .load(Ordering::Relaxed)
+                    .max(self.head.load(Ordering::Relaxed)),
+            ),
             stalled: self.client.stalled(),
             is_ahead: self.ahead.load(Ordering::Relaxed),
         }
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -26,9 +26,9 @@
 /// when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// Largest head of a request, in bytes; also the size of the read buffer. The HTTP
-/// library allows no less.
-const MAX_HEAD: usize = 8 * 1024;
+/// Largest head of a request, in bytes; also the size of the read buffer. The longest
+/// question of [`crate::explain`] fits.
+const MAX_HEAD: usize = 20 * 1024;
 
 /// Time after which a connection without a complete head is closed.
 const HEAD_TIMEOUT: span::Span = span::Span::from_secs(5);
@@ -144,6 +144,9 @@
     let mut connection = std::pin::pin!(connection);
     loop {
         tokio::select! {
+            // After a freeze of the process, bytes that have arrived are read before
+            // timeouts are checked.
+            biased;
             _ = connection.as_mut() => return,
             () = state.evicted() => return,
             () = time::sleep(CHECK_INTERVAL) => {}
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -439,6 +439,8 @@
                 continue;
             };
             let address = slot.connection.client.address();
+            // A new connection does not take the place of one that is being served.
+            slot.connection.client.set_writing(true);
             let peer = SocketAddr::new(address, 0);
             let sent = snapshot::send(self.view.clone(), stream, peer, sending.clone());
             let shared = self.shared.clone();
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -221,6 +221,9 @@
         let mut released = false;
         loop {
             tokio::select! {
+                // After a freeze of the process, bytes that have arrived are read
+                // before timeouts are checked.
+                biased;
                 result = connection.as_mut() => {
                     if let Err(error) = result {
                         tracing::debug!(event = "caller_connection", %error);
--- a/crates/inlet/src/memory.rs
+++ b/crates/inlet/src/memory.rs
@@ -36,6 +36,9 @@
 /// packet is sent again within this time.
 pub const STALL_TIME: Duration = Duration::from_millis(500);
 
+/// Interval at which a body that waits for memory tries again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Longest time that a body waits for memory, in all. It is longer than [`STALL_TIME`], so
 /// that clients which stop at the same moment are found. Bodies without a declared
 /// length can wait for one another, so that the wait has to end.
@@ -460,26 +463,18 @@
         if self.grow(bytes).is_ok() {
             return Ok(());
         }
-        let large = count(self.large_bytes(bytes));
         let _wanted = Wanted::new(&self.client, bytes);
         self.budget.check();
-        let budget = self.budget.clone();
-        let permits = async {
-            let large = budget.free_large.clone().acquire_many_owned(large).await;
-            let permit = budget.free.clone().acquire_many_owned(count(bytes)).await;
-            large.and_then(|large| Ok((permit?, large)))
-        };
-        let began = Instant::now();
-        let left = MAX_WAIT.saturating_sub(self.waited);
-        let permits = time::timeout(left, permits).await;
-        self.waited += began.elapsed();
-        match permits {
-            Ok(Ok((permit, large))) => {
-                self.add(bytes, permit, large);
-                Ok(())
+        // A queue of the semaphore would hold back what is free until it suffices for
+        // the first body, and a large one would keep out small ones.
+        while self.waited < MAX_WAIT {
+            time::sleep(RETRY_INTERVAL).await;
+            self.waited += RETRY_INTERVAL;
+            if self.grow(bytes).is_ok() {
+                return Ok(());
             }
-            _ => Err(self.budget.exceeded()),
         }
+        Err(self.budget.exceeded())
     }
 
     fn add(&mut self, bytes: usize, permit: OwnedSemaphorePermit, large: OwnedSemaphorePermit) {
