--- a/crates/admit/src/cold_prompts.rs
+++ b/crates/admit/src/cold_prompts.rs
@@ -24,9 +24,8 @@
 /// Callers return within this time after that.
 const SPREAD_TIME: span::Span = span::Span::from_millis(400);
 
-/// Fraction of the tokens that engines can read which the routers send. With 0.35, a
-/// few more responses were in time after a loss with many long prompts, and more
-/// callers were refused needlessly after one with few (`lab/tests/loss.rs`).
+/// Fraction of the tokens that engines can read which the routers send. A smaller one
+/// refuses callers needlessly after a loss with few long prompts.
 const RATE_FRACTION: f64 = 0.5;
 
 /// Tokens that may be sent at the start, as the time in which they are allowed.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -24,7 +24,7 @@
         /// Log filter, such as info or edge=debug
         #[bpaf(argument("FILTER"), fallback("info".to_owned()))]
         log: String,
-        /// Part of the requests, from 0 to 0.1, that may be sent to a second target
+        /// Fraction of the requests, from 0 to 0.1, that may be sent to a second target
         /// while the first still works on them
         #[bpaf(argument("FRACTION"), fallback(hedge::Fraction::default()))]
         second_attempts: hedge::Fraction,
--- a/crates/place/src/hedge.rs
+++ b/crates/place/src/hedge.rs
@@ -115,8 +115,8 @@
 }
 
 impl ResponseRatios {
-    /// Records how long a request took at the target that it was sent to first, and
-    /// how long it was expected to take.
+    /// Records how long a request took at the target that responded, and how long it
+    /// was expected to take.
     pub fn record(&mut self, took: span::Span, expected: span::Span, fraction: Fraction) {
         if let Some(delay) = self.delay(expected, fraction) {
             let observed = f64::from(u8::from(took > delay));
