--- /dev/null
+++ b/review/stand-2/src/runner.rs
@@ -0,0 +1,176 @@
+//! A stand-in of a runner.
+
+use std::{
+    io::{self, BufReader, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    http::{self, Head},
+    store::Store,
+};
+
+/// Interval of heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// What a runner does with a request that it runs. Returns whether the connection
+/// stays open.
+pub type Work = fn(&Runner, &Request, &mut TcpStream) -> io::Result<bool>;
+
+/// A request that a runner got.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its head.
+    pub head: Head,
+    /// When the head had arrived.
+    pub at: Instant,
+    /// Its number among the requests that this runner ran, from 1.
+    pub number: u32,
+}
+
+impl Request {
+    /// Returns the id of the consumer's attempt.
+    pub fn attempt(&self) -> &str {
+        self.head.field("x-attempt-id").unwrap_or_default()
+    }
+}
+
+/// A runner.
+#[derive(Debug)]
+pub struct Runner {
+    /// Its id.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it misbehaves as the case says.
+    pub faulty: bool,
+    /// Whether it says in all answers that it is leaving.
+    pub leaving: AtomicBool,
+    entry: String,
+    work: Work,
+    ended: AtomicBool,
+    requests: Mutex<Vec<Request>>,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+impl Runner {
+    /// Starts a runner and enters it in the store.
+    pub fn start(
+        store: &Arc<Store>,
+        id: &str,
+        service: &str,
+        zone: &str,
+        faulty: bool,
+        work: Work,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born = born.unwrap_or_default().as_millis();
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
+             \"version\":\"v1\",\"batch_slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\
+             \"sequence\":1,\"born\":{born}}}"
+        );
+        let runner = Arc::new(Self {
+            id: id.to_owned(),
+            address,
+            faulty,
+            leaving: AtomicBool::new(false),
+            entry,
+            work,
+            ended: AtomicBool::new(false),
+            requests: Mutex::default(),
+            connections: Mutex::default(),
+        });
+        store.put("servers", id, Some(&runner.entry));
+        let beating = (runner.clone(), store.clone());
+        thread::spawn(move || {
+            let (runner, store) = beating;
+            while !runner.leaving.load(Ordering::Relaxed) {
+                thread::sleep(HEARTBEAT);
+                store.beat();
+            }
+        });
+        let served = runner.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if served.ended.load(Ordering::Relaxed) {
+                    return;
+                }
+                let runner = served.clone();
+                thread::spawn(move || runner.serve(stream));
+            }
+        });
+        Ok(runner)
+    }
+
+    fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+        mutex.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the requests that it ran.
+    pub fn requests(&self) -> Vec<Request> {
+        Self::locked(&self.requests).clone()
+    }
+
+    /// Ends the runner: its connections are closed, and what it runs is cut off.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        for stream in Self::locked(&self.connections).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Ends the thread that accepts, so that the port refuses connections.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    /// Returns the fields that all answers have.
+    pub fn fields(&self, request: &Request) -> String {
+        let leaving = match self.leaving.load(Ordering::Relaxed) {
+            true => "Server-Leaving: 1\r\n",
+            false => "",
+        };
+        format!(
+            "X-Attempt-Id: {}\r\nX-Response-Signature: {}.{}\r\n{leaving}",
+            request.attempt(),
+            self.id,
+            request.number
+        )
+    }
+
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        Self::locked(&self.connections).push(stream.try_clone()?);
+        let mut writer = stream.try_clone()?;
+        let mut reader = BufReader::new(stream);
+        while let Some(head) = http::read_head(&mut reader)? {
+            let at = Instant::now();
+            http::read_body(&mut reader, &head)?;
+            if head.field("x-target-instance") != Some(&self.id) {
+                let id = head.field("x-attempt-id").unwrap_or_default();
+                let answer = format!(
+                    "HTTP/1.1 421 -\r\nX-Attempt-Id: {id}\r\nX-Instance-Id: {}\r\n\
+                     Content-Length: 0\r\n\r\n",
+                    self.id
+                );
+                writer.write_all(answer.as_bytes())?;
+                continue;
+            }
+            let mut requests = Self::locked(&self.requests);
+            let number = requests.len() as u32 + 1;
+            let request = Request { head, at, number };
+            requests.push(request.clone());
+            drop(requests);
+            if !(self.work)(self, &request, &mut writer)? {
+                return writer.shutdown(Shutdown::Both);
+            }
+        }
+        Ok(())
+    }
+}
