review: case 9, a refused part is let through by each router

When the term of a refused prompt part is over, each router lets one request with it through, where one in the whole fleet is meant. At 48 requests a second and six routers, 5 or 6 of them reach runners and crash them.

--- a/review/stand-2/src/letters.rs
+++ b/review/stand-2/src/letters.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpStream},
     sync::Arc,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -47,7 +47,7 @@
 
 /// Runs a stream, from the event after `Last-Event-Id` on. Answers with an even
 /// number have chunks, the others end with their connection.
-fn work(runner: &Runner, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
+fn work(runner: &Arc<Runner>, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
     let last = request.head.field("last-event-id");
     let first = last.and_then(|last| last.parse().ok()).unwrap_or(0) + 1;
     let chunked = request.number.is_multiple_of(2);
@@ -90,6 +90,7 @@
 /// What a consumer saw of one request.
 struct Seen {
     attempt: String,
+    sent: Instant,
     answer: http::Answer,
 }
 
@@ -102,8 +103,13 @@
              X-Deadline-Ms: 10000\r\nApi-Key: key-sales\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
         );
+        let sent = Instant::now();
         let answer = http::call(address, request.as_bytes(), Duration::from_secs(10));
-        Seen { attempt, answer }
+        Seen {
+            attempt,
+            sent,
+            answer,
+        }
     });
     requests.collect()
 }
@@ -187,12 +193,16 @@
         let (status, whole) = (answer.status, answer.whole);
         let fault = fault(request);
         let attempt = &request.attempt;
-        record.add(format_args!("{attempt} got {status}, complete: {whole}"));
+        record.add_at(
+            request.sent,
+            format_args!("{attempt} sent; answered {status}, complete: {whole}"),
+        );
         if let Some(fault) = fault {
             faults += 1;
-            record.add(format_args!(
-                "BROKEN {attempt} ended as complete with {fault}"
-            ));
+            record.add_at(
+                request.sent,
+                format_args!("BROKEN {attempt} ended as complete with {fault}"),
+            );
             for router in routers {
                 for line in router.log_lines(&format!("id={attempt} ")) {
                     record.add(format_args!("log of {}: {line}", router.name));
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod letters;
 mod orders;
+mod parts;
 mod record;
 mod revoked;
 mod router;
@@ -36,6 +37,7 @@
     let verdict = match case.as_str() {
         "letters" => letters::play(&record, trouble),
         "orders" => orders::play(&record, trouble),
+        "parts" => parts::play(&record, trouble),
         "revoked" => revoked::play(&record, trouble),
         _ => Err(io::Error::other("no such case")),
     };
--- a/review/stand-2/src/orders.rs
+++ b/review/stand-2/src/orders.rs
@@ -42,7 +42,7 @@
 
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-orders","hostname":"site.example","prefix":"/orders/","type":"non_idempotent","timeout_ms":1500,"target_latency_ms":600,"priority":2,"service":"orders","max_attempts":1,"public":false}],"services":[{"name":"orders","health_path":"/healthz","max_connections":110,"protocol":"h1","tls_enabled":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"dealers","api_keys":["key-dealer"]}]}"#;
 
-fn work(runner: &Runner, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
+fn work(runner: &Arc<Runner>, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
     thread::sleep(WORK);
     let body = format!("done {}", request.attempt());
     let answer = format!(
--- a/review/stand-2/src/revoked.rs
+++ b/review/stand-2/src/revoked.rs
@@ -49,7 +49,7 @@
     )
 }
 
-fn work(runner: &Runner, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
+fn work(runner: &Arc<Runner>, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
     thread::sleep(Duration::from_millis(20));
     let body = format!("done {}", request.attempt());
     let answer = format!(
--- a/review/stand-2/src/runner.rs
+++ b/review/stand-2/src/runner.rs
@@ -21,7 +21,7 @@
 
 /// What a runner does with a request that it runs. Returns whether the connection
 /// stays open.
-pub type Work = fn(&Runner, &Request, &mut TcpStream) -> io::Result<bool>;
+pub type Work = fn(&Arc<Runner>, &Request, &mut TcpStream) -> io::Result<bool>;
 
 /// A request that a runner got.
 #[derive(Clone, Debug)]
@@ -52,11 +52,13 @@
     pub faulty: bool,
     /// Whether it says in all answers that it is leaving.
     pub leaving: AtomicBool,
+    store: Arc<Store>,
     entry: String,
     work: Work,
     ended: AtomicBool,
     requests: Mutex<Vec<Request>>,
     connections: Mutex<Vec<TcpStream>>,
+    crashes: Mutex<Vec<Instant>>,
 }
 
 impl Runner {
@@ -71,44 +73,78 @@
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH);
-        let born = born.unwrap_or_default().as_millis();
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"batch_slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\
-             \"sequence\":1,\"born\":{born}}}"
+             \"sequence\":1"
         );
         let runner = Arc::new(Self {
             id: id.to_owned(),
             address,
             faulty,
             leaving: AtomicBool::new(false),
+            store: store.clone(),
             entry,
             work,
             ended: AtomicBool::new(false),
             requests: Mutex::default(),
             connections: Mutex::default(),
+            crashes: Mutex::default(),
         });
-        store.put("servers", id, Some(&runner.entry));
-        let beating = (runner.clone(), store.clone());
+        runner.register();
+        let beating = runner.clone();
         thread::spawn(move || {
-            let (runner, store) = beating;
-            while !runner.leaving.load(Ordering::Relaxed) {
+            while !beating.leaving.load(Ordering::Relaxed) {
                 thread::sleep(HEARTBEAT);
-                store.beat();
+                beating.store.beat();
             }
         });
-        let served = runner.clone();
+        runner.clone().listen(listener);
+        Ok(runner)
+    }
+
+    /// Writes its entry, with the present as the time of its start.
+    fn register(&self) {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born = born.unwrap_or_default().as_millis();
+        let entry = format!("{},\"born\":{born}}}", self.entry);
+        self.store.put("servers", &self.id, Some(&entry));
+    }
+
+    fn listen(self: Arc<Self>, listener: TcpListener) {
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if served.ended.load(Ordering::Relaxed) {
+                if self.ended.load(Ordering::Relaxed) {
                     return;
                 }
-                let runner = served.clone();
+                let runner = self.clone();
                 thread::spawn(move || runner.serve(stream));
             }
         });
-        Ok(runner)
+    }
+
+    /// Crashes, and starts again after some time under the same id.
+    pub fn crash(self: &Arc<Self>, time: Duration) {
+        if self.ended.load(Ordering::Relaxed) {
+            return;
+        }
+        Self::locked(&self.crashes).push(Instant::now());
+        self.end();
+        let runner = self.clone();
+        thread::spawn(move || {
+            thread::sleep(time);
+            let Ok(listener) = TcpListener::bind(runner.address) else {
+                return;
+            };
+            runner.ended.store(false, Ordering::Relaxed);
+            runner.register();
+            runner.listen(listener);
+        });
+    }
+
+    /// Returns when it crashed.
+    pub fn crashes(&self) -> Vec<Instant> {
+        Self::locked(&self.crashes).clone()
     }
 
     fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -144,7 +180,7 @@
         )
     }
 
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+    fn serve(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         Self::locked(&self.connections).push(stream.try_clone()?);
         let mut writer = stream.try_clone()?;
