--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -37,7 +37,8 @@
     let verdict = match case.as_str() {
         "letters" => letters::play(&record, trouble),
         "orders" => orders::play(&record, trouble),
-        "parts" => parts::play(&record, trouble),
+        "parts" => parts::play(&record, trouble, parts::USUAL),
+        "quiet" => parts::play(&record, trouble, parts::QUIET),
         "revoked" => revoked::play(&record, trouble),
         _ => Err(io::Error::other("no such case")),
     };
--- a/review/stand-2/src/parts.rs
+++ b/review/stand-2/src/parts.rs
@@ -1,5 +1,4 @@
-//! A part of prompts that crashes each runner that begins to answer it, until the
-//! term of its refusal is over.
+//! A part of prompts that crashes each runner that begins to answer it.
 
 use std::{
     io::{self, Write},
@@ -32,6 +31,9 @@
 /// Time after which a crashed runner is back.
 const BACK_AFTER: Duration = Duration::from_secs(3);
 
+/// Interval at which it is looked whether a request has to be sent.
+const STEP: Duration = Duration::from_millis(5);
+
 /// Time for which a consumer waits.
 const DEADLINE: Duration = Duration::from_secs(12);
 
@@ -41,20 +43,38 @@
 /// Requests that may reach runners later than that after the fifth crash.
 const ALLOWED: usize = 3;
 
-/// Interval of the sound requests.
-const SOUND_INTERVAL: Duration = Duration::from_millis(41);
-
-/// Interval of the requests with the part at first.
-const FIRST_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Interval of these requests later.
-const INTERVAL: Duration = Duration::from_millis(41);
+/// How often requests come.
+#[derive(Clone, Copy, Debug)]
+pub struct Rates {
+    /// Interval of the sound requests.
+    sound: Duration,
+    /// Interval of the requests with the part at first.
+    first: Duration,
+    /// Interval of these requests later.
+    later: Duration,
+    /// When their interval changes.
+    change: Duration,
+    /// When the last requests are sent.
+    end: Duration,
+}
 
-/// When the interval changes.
-const CHANGE: Duration = Duration::from_secs(12);
+/// The usual traffic of a kind of request; the part comes seldom until it is refused.
+pub const USUAL: Rates = Rates {
+    sound: Duration::from_millis(41),
+    first: Duration::from_millis(500),
+    later: Duration::from_millis(41),
+    change: Duration::from_secs(12),
+    end: Duration::from_secs(76),
+};
 
-/// When the last requests are sent.
-const END: Duration = Duration::from_secs(76);
+/// A quiet time.
+pub const QUIET: Rates = Rates {
+    sound: Duration::from_millis(2_000),
+    first: Duration::from_millis(500),
+    later: Duration::from_millis(500),
+    change: Duration::from_secs(45),
+    end: Duration::from_secs(45),
+};
 
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-briefs","hostname":"site.example","prefix":"/briefs/","type":"streaming","timeout_ms":12000,"target_latency_ms":1200,"priority":1,"service":"briefs","max_attempts":1,"public":false,"session_affinity":true,"resumable":false,"target_gap_ms":800}],"services":[{"name":"briefs","health_path":"/healthz","max_connections":370,"protocol":"h1","tls_enabled":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"sales","api_keys":["key-sales"],"priority":1}]}"#;
 
@@ -134,7 +154,7 @@
 }
 
 /// Plays the case.
-pub fn play(record: &Record, trouble: bool) -> io::Result<Verdict> {
+pub fn play(record: &Record, trouble: bool, rates: Rates) -> io::Result<Verdict> {
     let store = Store::start()?;
     store.put("op", "config", Some(CONFIG));
     let zones = ["shah-alam", "petaling", "subang"];
@@ -150,26 +170,30 @@
     thread::sleep(Duration::from_secs(2));
     let start = Instant::now();
     let (mut sound, mut tainted) = (Vec::new(), Vec::new());
-    let mut next = start;
-    while start.elapsed() < END {
-        let number = sound.len();
-        let router = &routers[number % routers.len()];
-        let parts = format!(
-            "{:x}:119,{:x}:580,{number:x}:130",
-            number % 7,
-            100 + number % 40
-        );
-        sound.push(brief(router.frontend, format!("sound-{number}"), parts));
-        if trouble && next <= Instant::now() {
+    let (mut next_sound, mut next_tainted) = (start, start);
+    while start.elapsed() < rates.end {
+        let now = Instant::now();
+        if next_sound <= now {
+            next_sound += rates.sound;
+            let number = sound.len();
+            let router = &routers[number % routers.len()];
+            let parts = format!(
+                "{:x}:119,{:x}:580,{number:x}:130",
+                number % 7,
+                100 + number % 40
+            );
+            sound.push(brief(router.frontend, format!("sound-{number}"), parts));
+        }
+        if trouble && next_tainted <= now {
+            let is_first = start.elapsed() < rates.change;
+            next_tainted += if is_first { rates.first } else { rates.later };
             let number = tainted.len();
             let router = &routers[number * 5 % routers.len()];
             let other = 100 + number % 40;
             let parts = format!("{PART},{other:x}:580,{number:x}:130");
             tainted.push(brief(router.frontend, format!("tainted-{number}"), parts));
-            let is_first = start.elapsed() < CHANGE;
-            next += if is_first { FIRST_INTERVAL } else { INTERVAL };
         }
-        thread::sleep(SOUND_INTERVAL);
+        thread::sleep(STEP);
     }
     let sound = sound.into_iter().filter_map(|request| request.join().ok());
     let sound: Vec<Seen> = sound.flatten().collect();
