--- a/review/stand-2/src/letters.rs
+++ b/review/stand-2/src/letters.rs
@@ -77,7 +77,7 @@
         }
         if spoiled && !chunked && number == EVENTS {
             bytes.push_str(&head);
-            bytes.push_str(&event(request.attempt(), 1));
+            bytes.extend((1..=EVENTS).map(|number| event(request.attempt(), number)));
         }
         write(&bytes)?;
     }
@@ -187,7 +187,7 @@
         .iter()
         .filter(|seen| seen.answer.status == 200 && seen.answer.whole);
     let complete = complete.count();
-    let mut faults = 0;
+    let (mut faults, mut endless) = (0, 0);
     for request in seen {
         let answer = &request.answer;
         let (status, whole) = (answer.status, answer.whole);
@@ -199,6 +199,8 @@
         );
         if let Some(fault) = fault {
             faults += 1;
+            let end = event(attempt, EVENTS);
+            endless += u32::from(!answer.body.ends_with(end.as_bytes()));
             record.add_at(
                 request.sent,
                 format_args!("BROKEN {attempt} ended as complete with {fault}"),
@@ -220,7 +222,8 @@
     Ok(Verdict {
         broken: faults > 0,
         seen: format!(
-            "{faults} of {complete} complete streams lack events ({} requests; {})",
+            "{faults} of {complete} complete streams lack events, {endless} of them the last one \
+             ({} requests; {})",
             seen.len(),
             ran.join(", ")
         ),
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -5,8 +5,8 @@
 
 mod http;
 mod json;
+mod leaving;
 mod letters;
-mod orders;
 mod parts;
 mod record;
 mod revoked;
@@ -35,8 +35,8 @@
     let trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::new();
     let verdict = match case.as_str() {
+        "leaving" => leaving::play(&record, trouble),
         "letters" => letters::play(&record, trouble),
-        "orders" => orders::play(&record, trouble),
         "parts" => parts::play(&record, trouble, parts::USUAL),
         "quiet" => parts::play(&record, trouble, parts::QUIET),
         "revoked" => revoked::play(&record, trouble),
