--- a/review/stand-2/src/revoked.rs
+++ b/review/stand-2/src/revoked.rs
@@ -12,12 +12,12 @@
     Verdict, http,
     record::Record,
     router::{Folder, Router, Site},
-    runner::{Request, Runner},
+    runner::{HEARTBEAT, Request, Runner},
     store::{Counts, Store},
 };
 
 /// Runners, each of which sends heartbeats to the store.
-const RUNNERS: usize = 18;
+const RUNNERS: usize = 21;
 
 /// Time between the last two manifests.
 const STORM_GAP: Duration = Duration::from_millis(330);
@@ -135,14 +135,14 @@
     let zones = ["shah-alam", "petaling", "subang"];
     let runners: io::Result<Vec<Arc<Runner>>> = (0..RUNNERS)
         .map(|number| {
-            thread::sleep(Duration::from_millis(67));
+            thread::sleep(HEARTBEAT / RUNNERS as u32);
             let id = format!("i-{}", number + 1);
             Runner::start(&store, &id, "orders", zones[number % 3], false, work)
         })
         .collect();
     let runners = runners?;
     let folder = Folder::new()?;
-    let routers = Site::new(2, store.address)?.start(&folder)?;
+    let routers = Site::new(3, store.address)?.start(&folder)?;
     thread::sleep(Duration::from_secs(4));
     let times = write_manifests(record, &store, trouble);
     let mut orders = Vec::new();
--- a/review/stand-2/src/runner.rs
+++ b/review/stand-2/src/runner.rs
@@ -17,7 +17,7 @@
 };
 
 /// Interval of heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 /// What a runner does with a request that it runs. Returns whether the connection
 /// stays open.
