--- a/review/stand-2/src/letters.rs
+++ b/review/stand-2/src/letters.rs
@@ -23,11 +23,8 @@
 /// Time between two events.
 const GAP: Duration = Duration::from_millis(15);
 
-/// The faulty runner spoils one answer in this many: 5 in 100.
-const SPOILED_ONE_IN: u32 = 20;
-
-/// The number of the first spoiled answer.
-const SPOILED_NUMBER: u32 = 9;
+/// The faulty runner spoils one answer in this many, less than 5 in 100.
+const SPOILED_ONE_IN: u32 = 21;
 
 /// The event that stray bytes follow in an answer with chunks. In one that ends with
 /// its connection, a second answer follows the last event.
@@ -37,7 +34,7 @@
 const CONSUMERS: u32 = 6;
 
 /// Requests of each consumer.
-const REQUESTS: u32 = 60;
+const REQUESTS: u32 = 80;
 
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-letters","hostname":"site.example","prefix":"/letters/","type":"streaming","timeout_ms":10000,"target_latency_ms":600,"priority":0,"service":"letters","max_attempts":2,"public":false,"session_affinity":true,"resumable":true,"target_gap_ms":800}],"services":[{"name":"letters","health_path":"/healthz","max_connections":370,"protocol":"h1","tls_enabled":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"sales","api_keys":["key-sales"],"priority":1}]}"#;
 
@@ -64,11 +61,9 @@
         true => write!(stream, "{:x}\r\n{bytes}\r\n", bytes.len()),
         false => stream.write_all(bytes.as_bytes()),
     };
-    // Of 20 answers one is spoiled: the 9th, which ends with its connection, and in
-    // the next 20 the 10th, which has chunks.
-    let round = request.number / SPOILED_ONE_IN;
-    let turn = SPOILED_NUMBER + round % 2;
-    let spoiled = runner.faulty && request.number % SPOILED_ONE_IN == turn && first == 1;
+    // The first spoiled answer ends with its connection, the next has chunks.
+    let is_turn = request.number.is_multiple_of(SPOILED_ONE_IN);
+    let spoiled = runner.faulty && is_turn && first == 1;
     for number in first..=EVENTS {
         thread::sleep(GAP);
         let mut bytes = event(request.attempt(), number);
