Forward the events that were read together with stray bytes

Cause: EventBuffer::push recorded each id as it was parsed. When a later event of the same read was out of order, it returned an error and none of the events, and the stream was resumed after the last recorded id.

Change: the sound events before a fault are returned with it and forwarded first; `last` is the id of the last of them. Of an event that comes too late and those of the same read that have its id or a larger one, neither is forwarded, as either may be the stray one. A line without a field name, as the status line of a second response, is a fault; before, such a response was passed on as part of the stream.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -15,7 +15,7 @@
 use crate::{
     attempt::TargetResponse,
     body::Body,
-    events::EventBuffer,
+    events::{Completed, EventBuffer, EventError},
     handler::Attempts,
     request::CallerRequest,
     server::ActiveRequest,
@@ -27,6 +27,8 @@
     request: Arc<CallerRequest>,
     response: TargetResponse,
     events: EventBuffer,
+    /// What is wrong with the response after the events that were forwarded.
+    error: Option<EventError>,
     timer: EventTimer,
     /// When the first event from the current target was received.
     begun: Option<time::Mono>,
@@ -58,6 +60,7 @@
         let headers = response.head.headers.clone();
         let stream = Self {
             events: EventBuffer::new(request.head.last_event),
+            error: None,
             timer: EventTimer::default(),
             begun: None,
             survived: false,
@@ -107,6 +110,10 @@
     }
 
     async fn read(&mut self) -> Read {
+        if let Some(error) = self.error.take() {
+            let peer = &self.response.flight.target().row.id;
+            return Read::Broken(Fault::new("read stream", peer, error));
+        }
         let remaining = self.request.deadline.since(self.request.shared.clock.now());
         let frame = timer::timeout(remaining.duration(), self.response.frame()).await;
         let peer = &self.response.flight.target().row.id;
@@ -125,16 +132,14 @@
             }
             Ok(Some(Ok(frame))) => {
                 let data = frame.into_data().unwrap_or_default();
-                match self.events.push(&data) {
-                    Ok(events) => {
-                        if !events.is_empty() {
-                            self.record_survival();
-                        }
-                        self.record_progress();
-                        Read::Events(events)
-                    }
-                    Err(error) => Read::Broken(Fault::new("read stream", peer, error)),
+                let Completed { events, error } = self.events.push(&data);
+                // Reported after the events have been forwarded.
+                self.error = error;
+                if !events.is_empty() {
+                    self.record_survival();
                 }
+                self.record_progress();
+                Read::Events(events)
             }
         }
     }
--- a/crates/edge/tests/fuzz.rs
+++ b/crates/edge/tests/fuzz.rs
@@ -137,7 +137,9 @@
         let mut out = Vec::new();
         for cut in cuts.iter().cycle() {
             let (piece, after) = rest.split_at((*cut).min(rest.len()));
-            out.extend_from_slice(&buffer.push(piece).expect("the ids increase"));
+            let completed = buffer.push(piece);
+            prop_assert_eq!(completed.error, None);
+            out.extend_from_slice(&completed.events);
             prop_assert!(out.is_empty() || out.ends_with(b"\n\n"));
             rest = after;
             if rest.is_empty() {
@@ -148,21 +150,47 @@
         prop_assert!(!buffer.has_partial());
     }
 
-    /// Arbitrary bytes of a stream are either forwarded unchanged or rejected with an
-    /// error.
+    /// Arbitrary bytes of a stream are forwarded unchanged up to the first fault.
     #[test]
     fn any_stream(pieces in prop::collection::vec(prop::collection::vec(prop_oneof![Just(b'\n'), Just(b':'), Just(b'i'), Just(b'd'), any::<u8>()], 0..50), 0..30)) {
         let mut buffer = EventBuffer::new(Some(3));
         let mut out = Vec::new();
         for piece in &pieces {
-            match buffer.push(piece) {
-                Ok(events) => out.extend_from_slice(&events),
-                Err(_) => return Ok(()),
+            let completed = buffer.push(piece);
+            out.extend_from_slice(&completed.events);
+            if completed.error.is_some() {
+                break;
             }
         }
         prop_assert!(pieces.concat().starts_with(&out));
     }
 
+    /// A stream is resumed after the last event that was forwarded, wherever an event of
+    /// another stream comes in it and however its bytes are split.
+    #[test]
+    fn stray_events(last in 1..20_u64, after in 0..20_u64, stray in 1..30_u64, cuts in prop::collection::vec(1..200_usize, 1..50)) {
+        let event = |id: u64, text: &str| format!("id: {id}\ndata: {text}\n\n");
+        let mut whole: Vec<_> = (1..=last).map(|id| event(id, "own")).collect();
+        whole.insert(after.min(last) as usize, event(stray, "stray"));
+        let whole = whole.concat();
+        let mut buffer = EventBuffer::new(None);
+        let mut rest = whole.as_bytes();
+        let mut out = Vec::new();
+        for cut in cuts.iter().cycle() {
+            let (piece, after) = rest.split_at((*cut).min(rest.len()));
+            let completed = buffer.push(piece);
+            out.extend_from_slice(&completed.events);
+            rest = after;
+            if rest.is_empty() || completed.error.is_some() {
+                break;
+            }
+        }
+        let out = String::from_utf8(out).expect("text");
+        let ids = out.lines().filter_map(|line| line.strip_prefix("id: "));
+        prop_assert_eq!(ids.last().map(|id| id.parse().expect("a number")), buffer.last_id());
+        prop_assert!(whole.starts_with(&out));
+    }
+
     /// A configuration and the cached parts survive encoding and decoding of a
     /// snapshot.
     #[test]
--- a/crates/edge/tests/site/mod.rs
+++ b/crates/edge/tests/site/mod.rs
@@ -99,6 +99,12 @@
 
     /// Sends a request and reads the response.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Response {
+        self.try_send(request).await.expect("a response")
+    }
+
+    /// Does the same, and returns `None` if the connection ends without the head of a
+    /// response.
+    pub async fn try_send(&self, request: Request<Full<Bytes>>) -> Option<Response> {
         let stream = TcpStream::connect(self.shared.settings.callers)
             .await
             .expect("connects");
@@ -106,7 +112,7 @@
             .await
             .expect("speaks");
         let task = tokio::spawn(connection);
-        let response = sender.send_request(request).await.expect("a response");
+        let response = sender.send_request(request).await.ok()?;
         let (head, mut body) = response.into_parts();
         let mut read = Vec::new();
         let mut whole = true;
@@ -120,12 +126,12 @@
             }
         }
         task.abort();
-        Response {
+        Some(Response {
             status: head.status,
             headers: head.headers,
             body: read.into(),
             whole,
-        }
+        })
     }
 }
 
