Do not announce the length of a stream that may be resumed

Callers saw: a target announces the length of a stream that breaks or holds stray bytes; the router resumes it at another target. If the stream is longer than announced, the caller gets 200 and a body that is cut within an event and looks complete; if it is shorter, all events and then a broken connection.

Cause: Content-Length of the first target's head was forwarded, and the HTTP library cuts the body there.

Change: the header is removed where the rule allows resuming.

Evidence: stray_resumed with the framings Length and Short failed before: status 200, complete, body "id: 1 ... id: 3\ndata: event".

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -7,7 +7,7 @@
 use base::{fault::Fault, time};
 use bytes::Bytes;
 use futures_util::stream;
-use http::Response;
+use http::{Response, header};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use tokio::time as timer;
@@ -57,7 +57,11 @@
         active: ActiveRequest,
     ) -> Response<Body> {
         let status = response.head.status;
-        let headers = response.head.headers.clone();
+        let mut headers = response.head.headers.clone();
+        if request.rule.class.is_repeatable() {
+            // What another target sends of the stream may be shorter or longer.
+            headers.remove(header::CONTENT_LENGTH);
+        }
         let stream = Self {
             events: EventBuffer::new(request.head.last_event),
             error: None,
--- a/crates/edge/tests/stray_events.rs
+++ b/crates/edge/tests/stray_events.rs
@@ -28,6 +28,10 @@
 enum Framing {
     Chunks,
     Close,
+    /// A length that covers all of it.
+    Length,
+    /// A length that ends with the stray bytes.
+    Short,
 }
 
 /// Bytes that do not belong to the stream.
@@ -55,7 +59,12 @@
     apart: bool,
 }
 
-const FRAMINGS: [Framing; 2] = [Framing::Chunks, Framing::Close];
+const FRAMINGS: [Framing; 4] = [
+    Framing::Chunks,
+    Framing::Close,
+    Framing::Length,
+    Framing::Short,
+];
 
 const STRAYS: [Stray; 5] = [
     Stray::Earlier,
@@ -80,7 +89,7 @@
     fn is_plain(self) -> bool {
         match self.stray {
             Stray::Earlier => self.after > 0,
-            Stray::Later => self.after + 1 < EVENTS,
+            Stray::Later => self.after + 1 < EVENTS && !matches!(self.framing, Framing::Short),
             Stray::Response | Stray::Unnumbered | Stray::Plain => true,
         }
     }
@@ -107,10 +116,18 @@
         };
         let stray = self.stray(&format!("{start}Connection: close\r\n\r\n"));
         let first = events(1, before);
-        let second = events(before + 1, self.after) + &stray + &events(self.after + 1, EVENTS);
+        let rest = match self.framing {
+            Framing::Short => String::new(),
+            Framing::Chunks | Framing::Close | Framing::Length => events(self.after + 1, EVENTS),
+        };
+        let second = events(before + 1, self.after) + &stray + &rest;
         let head = match self.framing {
             Framing::Chunks => format!("{start}Transfer-Encoding: chunked\r\n\r\n"),
             Framing::Close => format!("{start}Connection: close\r\n\r\n"),
+            Framing::Length | Framing::Short => {
+                let length = first.len() + second.len();
+                format!("{start}Content-Length: {length}\r\n\r\n")
+            }
         };
         let frame = |text: &str| match self.framing {
             Framing::Chunks if !text.is_empty() => format!("{:x}\r\n{text}\r\n", text.len()),
@@ -122,7 +139,7 @@
         }
         let end = match self.framing {
             Framing::Chunks => "0\r\n\r\n",
-            Framing::Close => "",
+            Framing::Close | Framing::Length | Framing::Short => "",
         };
         stream.write_all((frame(&second) + end).as_bytes()).await?;
         stream.shutdown().await
