Check on a new connection whether a waiting call missed a change

Cause: a waiting call without a response was taken for one that has nothing to report, until its own timeout of 5.5 s. The reads of the targets, every 0.6 s, showed positions of the log at which no row was known, and were not used for it; so were calls without an answer after connections had gone silent.

Change: edge::feed::known (pure) records the positions of the rows that were read. If one is missing among those up to the latest read of the targets, or another call had no answer, the router asks for changes on a new connection, without waiting. No wait and no timeout changed. The follower moved from control to the folder feed. The same holds for evacuations and for the table of refusals, whose calls wait 12 s.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -11,8 +11,8 @@
     span, time,
 };
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
-use platform::rows::{self, Page, Position, Row, Table};
+use http::{Method, Request, header};
+use platform::rows::{self, Position, Row, Table};
 use store::{
     backoff::Backoff,
     breaker,
@@ -25,7 +25,7 @@
 use crate::{
     cold::TableRead,
     expiry::Members,
-    metrics::Counter,
+    feed::{Change, Follower, Waiting},
     peers::Peers,
     readers,
     refusals::StoredRefusals,
@@ -67,9 +67,19 @@
 /// Follows the table and exchanges updates with the other routers until the
 /// runtime ends.
 pub async fn run(shared: Arc<Shared>) {
-    let service = Arc::new(client(&shared, CALL_TIMEOUT));
-    let waiting = [CONFIG_WAIT, RELAYED_WAIT]
-        .map(|wait| (wait, Arc::new(client(&shared, add(wait, CALL_TIMEOUT)))));
+    let service = Arc::new(client(&shared, CALL_TIMEOUT, true));
+    let checks = Arc::new(client(&shared, CALL_TIMEOUT, false));
+    let view = View::new(shared.clone());
+    let peers = Peers::new(shared.clone(), view.clone());
+    let waiting = [CONFIG_WAIT, RELAYED_WAIT].map(|wait| {
+        let timeout = add(wait, CALL_TIMEOUT);
+        let waiting = Waiting {
+            service: Arc::new(client(&shared, timeout, true)),
+            checks: checks.clone(),
+            peers: peers.clone(),
+        };
+        (wait, waiting)
+    });
     let stored = StoredRefusals::default();
     tokio::spawn(follow_refusals(
         shared.clone(),
@@ -78,8 +88,6 @@
         stored.clone(),
     ));
     tokio::spawn(stored.write(shared.clone(), service.clone()));
-    let view = View::new(shared.clone());
-    let peers = Peers::new(shared.clone(), view.clone());
     tokio::spawn(follow_config(
         peers.clone(),
         shared.clone(),
@@ -115,7 +123,7 @@
     span::Span::from_micros(a.as_micros() + b.as_micros())
 }
 
-fn client(shared: &Shared, timeout: span::Span) -> Service {
+fn client(shared: &Shared, timeout: span::Span, pooled: bool) -> Service {
     let store = shared.settings.table;
     let rates = Rates {
         reads: store.reads,
@@ -141,134 +149,21 @@
         peer: store.address,
         timeout,
         policy,
+        pooled,
     })
 }
 
-/// Reads a table and then follows its changes.
-struct Follower {
-    shared: Arc<Shared>,
-    service: Arc<Service>,
-    /// Used for calls that wait for a change.
-    waiting: Arc<Service>,
-    table: Table,
-    position: Option<Position>,
-    unavailable: bool,
-}
-
-/// The result of a read.
-enum Change {
-    /// All rows of the table.
-    All(Vec<Row>),
-    /// Only rows that changed.
-    Some(Vec<Row>),
-}
-
-impl Change {
-    fn rows(&self) -> &[Row] {
-        let (Self::All(rows) | Self::Some(rows)) = self;
-        rows
-    }
-
-    fn removes(&self, key: &str) -> bool {
-        let mut rows = self.rows().iter();
-        rows.any(|row| row.key == key && row.value.is_none())
-    }
-}
-
-impl Follower {
-    fn new(shared: Arc<Shared>, service: Arc<Service>, table: Table) -> Self {
-        Self {
-            shared,
-            waiting: service.clone(),
-            service,
-            table,
-            position: None,
-            unavailable: false,
-        }
-    }
-
-    /// Returns all rows at first, then the changes.
-    async fn next(&mut self, wait: span::Span) -> Result<Change, Fault> {
-        self.shared.metrics.count(Counter::TableCalls);
-        let change = match self.position {
-            None => self.read().await.map(Change::All),
-            // After a failure, a call that does not wait shows sooner whether
-            // the table is back.
-            Some(after) if self.unavailable => self.feed(after, span::Span::ZERO).await,
-            Some(after) => self.feed(after, wait).await,
-        };
-        let (table, peer) = (self.table, self.service.peer());
-        match &change {
-            Ok(_) if self.unavailable => tracing::info!(event = "table_regained", ?table, %peer),
-            Err(fault) if !self.unavailable => {
-                tracing::warn!(event = "table_lost", ?table, %peer, %fault)
-            }
-            _ => {}
-        }
-        if change.is_err() {
-            self.shared.metrics.count(Counter::TableFailures);
-        }
-        self.unavailable = change.is_err();
-        change
-    }
-
-    async fn read(&mut self) -> Result<Vec<Row>, Fault> {
-        let mut rows: Vec<Row> = Vec::new();
-        let mut first = None;
-        loop {
-            let last = rows.last().map(|row| row.key.as_str());
-            let path = rows::read_path(self.table, last);
-            let reply = self
-                .service
-                .read(&path, &[])
-                .await
-                .at("read rows", self.service.peer())?;
-            let page = self.decode(&reply.body)?;
-            // The feed returns changes since the first page again.
-            let position = *first.get_or_insert(page.position);
-            let more = page.more && !page.rows.is_empty();
-            rows.extend(page.rows);
-            if !more {
-                self.position = Some(position);
-                return Ok(rows);
-            }
-        }
-    }
-
-    async fn feed(&mut self, after: Position, wait: span::Span) -> Result<Change, Fault> {
-        let path = rows::watch_path(self.table, after, wait);
-        let service = match wait {
-            span::Span::ZERO => &self.service,
-            _ => &self.waiting,
-        };
-        let reply = service.read(&path, &[StatusCode::GONE]).await;
-        let reply = reply.at("follow rows", self.service.peer())?;
-        if reply.status == StatusCode::GONE {
-            tracing::info!(event = "history_gone", table = ?self.table, after = after.0);
-            self.position = None;
-            return self.read().await.map(Change::All);
-        }
-        let page = self.decode(&reply.body)?;
-        self.position = Some(page.position);
-        Ok(Change::Some(page.rows))
-    }
-
-    fn decode(&self, body: &Bytes) -> Result<Page, Fault> {
-        Page::decode(body).at("decode rows", self.service.peer())
-    }
-}
-
 async fn follow_config(
     peers: Arc<Peers>,
     shared: Arc<Shared>,
     view: Arc<View>,
     service: Arc<Service>,
-    waiting: [(span::Span, Arc<Service>); 2],
+    waiting: [(span::Span, Waiting); 2],
 ) {
     let mut follower = Follower::new(shared.clone(), service, Table::Operator);
     loop {
-        let (wait, service) = &waiting[usize::from(peers.relayed_change().is_some())];
-        follower.waiting = service.clone();
+        let (wait, waiting) = &waiting[usize::from(peers.relayed_change().is_some())];
+        follower.set_waiting(waiting.clone());
         let change = follower.next(*wait).await;
         shared.feed_works.store(change.is_ok(), Ordering::Relaxed);
         match change {
@@ -292,11 +187,11 @@
 async fn follow_refusals(
     shared: Arc<Shared>,
     service: Arc<Service>,
-    waiting: Arc<Service>,
+    waiting: Waiting,
     stored: StoredRefusals,
 ) {
     let mut follower = Follower::new(shared.clone(), service, Table::Refusals);
-    follower.waiting = waiting;
+    follower.set_waiting(waiting);
     loop {
         match follower.next(RELAYED_WAIT).await {
             Ok(change) => {
@@ -416,22 +311,6 @@
     }
 }
 
-/// Reads all rows of a table, and returns the position of the read.
-///
-/// # Errors
-///
-/// When the table does not answer.
-pub async fn read_all(
-    shared: &Arc<Shared>,
-    service: &Arc<Service>,
-    table: Table,
-) -> Result<(Vec<Row>, Position), Fault> {
-    shared.metrics.count(Counter::TableCalls);
-    let mut follower = Follower::new(shared.clone(), service.clone(), table);
-    let rows = follower.read().await?;
-    Ok((rows, follower.position.unwrap_or_default()))
-}
-
 /// Sends a transaction to the table. Returns the position of its changes, if the
 /// reply tells it.
 ///
--- /dev/null
+++ b/crates/edge/src/feed/known.rs
@@ -0,0 +1,98 @@
+//! Decides when a call that waits for changes may have missed one.
+//!
+//! Load pattern: the table loses responses, or its connections go silent, while all
+//! targets send heartbeats. A call that waits for a change then looks as if nothing
+//! had changed, until its own timeout. All tables share one log of changes, and nearly
+//! all changes are heartbeats, which each read of the targets brings: a position up to
+//! that read at which no known row is may be the change that the call waits for.
+//!
+//! See [the note](../../../../docs/design/missed-changes.md).
+
+use std::collections::BTreeMap;
+
+use base::time;
+use platform::rows::Position;
+
+/// Maximum number of ranges of positions that are remembered.
+const MAX_RANGES: usize = 512;
+
+/// The changes that this router has read, by their positions.
+#[derive(Clone, Debug, Default)]
+pub struct KnownChanges {
+    /// Position up to which the targets were read.
+    read: Position,
+    /// Ranges of positions of rows that were read: the first and the last of each.
+    /// They are apart from each other by at least one position.
+    ranges: BTreeMap<u64, u64>,
+    /// When a call remained without an answer.
+    unanswered: Option<time::Mono>,
+}
+
+/// Why a call that waits may have missed a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// No row that was read is at this position.
+    Unknown(Position),
+    /// Another call remained without an answer. If that was for the connections, the
+    /// waiting one may be silent as well.
+    Unanswered,
+}
+
+/// What a call that waits for changes has shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Watched {
+    /// Position up to which all changes of the table that is watched are known.
+    pub known: Position,
+    /// When that was asked.
+    pub asked: time::Mono,
+}
+
+impl KnownChanges {
+    /// Records the positions of rows that were read.
+    pub fn record_rows(&mut self, rows: impl Iterator<Item = Position>) {
+        for position in rows {
+            self.add(position.0);
+        }
+        while self.ranges.len() > MAX_RANGES {
+            // Early positions are in doubt again, which causes a call at most.
+            self.ranges.pop_first();
+        }
+    }
+
+    /// Records that the targets were read up to a position.
+    pub fn record_read(&mut self, position: Position) {
+        self.read = position;
+    }
+
+    /// Records that a call remained without an answer.
+    pub fn record_unanswered(&mut self, now: time::Mono) {
+        self.unanswered = Some(now);
+    }
+
+    /// Returns why a call that waits may have missed a change, if it may.
+    pub fn doubt(&self, watched: Watched) -> Option<Doubt> {
+        if self.unanswered.is_some_and(|at| at > watched.asked) {
+            return Some(Doubt::Unanswered);
+        }
+        let next = watched.known.0.saturating_add(1);
+        let before = self.ranges.range(..=next).next_back();
+        let first = match before {
+            Some((_, last)) if *last >= next => last.saturating_add(1),
+            _ => next,
+        };
+        (first <= self.read.0).then_some(Doubt::Unknown(Position(first)))
+    }
+
+    fn add(&mut self, position: u64) {
+        let before = self.ranges.range(..=position).next_back();
+        let (first, last) = match before {
+            Some((_, last)) if *last >= position => return,
+            Some((first, last)) if last.saturating_add(1) == position => (*first, position),
+            _ => (position, position),
+        };
+        let joined = position
+            .checked_add(1)
+            .and_then(|next| self.ranges.remove(&next));
+        self.ranges.insert(first, joined.unwrap_or(last));
+    }
+}
--- /dev/null
+++ b/crates/edge/src/feed/mod.rs
@@ -0,0 +1,271 @@
+//! Follows the changes of the platform's tables.
+
+pub mod known;
+
+use std::{sync::Arc, time::Duration};
+
+use base::{
+    fault::{At, Fault},
+    span,
+};
+use bytes::Bytes;
+use http::StatusCode;
+use platform::rows::{self, Page, Position, Row, Table};
+use store::{error::Error, http::Reply, service::Service};
+use tokio::time as timer;
+
+use crate::{metrics::Counter, peers::Peers, shared::Shared};
+
+use known::{Doubt, KnownChanges, Watched};
+
+/// Time before a check, in which a response arrives that is on its way while another
+/// call shows the change that it brings.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+
+/// Reads a table and then follows its changes.
+pub struct Follower {
+    shared: Arc<Shared>,
+    service: Arc<Service>,
+    /// Used for calls that wait for a change.
+    waiting: Option<Waiting>,
+    table: Table,
+    /// Position up to which the changes are known.
+    pub position: Option<Position>,
+    unavailable: bool,
+}
+
+/// How calls that wait for a change are made, and how it is found out whether they
+/// have missed one.
+#[derive(Clone)]
+pub struct Waiting {
+    /// Used for the calls that wait.
+    pub service: Arc<Service>,
+    /// Used for checks. It keeps no connections: those that are open may be silent.
+    pub checks: Arc<Service>,
+    /// The other routers: those that read the table often report its changes.
+    pub peers: Arc<Peers>,
+}
+
+/// The result of a read.
+pub enum Change {
+    /// All rows of the table.
+    All(Vec<Row>),
+    /// Only rows that changed.
+    Some(Vec<Row>),
+}
+
+impl Change {
+    /// Returns the rows.
+    pub fn rows(&self) -> &[Row] {
+        let (Self::All(rows) | Self::Some(rows)) = self;
+        rows
+    }
+
+    /// Returns whether a row was removed.
+    pub fn removes(&self, key: &str) -> bool {
+        let mut rows = self.rows().iter();
+        rows.any(|row| row.key == key && row.value.is_none())
+    }
+}
+
+/// The response to a call for changes.
+enum Answer {
+    Page(Page),
+    /// The table no longer has the changes.
+    HistoryGone,
+}
+
+impl Follower {
+    /// Creates a follower that has read nothing yet.
+    pub fn new(shared: Arc<Shared>, service: Arc<Service>, table: Table) -> Self {
+        Self {
+            shared,
+            waiting: None,
+            service,
+            table,
+            position: None,
+            unavailable: false,
+        }
+    }
+
+    /// Sets how the next calls wait for a change.
+    pub fn set_waiting(&mut self, waiting: Waiting) {
+        self.waiting = Some(waiting);
+    }
+
+    /// Returns all rows at first, then the changes.
+    ///
+    /// # Errors
+    ///
+    /// When the table does not answer; the next call tries again.
+    pub async fn next(&mut self, wait: span::Span) -> Result<Change, Fault> {
+        let change = match self.position {
+            None => self.read().await.map(Change::All),
+            Some(after) => self.changes(after, wait).await,
+        };
+        let (table, peer) = (self.table, self.service.peer());
+        match &change {
+            Ok(_) if self.unavailable => tracing::info!(event = "table_regained", ?table, %peer),
+            Err(fault) if !self.unavailable => {
+                tracing::warn!(event = "table_lost", ?table, %peer, %fault)
+            }
+            _ => {}
+        }
+        self.unavailable = change.is_err();
+        change
+    }
+
+    async fn changes(&mut self, after: Position, wait: span::Span) -> Result<Change, Fault> {
+        let answer = match self.waiting.clone() {
+            // After a failure, a call that does not wait shows sooner whether the
+            // table is back.
+            Some(waiting) if !self.unavailable => tokio::select! {
+                answer = self.ask(&waiting.service, after, wait) => answer?,
+                answer = self.missed(&waiting, after) => answer,
+            },
+            _ => self.ask(&self.service, after, span::Span::ZERO).await?,
+        };
+        match answer {
+            Answer::Page(page) => {
+                self.position = Some(page.position);
+                Ok(Change::Some(page.rows))
+            }
+            Answer::HistoryGone => {
+                tracing::info!(event = "history_gone", table = ?self.table, after = after.0);
+                self.position = None;
+                self.read().await.map(Change::All)
+            }
+        }
+    }
+
+    /// Asks again for changes, on a new connection, whenever the call that waits for
+    /// them may have missed one. Returns when that was the case.
+    async fn missed(&self, waiting: &Waiting, after: Position) -> Answer {
+        let clock = &self.shared.clock;
+        let began = clock.now();
+        let mut watched = Watched {
+            known: after,
+            asked: began,
+        };
+        let mut changes = self.shared.known_changes.subscribe();
+        loop {
+            let doubts = changes.wait_for(|changes| is_due(waiting, changes, watched));
+            let Some(doubt) = doubts.await.ok().and_then(|it| it.doubt(watched)) else {
+                // Not reached: the state that holds the changes holds the sender.
+                return std::future::pending().await;
+            };
+            timer::sleep(ANSWER_TIME).await;
+            let (table, known, asked) = (self.table, watched.known, clock.now());
+            tracing::debug!(event = "feed_check", ?table, after = known.0, ?doubt);
+            self.shared.metrics.count(Counter::FeedChecks);
+            match self.ask(&waiting.checks, known, span::Span::ZERO).await {
+                Ok(Answer::Page(page)) if page.rows.is_empty() => {
+                    watched = Watched {
+                        known: page.position,
+                        asked,
+                    };
+                }
+                Ok(answer) => {
+                    let waited = clock.now().since(began);
+                    tracing::warn!(event = "change_missed", ?table, after = after.0, ?doubt, %waited);
+                    self.shared.metrics.count(Counter::MissedChanges);
+                    return answer;
+                }
+                // The doubt remains, so that the next check follows.
+                Err(_) => {}
+            }
+        }
+    }
+
+    async fn ask(
+        &self,
+        service: &Service,
+        after: Position,
+        wait: span::Span,
+    ) -> Result<Answer, Fault> {
+        let path = rows::watch_path(self.table, after, wait);
+        let reply = self.call(service, &path, &[StatusCode::GONE]).await;
+        let reply = reply.at("follow rows", service.peer())?;
+        match reply.status {
+            StatusCode::GONE => Ok(Answer::HistoryGone),
+            _ => self.decode(&reply.body).map(Answer::Page),
+        }
+    }
+
+    async fn call(
+        &self,
+        service: &Service,
+        path: &str,
+        allowed: &[StatusCode],
+    ) -> Result<Reply, Error> {
+        self.shared.metrics.count(Counter::TableCalls);
+        let reply = service.read(path, allowed).await;
+        if let Err(error) = &reply {
+            self.shared.metrics.count(Counter::TableFailures);
+            if error.may_have_run() {
+                let now = self.shared.clock.now();
+                let changes = &self.shared.known_changes;
+                changes.send_modify(|changes| changes.record_unanswered(now));
+            }
+        }
+        reply
+    }
+
+    async fn read(&mut self) -> Result<Vec<Row>, Fault> {
+        let mut rows: Vec<Row> = Vec::new();
+        let mut first = None;
+        loop {
+            let last = rows.last().map(|row| row.key.as_str());
+            let path = rows::read_path(self.table, last);
+            let reply = self.call(&self.service, &path, &[]).await;
+            let reply = reply.at("read rows", self.service.peer())?;
+            let page = self.decode(&reply.body)?;
+            // The feed returns changes since the first page again.
+            let position = *first.get_or_insert(page.position);
+            let more = page.more && !page.rows.is_empty();
+            rows.extend(page.rows);
+            if !more {
+                self.position = Some(position);
+                return Ok(rows);
+            }
+        }
+    }
+
+    fn decode(&self, body: &Bytes) -> Result<Page, Fault> {
+        let page = Page::decode(body).at("decode rows", self.service.peer())?;
+        let positions = page.rows.iter().map(|row| row.position);
+        self.shared.known_changes.send_modify(|changes| {
+            changes.record_rows(positions);
+            if self.table == Table::Targets {
+                changes.record_read(page.position);
+            }
+        });
+        Ok(page)
+    }
+}
+
+/// Returns whether a check is due. Of positions that are not known, only routers that
+/// read the table often make sure, as heartbeats between two reads leave such
+/// positions as well; the others get the changes from them.
+fn is_due(waiting: &Waiting, changes: &KnownChanges, watched: Watched) -> bool {
+    match changes.doubt(watched) {
+        Some(Doubt::Unknown(_)) => waiting.peers.is_reader(),
+        Some(Doubt::Unanswered) => true,
+        None => false,
+    }
+}
+
+/// Reads all rows of a table, and returns the position of the read.
+///
+/// # Errors
+///
+/// When the table does not answer.
+pub async fn read_all(
+    shared: &Arc<Shared>,
+    service: &Arc<Service>,
+    table: Table,
+) -> Result<(Vec<Row>, Position), Fault> {
+    let mut follower = Follower::new(shared.clone(), service.clone(), table);
+    let rows = follower.read().await?;
+    Ok((rows, follower.position.unwrap_or_default()))
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod exchange;
 pub mod expiry;
 pub mod explain;
+pub mod feed;
 pub mod fleet;
 pub mod handler;
 pub mod hedge;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -84,6 +84,10 @@
     TableCalls,
     /// Calls to the table that failed.
     TableFailures,
+    /// Calls that asked whether a waiting call to the table has missed a change.
+    FeedChecks,
+    /// Changes that waiting calls to the table had missed.
+    MissedChanges,
     /// Updates received from other routers.
     UpdatesReceived,
     /// Requests that were kept out of an evacuated data centre with targets of their
@@ -96,7 +100,7 @@
 }
 
 impl Counter {
-    const ALL: [(Self, &'static str); 29] = [
+    const ALL: [(Self, &'static str); 31] = [
         (Self::Requests, "requests"),
         (Self::Sends, "sends"),
         (Self::Answered, "answered"),
@@ -122,6 +126,8 @@
         (Self::ContentionFigures, "contention_figures"),
         (Self::TableCalls, "table_calls"),
         (Self::TableFailures, "table_failures"),
+        (Self::FeedChecks, "feed_checks"),
+        (Self::MissedChanges, "changes_missed"),
         (Self::UpdatesReceived, "news_received"),
         (Self::KeptFromEvacuated, "kept_from_evacuated"),
         (Self::KeptToRegions, "kept_to_regions"),
--- a/crates/edge/src/refusals.rs
+++ b/crates/edge/src/refusals.rs
@@ -20,7 +20,7 @@
 use store::service::Service;
 use tokio::time as timer;
 
-use crate::{control, shared::Shared};
+use crate::{control, feed, shared::Shared};
 
 /// Range of the random delay before a row is written, in which the row of another
 /// router that refuses the same may arrive.
@@ -256,7 +256,7 @@
     ) -> Result<(), Fault> {
         // After an outage of the table, rows may have been removed that the feed has
         // not delivered yet.
-        let (rows, position) = control::read_all(shared, service, Table::Refusals).await?;
+        let (rows, position) = feed::read_all(shared, service, Table::Refusals).await?;
         self.apply_all(shared, &rows, position);
         if !self.needs(shared, change) {
             return Ok(());
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -22,12 +22,13 @@
 use inlet::memory::MemoryBudget;
 use place::{contention::ContentionModel, hedge::Fraction, latency::LatencyModel};
 use platform::settings::{Bounds, Settings};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     clients::{self, Connections, LimitCounts, LimitReached},
     cold::Routers,
     exchange::LoadFreshness,
+    feed::known::KnownChanges,
     fleet::{Fleet, Target},
     metrics::Metrics,
     refusals::{RefusalKey, RowChange},
@@ -73,6 +74,8 @@
     pub bounds: ArcSwap<Bounds>,
     /// The routers that the limits of cold targets are divided among.
     pub cold_routers: ArcSwap<Routers>,
+    /// The changes of the table that this process has read.
+    pub known_changes: watch::Sender<KnownChanges>,
     /// Signals that rows of refusals have to be written or removed.
     pub refusals_changed: Notify,
     hedging: OnceLock<Fraction>,
@@ -143,6 +146,7 @@
             cold_routers: ArcSwap::default(),
             connections: Connections::new(clients::max_callers(&settings)),
             limits: LimitCounts::default(),
+            known_changes: watch::Sender::default(),
             refusals_changed: Notify::new(),
             hedging: OnceLock::new(),
             retry_budget: Mutex::new(FleetRetryBudget::new(retry_limit(&bounds))),
--- a/crates/edge/tests/fuzz.rs
+++ b/crates/edge/tests/fuzz.rs
@@ -186,8 +186,8 @@
             }
         }
         let out = String::from_utf8(out).expect("text");
-        let ids = out.lines().filter_map(|line| line.strip_prefix("id: "));
-        prop_assert_eq!(ids.last().map(|id| id.parse().expect("a number")), buffer.last_id());
+        let mut ids = out.lines().filter_map(|line| line.strip_prefix("id: "));
+        prop_assert_eq!(ids.next_back().map(|id| id.parse().expect("a number")), buffer.last_id());
         prop_assert!(whole.starts_with(&out));
     }
 
--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -2,8 +2,8 @@
 //! transactions.
 
 use std::{
-    collections::BTreeMap,
-    io,
+    collections::{BTreeMap, BTreeSet},
+    future, io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -45,6 +45,8 @@
     calls: u64,
     /// Time that every call takes in addition.
     delay: Duration,
+    /// Tables whose responses are lost at present.
+    losing: BTreeSet<String>,
 }
 
 #[derive(Debug, Default)]
@@ -121,6 +123,12 @@
         self.shared.state().delay = delay;
     }
 
+    /// Loses the responses that are made from now on to reads of these tables, in place
+    /// of those of the call before. Their connections deliver nothing further.
+    pub fn lose(&self, tables: &[&str]) {
+        self.shared.state().losing = tables.iter().map(ToString::to_string).collect();
+    }
+
     /// Forgets the history, so that followers must read all rows again.
     pub fn forget(&self) {
         let mut state = self.shared.state();
@@ -188,6 +196,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits for ever if the response to a read is lost.
+    async fn lose(&self, query: &BTreeMap<String, String>) {
+        let is_lost = self.state().losing.contains(text(query, "table_name"));
+        if is_lost {
+            future::pending().await
+        }
+    }
+
     fn read(&self, query: &BTreeMap<String, String>) -> Response<Body> {
         let table = text(query, "table_name");
         let source = text(query, "source");
@@ -268,12 +284,14 @@
             }
         }
         let query = parse(request.uri().query().unwrap_or_default());
-        Ok(match (request.method(), request.uri().path()) {
+        let response = match (request.method(), request.uri().path()) {
             (&Method::GET, "/rows-get") => self.read(&query),
             (&Method::GET, "/rows-feed") => self.feed(&query).await,
             (&Method::POST, "/rows-tx") => self.transact(request).await,
             _ => body::error(StatusCode::NOT_FOUND, "no such path"),
-        })
+        };
+        self.lose(&query).await;
+        Ok(response)
     }
 }
 
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -46,8 +46,9 @@
 }
 
 impl Client {
-    /// Makes a client that opens connections on demand and reuses them.
-    pub fn new(peer: SocketAddr, timeout: span::Span) -> Self {
+    /// Makes a client that opens connections on demand, and reuses them if they are
+    /// `pooled`.
+    pub fn new(peer: SocketAddr, timeout: span::Span, pooled: bool) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_keepalive(Some(KEEPALIVE_TIME));
@@ -60,6 +61,7 @@
         // safe for writes too.
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(if pooled { usize::MAX } else { 0 })
             .build(connector);
         Self {
             peer,
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -27,6 +27,8 @@
     pub timeout: span::Span,
     /// Rates, retries and circuit breaker.
     pub policy: Policy,
+    /// Whether connections are kept for further calls.
+    pub pooled: bool,
 }
 
 impl Options {
@@ -36,6 +38,7 @@
             peer,
             timeout,
             policy: Policy::default(),
+            pooled: true,
         }
     }
 }
@@ -51,7 +54,7 @@
     /// Makes a client; the first call opens the first connection.
     pub fn new(options: Options) -> Self {
         Self {
-            client: Client::new(options.peer, options.timeout),
+            client: Client::new(options.peer, options.timeout, options.pooled),
             guard: Guard::new(options.policy),
         }
     }
