Do not pass on responses whose status HTTP does not define

Status 000 was answered with 502 before, as the HTTP library rejects it.

Cause: the library accepts 100 to 999, and the router checked only the statuses that promise something.

Change: a status outside 200 to 599 gives an attempt without a known outcome (`missed outcome=undefined-status`). The agents of the product's own protocol had the same fault and check the same.

Evidence: odd_statuses (edge) and target_answers: odd_statuses (daemon) failed before. Result: odd_statuses, early_resets, target_answers, forwarding pass.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -347,6 +347,11 @@
             self.log_missed(target, "foreign-response");
             return Err(AttemptError::OutcomeUnknown);
         }
+        if !inlet::is_final(head.status) {
+            target.update_breaker(|breaker| breaker.record_error());
+            self.log_missed(target, "undefined-status");
+            return Err(AttemptError::OutcomeUnknown);
+        }
         if let Some(load) = head.load {
             target.report(now, load);
             self.record_contention(target, now, load);
--- a/crates/edge/tests/callers.rs
+++ b/crates/edge/tests/callers.rs
@@ -23,6 +23,7 @@
 const OPTIONS: Options = Options {
     head: 200,
     idle: 300,
+    body: fakes::site::MAX_BODY,
     engines: false,
     rule_regions: &[],
     team_regions: &[],
--- a/crates/fakes/src/site.rs
+++ b/crates/fakes/src/site.rs
@@ -136,6 +136,8 @@
     pub head: u64,
     /// Time between two requests of a connection, in milliseconds.
     pub idle: u64,
+    /// Length of a request body, in bytes.
+    pub body: usize,
     /// Whether the targets are engines.
     pub engines: bool,
     /// Regions that the rules may use; all if empty.
@@ -149,6 +151,7 @@
         Self {
             head: 3_000,
             idle: 15_000,
+            body: MAX_BODY,
             engines: false,
             rule_regions: &[],
             team_regions: &[],
@@ -187,7 +190,7 @@
             rule("resume", "streaming", true),
         ],
         "services": [service],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": MAX_BODY,
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": options.body,
                    "header_timeout_ms": options.head, "idle_timeout_ms": options.idle},
         "tenants": [team],
     });
--- a/crates/inlet/src/lib.rs
+++ b/crates/inlet/src/lib.rs
@@ -11,7 +11,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, header};
+use http::{HeaderMap, StatusCode, header};
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -168,6 +168,12 @@
     }
 }
 
+/// Returns whether a status is that of a final response. A target in trouble may send
+/// any three digits, and HTTP libraries accept most of them.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reads and discards, in the background, the body of a request that is answered
 /// without it.
 ///
--- a/crates/roles/src/target.rs
+++ b/crates/roles/src/target.rs
@@ -133,14 +133,25 @@
             Err(cause) if cause.is_connect() => "no connection".to_owned(),
             Err(_) => "connection lost".to_owned(),
         });
-        answered.map_err(|cause| {
-            let not_sent = cause.is_connect();
-            let fault = Fault::new("send request", self.address, cause);
-            match not_sent {
-                true => Failure::NotSent(fault),
-                false => Failure::Broken(fault),
+        match answered {
+            Ok(response) if inlet::is_final(response.status()) => Ok(response),
+            Ok(response) => {
+                let cause = Status(response.status());
+                Err(Failure::Broken(Fault::new(
+                    "read response",
+                    self.address,
+                    cause,
+                )))
             }
-        })
+            Err(cause) => {
+                let not_sent = cause.is_connect();
+                let fault = Fault::new("send request", self.address, cause);
+                Err(match not_sent {
+                    true => Failure::NotSent(fault),
+                    false => Failure::Broken(fault),
+                })
+            }
+        }
     }
 
     fn request(&self, id: id::RequestId, run: &msg::Run) -> Result<Request<Full<Bytes>>, Fault> {
