Overlap checks that have no answer, and check versions that peers report

Change: while a check has no answer, others follow every 0.5 s, three at a time. A newer version that another router reports is a reason to check, once for each version, unless the response of the waiting call has begun: a large configuration takes seconds.

--- a/crates/edge/src/feed/known.rs
+++ b/crates/edge/src/feed/known.rs
@@ -4,13 +4,14 @@
 //! targets send heartbeats. A call that waits for a change then looks as if nothing
 //! had changed, until its own timeout. All tables share one log of changes, and nearly
 //! all changes are heartbeats, which each read of the targets brings: a position up to
-//! that read at which no known row is may be the change that the call waits for.
+//! that read at which no known row is may be the change that the call waits for. A
+//! version of the configuration that another router has may be it, too.
 //!
 //! See [the note](../../../../docs/design/missed-changes.md).
 
 use std::collections::BTreeMap;
 
-use base::time;
+use base::{id, time};
 use platform::rows::Position;
 
 /// Maximum number of ranges of positions that are remembered.
@@ -26,6 +27,9 @@
     ranges: BTreeMap<u64, u64>,
     /// When a call remained without an answer.
     unanswered: Option<time::Mono>,
+    /// The newest version of the configuration that another router reported, and when it
+    /// was first reported.
+    reported: (id::Version, time::Mono),
 }
 
 /// Why a call that waits may have missed a change.
@@ -36,6 +40,8 @@
     /// Another call remained without an answer. If that was for the connections, the
     /// waiting one may be silent as well.
     Unanswered,
+    /// Another router has this version of the configuration.
+    Reported(id::Version),
 }
 
 /// What a call that waits for changes has shown.
@@ -45,6 +51,8 @@
     pub known: Position,
     /// When that was asked.
     pub asked: time::Mono,
+    /// The version in force, if the table that is watched has the configuration.
+    pub version: Option<id::Version>,
 }
 
 impl KnownChanges {
@@ -69,8 +77,22 @@
         self.unanswered = Some(now);
     }
 
+    /// Records the version of the configuration that another router has. Returns whether
+    /// it is newer than all that were reported before.
+    pub fn record_version(&mut self, now: time::Mono, version: id::Version) -> bool {
+        let is_newer = version > self.reported.0;
+        if is_newer {
+            self.reported = (version, now);
+        }
+        is_newer
+    }
+
     /// Returns why a call that waits may have missed a change, if it may.
     pub fn doubt(&self, watched: Watched) -> Option<Doubt> {
+        let (reported, at) = self.reported;
+        if watched.version.is_some_and(|own| own < reported) && at > watched.asked {
+            return Some(Doubt::Reported(reported));
+        }
         if self.unanswered.is_some_and(|at| at > watched.asked) {
             return Some(Doubt::Unanswered);
         }
--- a/crates/edge/src/feed/mod.rs
+++ b/crates/edge/src/feed/mod.rs
@@ -2,13 +2,21 @@
 
 pub mod known;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    future,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use base::{
     fault::{At, Fault},
-    span,
+    span, time,
 };
 use bytes::Bytes;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::StatusCode;
 use platform::rows::{self, Page, Position, Row, Table};
 use store::{error::Error, http::Reply, service::Service};
@@ -22,6 +30,13 @@
 /// call shows the change that it brings.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 
+/// Interval of checks that have no answer.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum number of checks that have no answer yet. Their responses may be lost, too,
+/// and the first one after the disturbance should not wait for their timeouts.
+const MAX_CHECKS: usize = 3;
+
 /// Reads a table and then follows its changes.
 pub struct Follower {
     shared: Arc<Shared>,
@@ -119,11 +134,18 @@
         let answer = match self.waiting.clone() {
             // After a failure, a call that does not wait shows sooner whether the
             // table is back.
-            Some(waiting) if !self.unavailable => tokio::select! {
-                answer = self.ask(&waiting.service, after, wait) => answer?,
-                answer = self.missed(&waiting, after) => answer,
-            },
-            _ => self.ask(&self.service, after, span::Span::ZERO).await?,
+            Some(waiting) if !self.unavailable => {
+                let begun = AtomicBool::new(false);
+                tokio::select! {
+                    answer = self.ask(&waiting.service, after, wait, &begun) => answer?,
+                    answer = self.missed(&waiting, after, &begun) => answer,
+                }
+            }
+            _ => {
+                let begun = AtomicBool::new(false);
+                self.ask(&self.service, after, span::Span::ZERO, &begun)
+                    .await?
+            }
         };
         match answer {
             Answer::Page(page) => {
@@ -138,53 +160,88 @@
         }
     }
 
-    /// Asks again for changes, on a new connection, whenever the call that waits for
-    /// them may have missed one. Returns when that was the case.
-    async fn missed(&self, waiting: &Waiting, after: Position) -> Answer {
+    /// Asks again for changes, on new connections, while the call that waits for them may
+    /// have missed one and its response has not begun. Returns when it has missed one.
+    async fn missed(&self, waiting: &Waiting, after: Position, begun: &AtomicBool) -> Answer {
         let clock = &self.shared.clock;
         let began = clock.now();
         let mut watched = Watched {
             known: after,
             asked: began,
+            version: None,
         };
-        let mut changes = self.shared.known_changes.subscribe();
+        let mut checks = FuturesUnordered::new();
+        let mut earliest = timer::Instant::now();
         loop {
-            let doubts = changes.wait_for(|changes| is_due(waiting, changes, watched));
-            let Some(doubt) = doubts.await.ok().and_then(|it| it.doubt(watched)) else {
-                // Not reached: the state that holds the changes holds the sender.
-                return std::future::pending().await;
-            };
-            timer::sleep(ANSWER_TIME).await;
-            let (table, known, asked) = (self.table, watched.known, clock.now());
-            tracing::debug!(event = "feed_check", ?table, after = known.0, ?doubt);
-            self.shared.metrics.count(Counter::FeedChecks);
-            match self.ask(&waiting.checks, known, span::Span::ZERO).await {
-                Ok(Answer::Page(page)) if page.rows.is_empty() => {
-                    watched = Watched {
-                        known: page.position,
-                        asked,
-                    };
+            tokio::select! {
+                doubt = self.doubt(waiting, watched, earliest), if checks.len() < MAX_CHECKS => {
+                    if begun.load(Ordering::Relaxed) {
+                        return future::pending().await;
+                    }
+                    tracing::debug!(event = "feed_check", table = ?self.table, after = watched.known.0, ?doubt);
+                    self.shared.metrics.count(Counter::FeedChecks);
+                    earliest = timer::Instant::now() + CHECK_INTERVAL;
+                    checks.push(self.check(waiting, watched.known, doubt));
                 }
-                Ok(answer) => {
-                    let waited = clock.now().since(began);
-                    tracing::warn!(event = "change_missed", ?table, after = after.0, ?doubt, %waited);
-                    self.shared.metrics.count(Counter::MissedChanges);
-                    return answer;
+                Some((asked, doubt, answer)) = checks.next() => match answer {
+                    Ok(Answer::Page(page)) if page.rows.is_empty() => {
+                        watched.known = watched.known.max(page.position);
+                        watched.asked = watched.asked.max(asked);
+                    }
+                    Ok(answer) => {
+                        let (table, waited) = (self.table, clock.now().since(began));
+                        tracing::warn!(event = "change_missed", ?table, after = after.0, ?doubt, %waited);
+                        self.shared.metrics.count(Counter::MissedChanges);
+                        return answer;
+                    }
+                    // The doubt remains, so that the next check follows.
+                    Err(_) => {}
                 }
-                // The doubt remains, so that the next check follows.
-                Err(_) => {}
             }
         }
     }
 
+    /// Waits until the call that waits may have missed a change, and for the time in which
+    /// its response would arrive; not before `earliest`.
+    async fn doubt(&self, waiting: &Waiting, watched: Watched, earliest: timer::Instant) -> Doubt {
+        let mut changes = self.shared.known_changes.subscribe();
+        let mut found = None;
+        let due = changes.wait_for(|changes| {
+            let version = (self.table == Table::Operator).then(|| self.shared.version());
+            found = due(waiting, changes, Watched { version, ..watched });
+            found.is_some()
+        });
+        let is_open = due.await.is_ok();
+        let (true, Some(doubt)) = (is_open, found) else {
+            // Not reached: the state that holds the changes holds the sender.
+            return future::pending().await;
+        };
+        timer::sleep_until((timer::Instant::now() + ANSWER_TIME).max(earliest)).await;
+        doubt
+    }
+
+    /// Asks for changes on a new connection; returns when, and why, with the answer.
+    async fn check(
+        &self,
+        waiting: &Waiting,
+        after: Position,
+        doubt: Doubt,
+    ) -> (time::Mono, Doubt, Result<Answer, Fault>) {
+        let asked = self.shared.clock.now();
+        let begun = AtomicBool::new(false);
+        let answer = self.ask(&waiting.checks, after, span::Span::ZERO, &begun);
+        (asked, doubt, answer.await)
+    }
+
     async fn ask(
         &self,
         service: &Service,
         after: Position,
         wait: span::Span,
+        begun: &AtomicBool,
     ) -> Result<Answer, Fault> {
         let path = rows::watch_path(self.table, after, wait);
-        let reply = self.call(service, &path, &[StatusCode::GONE]).await;
+        let reply = self.call(service, &path, &[StatusCode::GONE], begun).await;
         let reply = reply.at("follow rows", service.peer())?;
         match reply.status {
             StatusCode::GONE => Ok(Answer::HistoryGone),
@@ -197,9 +254,10 @@
         service: &Service,
         path: &str,
         allowed: &[StatusCode],
+        begun: &AtomicBool,
     ) -> Result<Reply, Error> {
         self.shared.metrics.count(Counter::TableCalls);
-        let reply = service.read(path, allowed).await;
+        let reply = service.read_observed(path, allowed, begun).await;
         if let Err(error) = &reply {
             self.shared.metrics.count(Counter::TableFailures);
             if error.may_have_run() {
@@ -217,7 +275,8 @@
         loop {
             let last = rows.last().map(|row| row.key.as_str());
             let path = rows::read_path(self.table, last);
-            let reply = self.call(&self.service, &path, &[]).await;
+            let begun = AtomicBool::new(false);
+            let reply = self.call(&self.service, &path, &[], &begun).await;
             let reply = reply.at("read rows", self.service.peer())?;
             let page = self.decode(&reply.body)?;
             // The feed returns changes since the first page again.
@@ -244,15 +303,15 @@
     }
 }
 
-/// Returns whether a check is due. Of positions that are not known, only routers that
-/// read the table often make sure, as heartbeats between two reads leave such
-/// positions as well; the others get the changes from them.
-fn is_due(waiting: &Waiting, changes: &KnownChanges, watched: Watched) -> bool {
-    match changes.doubt(watched) {
-        Some(Doubt::Unknown(_)) => waiting.peers.is_reader(),
-        Some(Doubt::Unanswered) => true,
-        None => false,
-    }
+/// Returns why a check is due, if it is. Of positions that are not known, only routers
+/// that read the table often make sure, as heartbeats between two reads leave such
+/// positions as well; the others learn from them that there is a new version.
+fn due(waiting: &Waiting, changes: &KnownChanges, watched: Watched) -> Option<Doubt> {
+    let is_checked = |doubt: &Doubt| match doubt {
+        Doubt::Unknown(_) => waiting.peers.is_reader(),
+        Doubt::Unanswered | Doubt::Reported(_) => true,
+    };
+    changes.doubt(watched).filter(is_checked)
 }
 
 /// Reads all rows of a table, and returns the position of the read.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -347,6 +347,9 @@
             departures.filter_map(|entry| Departure::try_from(entry).ok()),
             &update.joined,
         );
+        let version = id::Version(update.version);
+        let changes = &self.shared.known_changes;
+        changes.send_if_modified(|changes| changes.record_version(now, version));
         self.fetch_if_behind(now, address, update.version);
     }
 
--- a/crates/edge/tests/known_changes.rs
+++ b/crates/edge/tests/known_changes.rs
@@ -1,7 +1,7 @@
 //! Which changes a call that waits may have missed, by the positions of the rows that
 //! were read.
 
-use base::{span::Span, time::Mono};
+use base::{id::Version, span::Span, time::Mono};
 use edge::feed::known::{Doubt, KnownChanges, Watched};
 use platform::rows::Position;
 use proptest::prelude::*;
@@ -12,6 +12,7 @@
     Watched {
         known: Position(known),
         asked: ASKED,
+        version: None,
     }
 }
 
@@ -70,6 +71,27 @@
     );
 }
 
+/// Another router has a newer version: a reason to ask once, unless the version is in
+/// force here or was known when the call began.
+#[test]
+fn reported_version() {
+    let later = ASKED + Span::from_millis(1);
+    let own = |version, asked| Watched {
+        version: Some(Version(version)),
+        asked,
+        ..watched(10)
+    };
+    let mut changes = KnownChanges::default();
+    assert!(changes.record_version(later, Version(7)));
+    assert!(!changes.record_version(later, Version(7)));
+    assert!(!changes.record_version(later, Version(6)));
+    let doubt = Some(Doubt::Reported(Version(7)));
+    assert_eq!(changes.doubt(own(6, ASKED)), doubt);
+    assert_eq!(changes.doubt(own(7, ASKED)), None);
+    assert_eq!(changes.doubt(own(6, later)), None);
+    assert_eq!(changes.doubt(watched(10)), None);
+}
+
 /// After the table went back to an earlier position, as from a copy, no position is
 /// in doubt for ever.
 #[test]
--- a/crates/edge/tests/lost_responses.rs
+++ b/crates/edge/tests/lost_responses.rs
@@ -136,11 +136,14 @@
     site.check_lost(&["op"], Duration::from_millis(2_500)).await;
 }
 
-/// Six routers, only some of which read the table often.
+/// Six routers, only some of which read the table often: the others learn the version
+/// from them.
 #[tokio::test]
 async fn lost_change_six() {
-    let site = Site::start(6, None).await;
-    site.check_lost(&["op"], Duration::from_millis(350)).await;
+    for lost in [350, 1_500] {
+        let site = Site::start(6, None).await;
+        site.check_lost(&["op"], Duration::from_millis(lost)).await;
+    }
 }
 
 /// An operator lifts a refusal by removing its row, and the responses that bring the
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,6 +1,10 @@
 //! HTTP/1.1 requests to a service of the platform.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
 
 use base::span;
 use bytes::Bytes;
@@ -82,6 +86,21 @@
         path: &str,
         body: Bytes,
         allowed: &[StatusCode],
+    ) -> Result<Reply, Error> {
+        let begun = AtomicBool::new(false);
+        self.send_observed(request, path, body, allowed, &begun)
+            .await
+    }
+
+    /// Does the same as [`Self::send`], and sets `begun` when the head of a reply has
+    /// arrived; a large body may take seconds.
+    pub async fn send_observed(
+        &self,
+        request: http::request::Builder,
+        path: &str,
+        body: Bytes,
+        allowed: &[StatusCode],
+        begun: &AtomicBool,
     ) -> Result<Reply, Error> {
         let uri: Uri = format!("http://{}{path}", self.peer)
             .parse()
@@ -90,13 +109,17 @@
             .uri(uri)
             .body(Full::new(body))
             .map_err(|error| Error::Request(Box::new(error)))?;
-        match tokio::time::timeout(self.timeout.duration(), self.exchange(request)).await {
+        match tokio::time::timeout(self.timeout.duration(), self.exchange(request, begun)).await {
             Ok(reply) => check(reply?, allowed),
             Err(_) => Err(Error::Timeout(self.timeout)),
         }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Reply, Error> {
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        begun: &AtomicBool,
+    ) -> Result<Reply, Error> {
         let response = self.inner.request(request).await.map_err(|error| {
             if error.is_connect() {
                 Error::Connect(error)
@@ -104,6 +127,7 @@
                 Error::Broken(Box::new(error))
             }
         })?;
+        begun.store(true, Ordering::Relaxed);
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, MAX_REPLY).collect().await;
         Ok(Reply {
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -1,6 +1,6 @@
 //! The connections to one service of the platform and the limits on its calls.
 
-use std::{future::Future, net::SocketAddr};
+use std::{future::Future, net::SocketAddr, sync::atomic::AtomicBool};
 
 use base::span;
 use bytes::Bytes;
@@ -86,9 +86,25 @@
     ///
     /// When the service sent no allowed reply, or the call was not sent.
     pub async fn read(&self, path: &str, allowed: &[StatusCode]) -> Result<Reply, Error> {
+        self.read_observed(path, allowed, &AtomicBool::new(false))
+            .await
+    }
+
+    /// Does the same as [`Self::read`], and sets `begun` when the head of a reply has
+    /// arrived.
+    ///
+    /// # Errors
+    ///
+    /// See [`Self::read`].
+    pub async fn read_observed(
+        &self,
+        path: &str,
+        allowed: &[StatusCode],
+        begun: &AtomicBool,
+    ) -> Result<Reply, Error> {
         let attempt = || {
             self.client
-                .send(Request::builder(), path, Bytes::new(), allowed)
+                .send_observed(Request::builder(), path, Bytes::new(), allowed, begun)
         };
         self.guard.call(Access::Read, attempt).await
     }
