Lose responses of the table at the end of each soak

Change: after all faults have ended, the soak takes a key away while the responses of one or more tables are lost for up to 2.5 s, and checks that all routers refuse it 3.2 s after the end of the loss.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -41,6 +41,18 @@
 /// allowance for this machine.
 const BOUND: Duration = Duration::from_millis(2_200);
 
+/// Time after a disturbance of the table from which on its changes take effect in time,
+/// with the same allowance.
+const CONTACT: Duration = Duration::from_millis(3_200);
+
+/// Tables whose responses are lost together.
+const LOST: [&[&str]; 4] = [
+    &["op"],
+    &["servers"],
+    &["op", "servers"],
+    &["op", "servers", "members", "refusals"],
+];
+
 /// Time from SIGTERM to the end of a process.
 const GRACE: Duration = Duration::from_secs(8);
 
@@ -346,6 +358,7 @@
         let mut violations = self.served().await;
         violations.extend(self.drained().await);
         violations.extend(self.revoked().await);
+        violations.extend(self.lost().await?);
         violations.extend(self.stopped().await?);
         Ok(violations)
     }
@@ -386,14 +399,38 @@
     async fn revoked(&mut self) -> Violations {
         self.site.configure(&[KEY]);
         time::sleep(BOUND).await;
+        self.served_revoked("revoked").await
+    }
+
+    /// A key that is taken away while responses of the table are lost is refused
+    /// everywhere after the bound.
+    async fn lost(&mut self) -> anyhow::Result<Violations> {
+        self.site.configure(&[KEY, REVOKED]);
+        time::sleep(BOUND).await;
+        let tables = *LOST.choose(&mut self.rng).context("there are tables")?;
+        let length = Duration::from_millis(self.rng.random_range(50..2_500));
+        self.site.table.lose(tables);
+        self.site.configure(&[KEY]);
+        time::sleep(length).await;
+        self.site.table.lose(&[]);
+        self.faults.push(format!(
+            "at the end: responses of {tables:?} lost for {} ms",
+            length.as_millis()
+        ));
+        time::sleep(CONTACT).await;
+        Ok(self.served_revoked("lost").await)
+    }
+
+    /// Returns the routers that accept the key that was taken away.
+    async fn served_revoked(&self, step: &str) -> Violations {
         let mut violations = Vec::new();
         for router in &self.routers {
-            let attempt = format!("revoked-{}", router.name);
+            let attempt = format!("{step}-{}", router.name);
             let outcome = Caller::default()
                 .call(router.ports.callers(), 1, &attempt, REVOKED)
                 .await;
             if outcome != Outcome::Whole(http::StatusCode::UNAUTHORIZED) {
-                violations.push(format!("a revoked key at {}: {outcome:?}", router.name));
+                violations.push(format!("{step}: the key at {}: {outcome:?}", router.name));
             }
         }
         violations
