Close the connection of a broken stream before it is resumed

Callers saw nothing; targets worked twice: one that wrote stray bytes into a stream and worked on kept its connection until the next target's head had arrived.

Cause: the connection was closed only when the next response replaced the broken one.

Change: it is closed before the next target is asked.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -167,7 +167,8 @@
         EventError::Malformed | EventError::TooLong => true,
     };
     let certain = sound.iter().rev().find(is_certain);
-    // If the caller already has an event with such an id, nothing new is in doubt.
+    // If the caller already has an event with such an id, none of the new ones is in
+    // doubt.
     *certain.unwrap_or(&sound[sound.len() - 1])
 }
 
--- a/crates/edge/src/feed/known.rs
+++ b/crates/edge/src/feed/known.rs
@@ -37,8 +37,8 @@
 pub enum Doubt {
     /// No row that was read is at this position.
     Unknown(Position),
-    /// Another call remained without an answer. If that was for the connections, the
-    /// waiting one may be silent as well.
+    /// Another call remained without an answer, so that the connection of the one that
+    /// waits may be silent as well.
     Unanswered,
     /// Another router has this version of the configuration.
     Reported(id::Version),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -91,6 +91,8 @@
                 Read::Events(events) => return Some((Ok(Frame::data(events)), self)),
                 Read::End => return self.finish(),
                 Read::Broken(fault) => {
+                    // The target may still work on the request, which goes on at another.
+                    self.response.lease.close();
                     let target = self.response.flight.target().clone();
                     target.update_breaker(|breaker| breaker.record_error());
                     let now = self.request.shared.clock.now();
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -103,7 +103,7 @@
     meter: Meter,
     /// Whether it was idle before, as a rule after an earlier response.
     reused: bool,
-    _task: ConnectionTask,
+    task: ConnectionTask,
 }
 
 /// Task that drives a connection. Dropping it closes the connection, which cancels
@@ -127,6 +127,11 @@
     pub fn is_reused(&self) -> bool {
         self.0.reused
     }
+
+    /// Closes the connection, which makes the target stop its work on the request.
+    pub fn close(&self) {
+        self.0.task.0.abort();
+    }
 }
 
 impl Pool {
@@ -282,7 +287,7 @@
             sender,
             meter,
             reused: false,
-            _task: ConnectionTask(task.abort_handle()),
+            task: ConnectionTask(task.abort_handle()),
         })
     }
 }
--- a/crates/edge/tests/stray_events.rs
+++ b/crates/edge/tests/stray_events.rs
@@ -9,6 +9,7 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
+    time::{Duration, Instant},
 };
 
 use fakes::{
@@ -18,8 +19,12 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::Notify,
 };
 
+/// Time within which a target has to learn that its work is no longer wanted.
+const CANCEL_TIME: Duration = Duration::from_millis(400);
+
 /// Number of calls within which the faulty target gets a first attempt.
 const CALLS: usize = 20;
 
@@ -135,7 +140,7 @@
         };
         stream.write_all((head + &frame(&first)).as_bytes()).await?;
         if self.apart {
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
         let end = match self.framing {
             Framing::Chunks => "0\r\n\r\n",
@@ -237,3 +242,61 @@
         .await;
     }
 }
+
+/// Answers the first request with stray bytes once `write` says so, and works on. Returns
+/// how long after that its connection was closed.
+async fn serve_stray(listener: TcpListener, write: Arc<Notify>) -> Duration {
+    let (mut stream, _) = listener.accept().await.expect("accepts");
+    let mut buffer = [0; 4_096];
+    let read = stream.read(&mut buffer).await.expect("reads");
+    let text = String::from_utf8_lossy(&buffer[..read]).into_owned();
+    let mut lines = text.lines();
+    let attempt = lines.find_map(|line| line.strip_prefix("x-attempt-id: "));
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Response-Signature: s\r\n\
+         Content-Type: text/event-stream\r\n\r\n",
+        attempt.unwrap_or_default()
+    );
+    write.notified().await;
+    let response = head + &events(1, 2) + &foreign(1);
+    let written = stream.write_all(response.as_bytes()).await;
+    written.expect("writes");
+    let began = Instant::now();
+    let closed = stream.read(&mut buffer).await;
+    assert!(closed.is_err() || closed.is_ok_and(|read| read == 0));
+    began.elapsed()
+}
+
+/// A target that wrote stray bytes works on, and the next target takes long to respond.
+/// Both must not work on the request: the first connection is closed at once.
+#[tokio::test]
+async fn stray_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("bound");
+    let write = Arc::new(Notify::new());
+    let faulty = tokio::spawn(serve_stray(listener, write.clone()));
+    let table = Rows::start().expect("a table");
+    fakes::site::configure(&table, 1, &[site::KEY]);
+    fakes::site::list(&table, "i-1", address, "ready", 1);
+    let router = site::router(site::settings(table.address(), &[])).await;
+    router.ready().await;
+    let slow = Runner::start("i-2", Behaviour::Hang).expect("a target");
+    let listed = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        fakes::site::list_runner(&table, &slow, "ready");
+        let targets = || {
+            let fleet = router.shared.fleet.load();
+            fleet
+                .iter()
+                .map(|fleet| fleet.targets().count())
+                .sum::<usize>()
+        };
+        site::until("both targets are known", || targets() == 2).await;
+        write.notify_one();
+    };
+    let request = site::request("/resume/a", "a1");
+    let (_, ()) = tokio::join!(router.try_send(request), listed);
+    let took = faulty.await.expect("the connection is closed");
+    assert!(took < CANCEL_TIME, "closed after {took:?}");
+    assert_eq!(slow.runs().len(), 1, "the stream is resumed");
+}
