Break off a stream whose last forwarded event may be stray

Callers saw: an event of another stream that is ahead of this one arrives in a read of its own and is forwarded; the next event of the stream then seems to come too late, and the stream is resumed after the stray one. The caller gets 200 and a complete body with a foreign event and without some of its own.

Cause: an event out of order was always taken for the stray one.

Change: if it fits between the last two events that were forwarded, or repeats the last one, the last one is in doubt: the stream is broken off and not resumed, so that it does not look complete. A target that was asked to resume proves nothing about the events before.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -19,6 +19,15 @@
         /// The id that was received.
         found: u64,
     },
+    /// An event id fits between the last two events that were forwarded, or repeats the
+    /// last one. It may continue the stream, so that the last one does not belong to it.
+    #[error("event id {found} shows that the forwarded event id {last} may be stray")]
+    Contradicted {
+        /// The id that was forwarded.
+        last: u64,
+        /// The id that was received.
+        found: u64,
+    },
     /// A line does not begin with the name of a field, for example the status line of
     /// another response.
     #[error("a line of an event has no field name")]
@@ -28,6 +37,14 @@
     TooLong,
 }
 
+impl EventError {
+    /// Returns whether all events that were forwarded belong to the stream, so that it can
+    /// be resumed after them.
+    pub fn is_resumable(self) -> bool {
+        !matches!(self, Self::Contradicted { .. })
+    }
+}
+
 /// What the bytes of one read completed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Completed {
@@ -44,6 +61,8 @@
     end: usize,
     /// Id of the last event so far.
     last: Option<u64>,
+    /// Id of the event before it.
+    previous: Option<u64>,
     /// Number of events with an id so far.
     count: u64,
 }
@@ -59,6 +78,7 @@
         match self.last {
             Some(last) if found <= last => Err(EventError::Unordered { last, found }),
             _ => {
+                self.previous = self.last;
                 self.last = Some(found);
                 self.count += 1;
                 Ok(())
@@ -76,6 +96,8 @@
     /// Id of the last event that was returned. A stream is resumed after it, so that
     /// an event which is not returned must not count.
     last: Option<u64>,
+    /// Id of the event before it, or the same id if that one is certain.
+    previous: Option<u64>,
     /// Number of returned events with an id.
     count: u64,
 }
@@ -87,6 +109,7 @@
         Self {
             buffer: BytesMut::new(),
             last,
+            previous: last,
             count: 0,
         }
     }
@@ -106,9 +129,11 @@
         !self.buffer.is_empty()
     }
 
-    /// Discards an incomplete event, before the stream is resumed at another target.
+    /// Discards an incomplete event, before the stream is resumed at another target. What
+    /// that one sends says nothing about the events that were returned before.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.previous = self.last;
     }
 
     /// Appends bytes and returns the events that are now complete. After an error,
@@ -130,7 +155,16 @@
         let mut events = self.buffer.split_to(self.buffer.len() - end).freeze();
         let (boundary, error) = self.check(&events);
         events.truncate(boundary.end);
+        let error = error.map(|error| match error {
+            EventError::Unordered { last, found }
+                if self.last == Some(last) && self.previous.is_none_or(|id| id < found) =>
+            {
+                EventError::Contradicted { last, found }
+            }
+            error => error,
+        });
         self.last = boundary.last;
+        self.previous = boundary.previous;
         self.count = boundary.count;
         Completed { events, error }
     }
@@ -141,6 +175,7 @@
         let start = Boundary {
             end: 0,
             last: self.last,
+            previous: self.previous,
             count: self.count,
         };
         let mut sound = vec![start];
@@ -164,7 +199,7 @@
 fn last_certain(sound: &[Boundary], error: EventError) -> Boundary {
     let is_certain = |boundary: &&Boundary| match error {
         EventError::Unordered { found, .. } => boundary.last.is_none_or(|last| last < found),
-        EventError::Malformed | EventError::TooLong => true,
+        _ => true,
     };
     let certain = sound.iter().rev().find(is_certain);
     // If the caller already has an event with such an id, none of the new ones is in
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -44,6 +44,9 @@
     Events(Bytes),
     End,
     Broken(Fault),
+    /// An event that was forwarded may not belong to the stream, which must not look
+    /// complete for the caller.
+    Contradicted(Fault),
     Timeout,
 }
 
@@ -91,22 +94,15 @@
                 Read::Events(events) => return Some((Ok(Frame::data(events)), self)),
                 Read::End => return self.finish(),
                 Read::Broken(fault) => {
-                    // The target may still work on the request, which goes on at another.
-                    self.response.lease.close();
-                    let target = self.response.flight.target().clone();
-                    target.update_breaker(|breaker| breaker.record_error());
-                    let now = self.request.shared.clock.now();
-                    let answering = self.begun.map(|begun| now.since(begun));
-                    let response = &self.response;
-                    self.request
-                        .check_crash(&target, response.sent, &response.levels, answering);
-                    let id = &self.request.head.attempt;
-                    let last = self.events.last_id();
-                    tracing::info!(event = "stream_broken", %id, target = %target.row.id, last, %fault);
+                    self.record_broken(&fault);
                     if !self.resume().await {
                         return self.abort("stream-broken", fault);
                     }
                 }
+                Read::Contradicted(fault) => {
+                    self.record_broken(&fault);
+                    return self.abort("stream-broken", fault);
+                }
                 Read::Timeout => {
                     let fault = Fault::new("read stream", "target", "deadline reached");
                     return self.abort("stream-timeout", fault);
@@ -118,7 +114,11 @@
     async fn read(&mut self) -> Read {
         if let Some(error) = self.error.take() {
             let peer = &self.response.flight.target().row.id;
-            return Read::Broken(Fault::new("read stream", peer, error));
+            let fault = Fault::new("read stream", peer, error);
+            return match error.is_resumable() {
+                true => Read::Broken(fault),
+                false => Read::Contradicted(fault),
+            };
         }
         let remaining = self.request.deadline.since(self.request.shared.clock.now());
         let frame = timer::timeout(remaining.duration(), self.response.frame()).await;
@@ -193,6 +193,22 @@
         }
     }
 
+    /// Closes the connection of a broken response, as its target may still work on the
+    /// request, and records the fault.
+    fn record_broken(&self, fault: &Fault) {
+        let response = &self.response;
+        response.lease.close();
+        let target = response.flight.target();
+        target.update_breaker(|breaker| breaker.record_error());
+        let now = self.request.shared.clock.now();
+        let answering = self.begun.map(|begun| now.since(begun));
+        self.request
+            .check_crash(target, response.sent, &response.levels, answering);
+        let id = &self.request.head.attempt;
+        let last = self.events.last_id();
+        tracing::info!(event = "stream_broken", %id, target = %target.row.id, last, %fault);
+    }
+
     async fn resume(&mut self) -> bool {
         self.events.discard_partial();
         if !self.request.rule.class.is_repeatable() {
--- a/crates/edge/tests/events.rs
+++ b/crates/edge/tests/events.rs
@@ -83,6 +83,41 @@
     check_fault(None, "id: 9\ndata: x\n\nid: 1\ndata: a\n\n", "", None);
 }
 
+/// An event of another stream was forwarded before an event of this one showed that it is
+/// stray: the stream must not be resumed after it.
+#[test]
+fn stray_forwarded() {
+    let contradicted = |last, found| Some(EventError::Contradicted { last, found });
+    for (forwarded, next, expected) in [
+        ("id: 1\n\nid: 9\n\n", "id: 2\n\n", contradicted(9, 2)),
+        ("id: 1\n\nid: 2\n\n", "id: 2\n\n", contradicted(2, 2)),
+        ("id: 9\n\n", "id: 1\n\n", contradicted(9, 1)),
+    ] {
+        let mut buffer = EventBuffer::new(None);
+        push(&mut buffer, forwarded);
+        let completed = buffer.push(next.as_bytes());
+        assert_eq!(
+            (&completed.events[..], completed.error),
+            (&b""[..], expected)
+        );
+    }
+}
+
+/// An event that comes too late, but not after the one before the last, is stray itself;
+/// the stream is resumed. So it is if the target at fault sent none of the others.
+#[test]
+fn stray_late() {
+    let mut buffer = EventBuffer::new(None);
+    push(&mut buffer, "id: 1\n\nid: 2\n\n");
+    let error = buffer.push(b"id: 1\n\n").error;
+    assert!(error.is_some_and(EventError::is_resumable));
+    buffer.discard_partial();
+    let error = buffer.push(b"id: 2\n\n").error;
+    assert!(error.is_some_and(EventError::is_resumable));
+    let error = EventBuffer::new(Some(4)).push(b"id: 4\n\n").error;
+    assert!(error.is_some_and(EventError::is_resumable));
+}
+
 /// A second response whose events have no ids follows the last event.
 #[test]
 fn stray_head() {
--- a/crates/edge/tests/stray_events.rs
+++ b/crates/edge/tests/stray_events.rs
@@ -62,6 +62,8 @@
     after: u64,
     /// Whether the events before the last one are written separately.
     apart: bool,
+    /// Whether the events after the stray bytes are written separately.
+    late: bool,
 }
 
 const FRAMINGS: [Framing; 4] = [
@@ -125,12 +127,17 @@
             Framing::Short => String::new(),
             Framing::Chunks | Framing::Close | Framing::Length => events(self.after + 1, EVENTS),
         };
-        let second = events(before + 1, self.after) + &stray + &rest;
+        let mut second = events(before + 1, self.after) + &stray;
+        let mut third = String::new();
+        match self.late {
+            true => third = rest,
+            false => second += &rest,
+        }
         let head = match self.framing {
             Framing::Chunks => format!("{start}Transfer-Encoding: chunked\r\n\r\n"),
             Framing::Close => format!("{start}Connection: close\r\n\r\n"),
             Framing::Length | Framing::Short => {
-                let length = first.len() + second.len();
+                let length = first.len() + second.len() + third.len();
                 format!("{start}Content-Length: {length}\r\n\r\n")
             }
         };
@@ -146,7 +153,11 @@
             Framing::Chunks => "0\r\n\r\n",
             Framing::Close | Framing::Length | Framing::Short => "",
         };
-        stream.write_all((frame(&second) + end).as_bytes()).await?;
+        stream.write_all(frame(&second).as_bytes()).await?;
+        if self.late {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        stream.write_all((frame(&third) + end).as_bytes()).await?;
         stream.shutdown().await
     }
 }
@@ -208,6 +219,7 @@
                     stray,
                     after,
                     apart,
+                    late: false,
                 })
             })
         })
@@ -243,6 +255,27 @@
     }
 }
 
+/// A stray event comes alone and is forwarded before the next event of the stream shows
+/// it. What the caller gets then must not look complete.
+#[tokio::test]
+async fn stray_alone() {
+    for framing in [Framing::Chunks, Framing::Close] {
+        for after in 1..EVENTS - 1 {
+            let spoiled = Spoiled {
+                framing,
+                stray: Stray::Later,
+                after,
+                apart: false,
+                late: true,
+            };
+            check(spoiled, "/resume/a", |response| {
+                response.is_none_or(|it| !it.whole || it.body == whole_stream())
+            })
+            .await;
+        }
+    }
+}
+
 /// Answers the first request with stray bytes once `write` says so, and works on. Returns
 /// how long after that its connection was closed.
 async fn serve_stray(listener: TcpListener, write: Arc<Notify>) -> Duration {
