review: a part that crashes runners is never refused beside streams with a length

Shown: while runners give the length of their short streams, no sound request counts as answered, and requests with the part crash one runner after the other.

--- a/review/stand-3/src/deployment.rs
+++ b/review/stand-3/src/deployment.rs
@@ -18,9 +18,15 @@
     store::Store,
 };
 
-/// The service of all runners.
+/// The service of the plain runners.
 const SERVICE: &str = "pesanan-app";
 
+/// The service of the model runners.
+const MODEL: &str = "ukir-model";
+
+/// Tokens of a request: those of its prompt, and the most of its answer.
+const TOKENS: &str = "1460,80";
+
 /// The key of the only tenant.
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
@@ -60,6 +66,8 @@
     pub sent: Duration,
     /// Status of the response, 0 if there was none.
     pub status: u16,
+    /// The shared part of its prompt, if it has one.
+    pub part: Option<String>,
 }
 
 /// The deployment.
@@ -73,29 +81,39 @@
     pub runners: Vec<Runner>,
     /// The routers.
     pub routers: Vec<Router>,
-    next: AtomicU64,
+    next: Arc<AtomicU64>,
     exchanges: Arc<Mutex<Vec<Exchange>>>,
     clients: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl Deployment {
-    /// Starts the store, a runner in each zone, and routers; waits until they are ready
-    /// and have exchanged their first updates.
+    /// Starts the store, a plain runner in each zone, and routers; waits until they are
+    /// ready and have exchanged their first updates.
     ///
     /// # Errors
     ///
     /// When a part does not start.
     pub fn start(record: &Record, site: Site, routers: u8) -> io::Result<Self> {
+        let places = (0..site.zones.len()).map(|index| place(SERVICE, site, index));
+        Self::start_places(record, site, routers, places.collect())
+    }
+
+    /// Does the same with runners of these places.
+    ///
+    /// # Errors
+    ///
+    /// When a part does not start.
+    pub fn start_places(
+        record: &Record,
+        site: Site,
+        routers: u8,
+        places: Vec<Place>,
+    ) -> io::Result<Self> {
         let store = Arc::new(Store::start()?);
         store.put("op", "config", &manifest());
-        let zones = site.zones.iter().enumerate();
-        let runners: Result<Vec<_>, _> = zones
-            .map(|(index, zone)| {
-                let place = Place {
-                    id: format!("i-{:08x}", 0x7f3a_91c2 + index),
-                    service: SERVICE.to_owned(),
-                    zone: (*zone).to_owned(),
-                };
+        let runners: Result<Vec<_>, _> = places
+            .into_iter()
+            .map(|place| {
                 // Not all report at the same moment.
                 thread::sleep(Duration::from_millis(130));
                 Runner::start(place, &store, record)
@@ -109,7 +127,7 @@
             store,
             runners: runners?,
             routers: started?,
-            next: AtomicU64::new(0),
+            next: Arc::default(),
             exchanges: Arc::default(),
             clients: Mutex::default(),
         };
@@ -121,19 +139,39 @@
         Ok(deployment)
     }
 
-    /// Sends a request that must not be repeated to a router, from a consumer of its own.
+    /// Sends an order that must not be repeated to a router, from a consumer of its own.
     pub fn send(&self, router: usize) {
+        self.send_request(router, None);
+    }
+
+    /// Sends a request for a stream to a router, in whose prompt the part comes between
+    /// one that all share and one of its own.
+    pub fn send_prompt(&self, router: usize, part: &str) {
+        self.send_request(router, Some(part));
+    }
+
+    fn send_request(&self, router: usize, part: Option<&str>) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let attempt = format!("{:016x}", 0x9c41_d07b_0000_0000 + number);
         let limit = TIME_LIMIT.as_millis().to_string();
-        let headers = [
+        let mut headers = vec![
             ("Host", "ficu95.example"),
             ("X-Attempt-Id", attempt.as_str()),
             ("X-Deadline-Ms", limit.as_str()),
             ("Api-Key", KEY),
         ];
+        let prompt = part.map(|part| format!("5c1e07a2:800,{part}:410,{number:08x}:250"));
+        if let Some(prompt) = &prompt {
+            headers.push(("X-Model", "m"));
+            headers.push(("X-Token-Usage", TOKENS));
+            headers.push(("X-Prompt-Prefix", prompt));
+        }
         let mut request = http::response("", &headers, format!("order {number}\n"));
-        request.start = "POST /die-order/2f HTTP/1.1".to_owned();
+        request.start = match part {
+            Some(_) => "POST /artwork-brief/2f HTTP/1.1".to_owned(),
+            None => "POST /die-order/2f HTTP/1.1".to_owned(),
+        };
+        let part = part.map(str::to_owned);
         let peer = self.routers[router].callers();
         let (record, exchanges) = (self.record.clone(), self.exchanges.clone());
         let sent = record.now();
@@ -141,15 +179,17 @@
             let response = http::call(peer, &request, TIME_LIMIT);
             let status = response.as_ref().map_or(0, Message::status);
             record.line(&format!(
-                "{attempt} sent at {:.3} s to router {} is answered: {status}",
+                "{attempt} sent at {:.3} s to router {} (part {}) is answered: {status}",
                 sent.as_secs_f64(),
-                router + 1
+                router + 1,
+                part.as_deref().unwrap_or("none")
             ));
             lock(&exchanges).push(Exchange {
                 attempt,
                 router,
                 sent,
                 status,
+                part,
             });
         });
         lock(&self.clients).push(client);
@@ -198,14 +238,44 @@
     }
 }
 
+/// Returns the place of the runner with this index.
+fn place(service: &str, site: Site, index: usize) -> Place {
+    Place {
+        // No two plays share an id: their runners may have had the same address.
+        id: format!("i-{:08x}", (std::process::id() as usize) << 12 | index),
+        service: service.to_owned(),
+        zone: site.zones[index % site.zones.len()].to_owned(),
+        is_chunked: false,
+    }
+}
+
+/// Returns the place of the model runner with this index, whose streams come in chunks or
+/// with their length.
+pub fn model_place(site: Site, index: usize, is_chunked: bool) -> Place {
+    Place {
+        is_chunked,
+        ..place(MODEL, site, index)
+    }
+}
+
 fn manifest() -> String {
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"r-6bxty4y\",\"hostname\":\"ficu95.example\",\
          \"prefix\":\"/die-order/\",\"type\":\"non_idempotent\",\"timeout_ms\":1500,\
          \"target_latency_ms\":300,\"priority\":2,\"service\":\"{SERVICE}\",\
-         \"max_attempts\":1,\"public\":false}}],\"services\":[{{\"name\":\"{SERVICE}\",\
+         \"max_attempts\":1,\"public\":false}},{{\"name\":\"r-8x7n2qk\",\
+         \"hostname\":\"ficu95.example\",\"prefix\":\"/artwork-brief/\",\"type\":\"streaming\",\
+         \"timeout_ms\":12000,\"target_latency_ms\":1200,\"priority\":1,\
+         \"service\":\"{MODEL}\",\"max_attempts\":1,\"public\":false,\
+         \"session_affinity\":true,\"resumable\":false,\"target_gap_ms\":800}}],\"services\":[{{\"name\":\"{SERVICE}\",\
          \"health_path\":\"/healthz\",\"max_connections\":110,\"protocol\":\"h1\",\
-         \"tls_enabled\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0}}],\
+         \"tls_enabled\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0}},\
+         {{\"name\":\"{MODEL}\",\"health_path\":\"/healthz\",\"max_connections\":370,\
+         \"protocol\":\"h1\",\"tls_enabled\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,\
+         \"backend_engine\":{{\"batch_slots\":64,\"kv_capacity\":473972,\"kv_bytes\":18432,\
+         \"bandwidth_mbps\":370000.0,\"migrations\":true,\"replicas\":true,\"interval\":7,\
+         \"most\":2,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"handle_ttl_s\":5.0,\
+         \"models\":[{{\"name\":\"m\"}}]}}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
          \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}"
--- a/review/stand-3/src/drill_drain.rs
+++ b/review/stand-3/src/drill_drain.rs
@@ -87,7 +87,7 @@
         thread::sleep(BURST_INTERVAL);
     }
     deployment.sleep_until(burst + EXIT);
-    leaving.stop();
+    leaving.close();
     record.say(&format!("{id} exits"));
     deployment.send_until(burst + WATCHED, INTERVAL);
     let exchanges = deployment.exchanges();
--- a/review/stand-3/src/http.rs
+++ b/review/stand-3/src/http.rs
@@ -97,7 +97,8 @@
     }
 }
 
-/// Writes a message with the length of its body.
+/// Writes a message: in chunks if a header says so, and otherwise with the length of its
+/// body.
 ///
 /// # Errors
 ///
@@ -107,9 +108,17 @@
     for (name, value) in &message.headers {
         text += &format!("{name}: {value}\r\n");
     }
-    text += &format!("content-length: {}\r\n\r\n", message.body.len());
+    let is_chunked = message.header("transfer-encoding") == Some("chunked");
+    if is_chunked {
+        text += &format!("\r\n{:x}\r\n", message.body.len());
+    } else {
+        text += &format!("content-length: {}\r\n\r\n", message.body.len());
+    }
     let mut bytes = text.into_bytes();
     bytes.extend_from_slice(&message.body);
+    if is_chunked {
+        bytes.extend_from_slice(b"\r\n0\r\n\r\n");
+    }
     output.write_all(&bytes)
 }
 
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -2,11 +2,14 @@
 //! record, and exits with 1 if the rule was broken, 0 if it held, and 2 if the case
 //! could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
+mod crashing;
 mod deployment;
 mod drill_drain;
 mod drill_evacuate;
+mod drill_refusal;
 mod http;
 mod json;
+mod length;
 mod record;
 mod router;
 mod runner;
@@ -31,6 +34,9 @@
     let verdict = match case.as_str() {
         "drill-drain" => drill_drain::play(&record, trouble),
         "drill-evacuate" => drill_evacuate::play(&record, trouble),
+        "drill-refusal" => drill_refusal::play(&record, trouble),
+        "length" => length::play(&record, trouble, false),
+        "length-chunked" => length::play(&record, trouble, true),
         _ => Err(io::Error::other("no such case")),
     };
     let code = match &verdict {
--- a/review/stand-3/src/router.rs
+++ b/review/stand-3/src/router.rs
@@ -54,17 +54,27 @@
     files: [PathBuf; 2],
 }
 
-/// Returns the first of enough free ports.
+/// Ports from which the first of a deployment is chosen, below those that the system
+/// gives to outgoing connections.
+const FIRST_PORTS: std::ops::Range<u16> = 20_000..30_000;
+
+/// Returns the first of enough free ports. Plays that run at the same time begin to look
+/// at different ones.
 ///
 /// # Errors
 ///
-/// When no port can be bound.
+/// When there are none.
 pub fn free_ports() -> io::Result<u16> {
-    for _ in 0..100 {
-        let first = TcpListener::bind(("127.0.0.1", 0))?.local_addr()?.port();
-        let mut ports = first..first.saturating_add(PORTS);
-        let is_free = |port| TcpListener::bind(("0.0.0.0", port)).is_ok();
-        if ports.len() == usize::from(PORTS) && ports.all(is_free) {
+    let blocks = u32::from(FIRST_PORTS.end - FIRST_PORTS.start) / u32::from(PORTS);
+    let begin = std::process::id() % blocks;
+    for block in (begin..blocks).chain(0..begin) {
+        let first = FIRST_PORTS.start + block as u16 * PORTS;
+        let is_free = |port| {
+            ["127.0.0.1", "127.0.0.2"]
+                .iter()
+                .all(|address| TcpListener::bind((*address, port)).is_ok())
+        };
+        if (first..first + PORTS).all(is_free) {
             return Ok(first);
         }
     }
--- a/review/stand-3/src/runner.rs
+++ b/review/stand-3/src/runner.rs
@@ -24,6 +24,9 @@
 /// Time that the work on a request takes.
 const WORK: Duration = Duration::from_millis(60);
 
+/// The part of a prompt that crashes each runner that begins to answer it.
+pub const CRASHING_PART: &str = "badbad01";
+
 /// A request that reached a runner.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -31,6 +34,8 @@
     pub at: Duration,
     /// Its id.
     pub attempt: String,
+    /// The runner that it reached.
+    pub runner: String,
 }
 
 /// Where a runner belongs.
@@ -42,6 +47,8 @@
     pub service: String,
     /// Its zone.
     pub zone: String,
+    /// Whether its streams come in chunks; they come with their length otherwise.
+    pub is_chunked: bool,
 }
 
 #[derive(Debug)]
@@ -54,6 +61,8 @@
     /// Whether it is draining.
     leaving: AtomicBool,
     stopped: AtomicBool,
+    /// When it crashed, since the start of the record.
+    crashed: Mutex<Option<Duration>>,
 }
 
 /// A running runner.
@@ -80,10 +89,11 @@
             arrivals: Mutex::default(),
             leaving: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
+            crashed: Mutex::default(),
         });
         let handler = shared.clone();
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::start(address, move |request| Some(handler.handle(&request)))?;
+        let server = Server::start(address, move |request| handler.handle(&request))?;
         let runner = Self {
             shared,
             server,
@@ -134,16 +144,25 @@
         lock(&self.shared.arrivals).clone()
     }
 
-    /// Ends it.
-    pub fn stop(&self) {
-        self.shared.stopped.store(true, Ordering::Relaxed);
-        self.server.close();
+    /// Returns when it crashed, if it has.
+    pub fn crashed(&self) -> Option<Duration> {
+        *lock(&self.shared.crashed)
+    }
+
+    /// Closes its connections and its listener, and ends its reports, if it has not been
+    /// closed.
+    pub fn close(&self) {
+        if !self.shared.stopped.swap(true, Ordering::Relaxed) {
+            self.server.close();
+        }
     }
 }
 
 impl Shared {
     fn report(&self, store: &Store, address: SocketAddr) -> Option<u64> {
-        let Place { id, service, zone } = &self.place;
+        let Place {
+            id, service, zone, ..
+        } = &self.place;
         let state = match self.leaving.load(Ordering::Relaxed) {
             true => "draining",
             false => "ready",
@@ -158,17 +177,32 @@
         store.put("servers", id, &row)
     }
 
-    fn handle(&self, request: &Message) -> Message {
+    /// Crashes: the listener is closed before the connections are.
+    fn crash(&self) {
+        let now = self.record.now();
+        lock(&self.crashed).get_or_insert(now);
+        let id = &self.place.id;
+        self.record.line(&format!("{id} crashes"));
+        thread::sleep(Duration::from_millis(30));
+    }
+
+    fn handle(&self, request: &Message) -> Option<Message> {
         let id = self.place.id.as_str();
+        if request.word(1) == "/kv-list" {
+            let list = "{\"epoch\":1,\"next\":1,\"held\":[]}";
+            return Some(http::response("200 OK", &[], list));
+        }
         let wrong = request.header("x-target-instance");
         if wrong.is_some_and(|expected| expected != id) {
-            return http::response("421 Misdirected Request", &[("x-instance-id", id)], "");
+            let headers = [("x-instance-id", id)];
+            return Some(http::response("421 Misdirected Request", &headers, ""));
         }
         let attempt = request.header("x-attempt-id").unwrap_or_default();
         let leaving = self.leaving.load(Ordering::Relaxed);
         lock(&self.arrivals).push(Arrival {
             at: self.record.now(),
             attempt: attempt.to_owned(),
+            runner: id.to_owned(),
         });
         let mut headers = vec![("x-attempt-id", attempt), ("x-instance-id", id)];
         if leaving {
@@ -179,7 +213,22 @@
             if leaving { " (draining)" } else { "" }
         ));
         thread::sleep(WORK);
+        let prompt = request.header("x-prompt-prefix");
+        if prompt.is_some_and(|prompt| prompt.contains(CRASHING_PART)) {
+            self.crash();
+            return None;
+        }
         headers.push(("x-response-signature", "signed"));
-        http::response("200 OK", &headers, format!("run by {id}\n"))
+        let body = match prompt {
+            Some(_) => {
+                headers.push(("content-type", "text/event-stream"));
+                if self.place.is_chunked {
+                    headers.push(("transfer-encoding", "chunked"));
+                }
+                "id: 1\ndata: one\n\nid: 2\ndata: two\n\n".to_owned()
+            }
+            None => format!("run by {id}\n"),
+        };
+        Some(http::response("200 OK", &headers, body))
     }
 }
--- a/review/stand-3/src/store.rs
+++ b/review/stand-3/src/store.rs
@@ -118,6 +118,21 @@
         self.server.cut();
     }
 
+    /// Discards the history.
+    pub fn compact(&self) {
+        let mut state = lock(&self.shared.state);
+        state.content.forgotten = state.content.version;
+        state.content.history.clear();
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns the keys of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = lock(&self.shared.state);
+        let keys = state.content.rows.keys().filter(|(name, _)| name == table);
+        keys.map(|(_, key)| key.clone()).collect()
+    }
+
     /// Comes back, with the content of a copy.
     pub fn restore(&self, copy: Content) {
         let mut state = lock(&self.shared.state);
