review: a manifest that is written as a drill ends never comes into force

The case of a refusal that a drill lost needed two disruptions and makes place for this one. Shown: a key that manifest 9 took away is accepted for good by both routers.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/release/review-stand-3 ] || exit 2
-exec target/review-3/release/review-stand-3 drill-refusal review/14/record.txt
+exec target/review-3/release/review-stand-3 drill-evacuate review/14/record.txt
--- a/review/stand-3/src/deployment.rs
+++ b/review/stand-3/src/deployment.rs
@@ -27,9 +27,15 @@
 /// Tokens of a request: those of its prompt, and the most of its answer.
 const TOKENS: &str = "1460,80";
 
-/// The key of the only tenant.
+/// A key of the only tenant.
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
+/// Another one.
+pub const OTHER_KEY: &str = "bdk9eevyxq2yyazax6pw";
+
+/// Version of the first manifest.
+const FIRST_VERSION: u32 = 7;
+
 /// Time limit of a consumer.
 const TIME_LIMIT: Duration = Duration::from_millis(3_000);
 
@@ -68,6 +74,8 @@
     pub status: u16,
     /// The shared part of its prompt, if it has one.
     pub part: Option<String>,
+    /// The key.
+    pub key: String,
 }
 
 /// The deployment.
@@ -110,7 +118,7 @@
         places: Vec<Place>,
     ) -> io::Result<Self> {
         let store = Arc::new(Store::start()?);
-        store.put("op", "config", &manifest());
+        store.put("op", "config", &manifest(FIRST_VERSION, &[KEY, OTHER_KEY]));
         let runners: Result<Vec<_>, _> = places
             .into_iter()
             .map(|place| {
@@ -141,16 +149,31 @@
 
     /// Sends an order that must not be repeated to a router, from a consumer of its own.
     pub fn send(&self, router: usize) {
-        self.send_request(router, None);
+        self.send_request(router, KEY, None);
+    }
+
+    /// Sends an order with the other key.
+    pub fn send_other(&self, router: usize) {
+        self.send_request(router, OTHER_KEY, None);
+    }
+
+    /// Writes a manifest as the operator, with the other key or without it, and returns
+    /// the version of the store that acknowledges it.
+    pub fn put_manifest(&self, version: u32, has_other: bool) -> Option<u64> {
+        let keys: &[&str] = match has_other {
+            true => &[KEY, OTHER_KEY],
+            false => &[KEY],
+        };
+        self.store.put("op", "config", &manifest(version, keys))
     }
 
     /// Sends a request for a stream to a router, in whose prompt the part comes between
     /// one that all share and one of its own.
     pub fn send_prompt(&self, router: usize, part: &str) {
-        self.send_request(router, Some(part));
+        self.send_request(router, KEY, Some(part));
     }
 
-    fn send_request(&self, router: usize, part: Option<&str>) {
+    fn send_request(&self, router: usize, key: &str, part: Option<&str>) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let attempt = format!("{:016x}", 0x9c41_d07b_0000_0000 + number);
         let limit = TIME_LIMIT.as_millis().to_string();
@@ -158,7 +181,7 @@
             ("Host", "ficu95.example"),
             ("X-Attempt-Id", attempt.as_str()),
             ("X-Deadline-Ms", limit.as_str()),
-            ("Api-Key", KEY),
+            ("Api-Key", key),
         ];
         let prompt = part.map(|part| format!("5c1e07a2:800,{part}:410,{number:08x}:250"));
         if let Some(prompt) = &prompt {
@@ -171,7 +194,7 @@
             Some(_) => "POST /artwork-brief/2f HTTP/1.1".to_owned(),
             None => "POST /die-order/2f HTTP/1.1".to_owned(),
         };
-        let part = part.map(str::to_owned);
+        let (part, key) = (part.map(str::to_owned), key.to_owned());
         let peer = self.routers[router].callers();
         let (record, exchanges) = (self.record.clone(), self.exchanges.clone());
         let sent = record.now();
@@ -190,6 +213,7 @@
                 sent,
                 status,
                 part,
+                key,
             });
         });
         lock(&self.clients).push(client);
@@ -249,6 +273,11 @@
     }
 }
 
+/// Returns the place of the plain runner with this index.
+pub fn plain_place(site: Site, index: usize) -> Place {
+    place(SERVICE, site, index)
+}
+
 /// Returns the place of the model runner with this index, whose streams come in chunks or
 /// with their length.
 pub fn model_place(site: Site, index: usize, is_chunked: bool) -> Place {
@@ -258,9 +287,11 @@
     }
 }
 
-fn manifest() -> String {
+fn manifest(version: u32, keys: &[&str]) -> String {
+    let keys: Vec<_> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+    let keys = keys.join(",");
     format!(
-        "{{\"version\":7,\"routes\":[{{\"name\":\"r-6bxty4y\",\"hostname\":\"ficu95.example\",\
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-6bxty4y\",\"hostname\":\"ficu95.example\",\
          \"prefix\":\"/die-order/\",\"type\":\"non_idempotent\",\"timeout_ms\":1500,\
          \"target_latency_ms\":300,\"priority\":2,\"service\":\"{SERVICE}\",\
          \"max_attempts\":1,\"public\":false}},{{\"name\":\"r-8x7n2qk\",\
@@ -278,6 +309,6 @@
          \"models\":[{{\"name\":\"m\"}}]}}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-         \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}"
+         \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[{keys}],\"priority\":1}}]}}"
     )
 }
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -4,9 +4,9 @@
 
 mod crashing;
 mod deployment;
+mod drill_config;
 mod drill_drain;
 mod drill_evacuate;
-mod drill_refusal;
 mod http;
 mod json;
 mod length;
@@ -32,9 +32,9 @@
     let record = Record::start();
     record.say(&format!("case {case}, disruption: {trouble}"));
     let verdict = match case.as_str() {
+        "drill-config" => drill_config::play(&record, trouble),
         "drill-drain" => drill_drain::play(&record, trouble),
         "drill-evacuate" => drill_evacuate::play(&record, trouble),
-        "drill-refusal" => drill_refusal::play(&record, trouble),
         "length" => length::play(&record, trouble, false),
         "length-chunked" => length::play(&record, trouble, true),
         _ => Err(io::Error::other("no such case")),
--- a/review/stand-3/src/store.rs
+++ b/review/stand-3/src/store.rs
@@ -45,7 +45,10 @@
 struct State {
     content: Content,
     era: u64,
+    /// Whether it is away for all.
     away: bool,
+    /// Whether routers do not reach it.
+    closed: bool,
 }
 
 #[derive(Debug, Default)]
@@ -113,32 +116,29 @@
 
     /// Goes away: connections are closed, and calls get no response.
     pub fn leave(&self) {
-        lock(&self.shared.state).away = true;
-        self.shared.changed.notify_all();
-        self.server.cut();
-    }
-
-    /// Discards the history.
-    pub fn compact(&self) {
         let mut state = lock(&self.shared.state);
-        state.content.forgotten = state.content.version;
-        state.content.history.clear();
+        (state.away, state.closed) = (true, true);
+        drop(state);
         self.shared.changed.notify_all();
-    }
-
-    /// Returns the keys of a table.
-    pub fn keys(&self, table: &str) -> Vec<String> {
-        let state = lock(&self.shared.state);
-        let keys = state.content.rows.keys().filter(|(name, _)| name == table);
-        keys.map(|(_, key)| key.clone()).collect()
+        self.server.cut();
     }
 
     /// Comes back, with the content of a copy.
     pub fn restore(&self, copy: Content) {
+        self.restore_with(copy, || ());
+    }
+
+    /// Does the same, and lets the operator and the runners write before the routers
+    /// reach the store.
+    pub fn restore_with<T>(&self, copy: Content, write: impl FnOnce() -> T) -> T {
         let mut state = lock(&self.shared.state);
         state.content = copy;
         state.era += 1;
         state.away = false;
+        drop(state);
+        let written = write();
+        lock(&self.shared.state).closed = false;
+        written
     }
 }
 
@@ -238,7 +238,7 @@
         });
         let rows = rows.map(|(place, (version, value))| row(place, *version, Some(value)));
         let rows: Vec<_> = rows.collect();
-        (!state.away).then(|| ("200 OK", state.content.page(&rows)))
+        (!state.closed).then(|| ("200 OK", state.content.page(&rows)))
     }
 
     fn feed(&self, table: &str, after: u64, wait: Duration) -> Option<(&'static str, String)> {
@@ -246,7 +246,7 @@
         let mut state = lock(&self.state);
         let era = state.era;
         loop {
-            if state.away || state.era != era {
+            if state.closed || state.era != era {
                 return None;
             }
             let content = &state.content;
@@ -268,7 +268,7 @@
             return Some(("400 Bad Request", "{}".to_owned()));
         };
         let mut state = lock(&self.state);
-        if state.away {
+        if state.closed {
             return None;
         }
         let entries = |name: &str| call.field(name).map(Value::items).unwrap_or_default();
