review: groups of requests that crash runners at different times

Shown: a part is refused after three groups of crashes, when the requests of each group crash their runners more than 0.5 s apart.

--- a/review/stand-3/src/crashing.rs
+++ b/review/stand-3/src/crashing.rs
@@ -19,7 +19,7 @@
 };
 
 /// Number of model runners.
-const RUNNERS: usize = 12;
+const RUNNERS: usize = 18;
 
 /// Time after which a crashed runner is back.
 const RESTART: Duration = Duration::from_secs(2);
@@ -42,9 +42,6 @@
 /// Number of these requests.
 const MAX_LATE: usize = 3;
 
-/// Routers of the deployment.
-const ROUTERS: u8 = 2;
-
 /// The runners, those that have crashed included.
 pub type Runners = Arc<Mutex<Vec<Runner>>>;
 
@@ -58,9 +55,9 @@
 /// # Errors
 ///
 /// When a part does not start.
-pub fn start(record: &Record, is_chunked: bool) -> io::Result<Deployment> {
+pub fn start(record: &Record, routers: u8, is_chunked: bool) -> io::Result<Deployment> {
     let places = (0..RUNNERS).map(|index| place(index, is_chunked));
-    Deployment::start_places(record, PERDANA, ROUTERS, places.collect())
+    Deployment::start_places(record, PERDANA, routers, places.collect())
 }
 
 /// Restarts crashed runners and sends sound requests all the while `play` runs.
--- a/review/stand-3/src/length.rs
+++ b/review/stand-3/src/length.rs
@@ -17,7 +17,7 @@
 ///
 /// When it cannot run.
 pub fn play(record: &Record, trouble: bool, is_chunked: bool) -> Verdict {
-    let mut deployment = crashing::start(record, is_chunked)?;
+    let mut deployment = crashing::start(record, 2, is_chunked)?;
     let part = match trouble {
         true => CRASHING_PART,
         false => SOUND_PART,
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -7,6 +7,7 @@
 mod drill_config;
 mod drill_drain;
 mod drill_evacuate;
+mod groups;
 mod http;
 mod json;
 mod length;
@@ -35,6 +36,7 @@
         "drill-config" => drill_config::play(&record, trouble),
         "drill-drain" => drill_drain::play(&record, trouble),
         "drill-evacuate" => drill_evacuate::play(&record, trouble),
+        "groups" => groups::play(&record, trouble),
         "length" => length::play(&record, trouble, false),
         "length-chunked" => length::play(&record, trouble, true),
         _ => Err(io::Error::other("no such case")),
--- a/review/stand-3/src/runner.rs
+++ b/review/stand-3/src/runner.rs
@@ -38,6 +38,18 @@
     pub runner: String,
 }
 
+/// Tokens of a prompt that a model runner reads in a millisecond.
+const TOKENS_PER_MS: f64 = 48.2;
+
+/// Returns the time in which a runner reads the parts of a prompt that are new to it: a
+/// document of the request's own, which is the third of four parts.
+fn reading_time(prompt: &str) -> Duration {
+    let parts: Vec<_> = prompt.split(',').collect();
+    let document = parts.get(2).filter(|_| parts.len() == 4);
+    let tokens = document.and_then(|part| part.split(':').nth(1)?.parse::<f64>().ok());
+    Duration::from_secs_f64(tokens.unwrap_or(0.0) / TOKENS_PER_MS / 1e3)
+}
+
 /// Where a runner belongs.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -180,9 +192,13 @@
     /// Crashes: the listener is closed before the connections are.
     fn crash(&self) {
         let now = self.record.now();
-        lock(&self.crashed).get_or_insert(now);
-        let id = &self.place.id;
-        self.record.line(&format!("{id} crashes"));
+        let mut crashed = lock(&self.crashed);
+        if crashed.is_none() {
+            *crashed = Some(now);
+            let id = &self.place.id;
+            self.record.line(&format!("{id} crashes"));
+        }
+        drop(crashed);
         thread::sleep(Duration::from_millis(30));
     }
 
@@ -212,8 +228,8 @@
             "{attempt} reaches {id}{}, which runs it",
             if leaving { " (draining)" } else { "" }
         ));
-        thread::sleep(WORK);
         let prompt = request.header("x-prompt-prefix");
+        thread::sleep(WORK + prompt.map_or(Duration::ZERO, reading_time));
         if prompt.is_some_and(|prompt| prompt.contains(CRASHING_PART)) {
             self.crash();
             return None;
