review: steadier plays of cases 11 and 15

Case 11 no longer keeps the routers away while the operator and the runners write; case 15 has eight requests in a group, whose crashes are 0.8 s apart.

--- a/review/stand-3/src/deployment.rs
+++ b/review/stand-3/src/deployment.rs
@@ -149,12 +149,12 @@
 
     /// Sends an order that must not be repeated to a router, from a consumer of its own.
     pub fn send(&self, router: usize) {
-        self.send_request(router, KEY, None, 0);
+        self.send_request(router, KEY, None, None);
     }
 
     /// Sends an order with the other key.
     pub fn send_other(&self, router: usize) {
-        self.send_request(router, OTHER_KEY, None, 0);
+        self.send_request(router, OTHER_KEY, None, None);
     }
 
     /// Writes a manifest as the operator, with the other key or without it, and returns
@@ -170,15 +170,22 @@
     /// Sends a request for a stream to a router, in whose prompt the part comes between
     /// one that all share and one of its own.
     pub fn send_prompt(&self, router: usize, part: &str) {
-        self.send_request(router, KEY, Some(part), 0);
+        self.send_request(router, KEY, Some(part), None);
     }
 
-    /// Does the same, with a document of so many tokens of its own after the part.
-    pub fn send_document(&self, router: usize, part: &str, tokens: u32) {
-        self.send_request(router, KEY, Some(part), tokens);
+    /// Does the same, with a document of its own between the part and the last one, which
+    /// have so many tokens.
+    pub fn send_document(&self, router: usize, part: &str, tokens: [u32; 2]) {
+        self.send_request(router, KEY, Some(part), Some(tokens));
     }
 
-    fn send_request(&self, router: usize, key: &str, part: Option<&str>, document: u32) {
+    fn send_request(
+        &self,
+        router: usize,
+        key: &str,
+        part: Option<&str>,
+        document: Option<[u32; 2]>,
+    ) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let attempt = format!("{:016x}", 0x9c41_d07b_0000_0000 + number);
         let limit = TIME_LIMIT.as_millis().to_string();
@@ -188,11 +195,11 @@
             ("X-Deadline-Ms", limit.as_str()),
             ("Api-Key", key),
         ];
-        let document = match document {
-            0 => String::new(),
-            tokens => format!("d0c{number:05x}:{tokens},"),
+        let own = match document {
+            Some([document, last]) => format!("d0c{number:05x}:{document},{number:08x}:{last}"),
+            None => format!("{number:08x}:250"),
         };
-        let prompt = part.map(|part| format!("5c1e07a2:800,{part}:410,{document}{number:08x}:250"));
+        let prompt = part.map(|part| format!("5c1e07a2:800,{part}:410,{own}"));
         if let Some(prompt) = &prompt {
             headers.push(("X-Model", "m"));
             headers.push(("X-Token-Usage", TOKENS));
--- a/review/stand-3/src/drill_config.rs
+++ b/review/stand-3/src/drill_config.rs
@@ -58,20 +58,18 @@
         deployment.store.leave();
     }
     deployment.sleep_until(copied + COPY_AGE + AWAY);
-    let version = match trouble {
-        true => deployment.store.restore_with(copy, || {
-            // What the operator and the runners wrote is written again, and the operator
-            // writes the next manifest, which could not be written while the store was
-            // away.
-            deployment.put_manifest(8, true);
-            let version = deployment.put_manifest(9, false);
-            for runner in &deployment.runners {
-                runner.report();
-            }
-            version
-        }),
-        false => deployment.put_manifest(9, false),
-    };
+    if trouble {
+        deployment.store.restore(copy);
+        // What the operator wrote is written again.
+        deployment.put_manifest(8, true);
+    }
+    let version = deployment.put_manifest(9, false);
+    if trouble {
+        // So is what the runners wrote.
+        for runner in &deployment.runners {
+            runner.report();
+        }
+    }
     let acked = record.now();
     record.say(&format!(
         "manifest 9, without the key {OTHER_KEY}, is acknowledged at version {version:?}; the \
--- a/review/stand-3/src/groups.rs
+++ b/review/stand-3/src/groups.rs
@@ -7,14 +7,18 @@
 /// A part that is as rare as the one that crashes runners.
 const SOUND_PART: &str = "badbad00";
 
-/// Routers, each of which gets a request of each group.
+/// Routers, which get the requests of a group in turn.
 const ROUTERS: u8 = 6;
 
-/// Tokens of the documents, which the requests of a group have in turn.
-const DOCUMENTS: [u32; 2] = [2_000, 30_000];
+/// Number of requests of a group.
+const GROUP: usize = 8;
+
+/// Tokens of the documents and of the last parts, which the requests of a group have in
+/// turn.
+const TOKENS: [[u32; 2]; 2] = [[500, 250], [30_000, 11_000]];
 
 /// Interval of the groups.
-const INTERVAL: Duration = Duration::from_millis(2_500);
+const INTERVAL: Duration = Duration::from_millis(2_200);
 
 /// Number of groups.
 const GROUPS: u32 = 5;
@@ -35,8 +39,9 @@
         record.say(&format!("groups of requests with the part {part} come"));
         for group in 0..GROUPS {
             let begin = record.now();
-            for router in 0..deployment.routers.len() {
-                let tokens = DOCUMENTS[router % DOCUMENTS.len()];
+            for request in 0..GROUP {
+                let router = request % deployment.routers.len();
+                let tokens = TOKENS[request % TOKENS.len()];
                 deployment.send_document(router, part, tokens);
             }
             record.line(&format!("group {} was sent", group + 1));
--- a/review/stand-3/src/runner.rs
+++ b/review/stand-3/src/runner.rs
@@ -41,13 +41,14 @@
 /// Tokens of a prompt that a model runner reads in a millisecond.
 const TOKENS_PER_MS: f64 = 48.2;
 
-/// Returns the time in which a runner reads the parts of a prompt that are new to it: a
-/// document of the request's own, which is the third of four parts.
+/// Returns the time in which a runner reads the parts of a prompt that are new to it: the
+/// last two of four, a document of the request's own and the rest.
 fn reading_time(prompt: &str) -> Duration {
     let parts: Vec<_> = prompt.split(',').collect();
-    let document = parts.get(2).filter(|_| parts.len() == 4);
-    let tokens = document.and_then(|part| part.split(':').nth(1)?.parse::<f64>().ok());
-    Duration::from_secs_f64(tokens.unwrap_or(0.0) / TOKENS_PER_MS / 1e3)
+    let own = parts.get(2..).filter(|_| parts.len() == 4);
+    let tokens = own.unwrap_or_default().iter();
+    let tokens = tokens.filter_map(|part| part.split(':').nth(1)?.parse::<f64>().ok());
+    Duration::from_secs_f64(tokens.sum::<f64>() / TOKENS_PER_MS / 1e3)
 }
 
 /// Where a runner belongs.
--- a/review/stand-3/src/store.rs
+++ b/review/stand-3/src/store.rs
@@ -45,10 +45,7 @@
 struct State {
     content: Content,
     era: u64,
-    /// Whether it is away for all.
     away: bool,
-    /// Whether routers do not reach it.
-    closed: bool,
 }
 
 #[derive(Debug, Default)]
@@ -116,29 +113,17 @@
 
     /// Goes away: connections are closed, and calls get no response.
     pub fn leave(&self) {
-        let mut state = lock(&self.shared.state);
-        (state.away, state.closed) = (true, true);
-        drop(state);
+        lock(&self.shared.state).away = true;
         self.shared.changed.notify_all();
         self.server.cut();
     }
 
     /// Comes back, with the content of a copy.
     pub fn restore(&self, copy: Content) {
-        self.restore_with(copy, || ());
-    }
-
-    /// Does the same, and lets the operator and the runners write before the routers
-    /// reach the store.
-    pub fn restore_with<T>(&self, copy: Content, write: impl FnOnce() -> T) -> T {
         let mut state = lock(&self.shared.state);
         state.content = copy;
         state.era += 1;
         state.away = false;
-        drop(state);
-        let written = write();
-        lock(&self.shared.state).closed = false;
-        written
     }
 }
 
@@ -238,7 +223,7 @@
         });
         let rows = rows.map(|(place, (version, value))| row(place, *version, Some(value)));
         let rows: Vec<_> = rows.collect();
-        (!state.closed).then(|| ("200 OK", state.content.page(&rows)))
+        (!state.away).then(|| ("200 OK", state.content.page(&rows)))
     }
 
     fn feed(&self, table: &str, after: u64, wait: Duration) -> Option<(&'static str, String)> {
@@ -246,7 +231,7 @@
         let mut state = lock(&self.state);
         let era = state.era;
         loop {
-            if state.closed || state.era != era {
+            if state.away || state.era != era {
                 return None;
             }
             let content = &state.content;
@@ -268,7 +253,7 @@
             return Some(("400 Bad Request", "{}".to_owned()));
         };
         let mut state = lock(&self.state);
-        if state.closed {
+        if state.away {
             return None;
         }
         let entries = |name: &str| call.field(name).map(Value::items).unwrap_or_default();
