fakes: a table that comes back from an older copy

Change: Rows::copy and Rows::restore; all answers name the era, which a test can leave out or replace; a read from a version that the table does not have gets 410. Calls that wait go on with the content of the copy.

--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -1,5 +1,5 @@
 //! The table of the users' platform: rows with versions, a feed of changes, and
-//! transactions.
+//! transactions. It can come back from an older copy of itself.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,7 +10,7 @@
 };
 
 use base64::{Engine, engine::general_purpose::STANDARD};
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,9 @@
     server::{Dropped, Handler, Port, Power, Server},
 };
 
+/// Header that names the era.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+
 /// A row as the protocol shows it; the value is base64.
 #[derive(Clone, Debug, Serialize)]
 struct Row {
@@ -34,13 +37,33 @@
     deleted: bool,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// What the table holds at a moment.
+#[derive(Clone, Debug, Default)]
+pub struct Content {
     rows: BTreeMap<(String, String), Row>,
     changes: Vec<Row>,
     version: u64,
     /// Changes up to this version are forgotten.
     forgotten: u64,
+}
+
+/// The era that responses name.
+#[derive(Clone, Debug, Default)]
+pub enum EraHeader {
+    /// The number of times that the table has come back from a copy.
+    #[default]
+    Actual,
+    /// None.
+    Missing,
+    /// This text.
+    Text(String),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    content: Content,
+    era: u64,
+    header: EraHeader,
     down: bool,
     calls: u64,
     /// Time that every call takes in addition.
@@ -103,13 +126,13 @@
     /// Writes a row.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
         let value = STANDARD.encode(value);
-        self.shared.state().change(table, key, Some(value));
+        self.shared.state().content.change(table, key, Some(value));
         self.shared.changed.notify_waiters();
     }
 
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
-        self.shared.state().change(table, key, None);
+        self.shared.state().content.change(table, key, None);
         self.shared.changed.notify_waiters();
     }
 
@@ -131,9 +154,32 @@
 
     /// Forgets the history, so that followers must read all rows again.
     pub fn forget(&self) {
+        let content = &mut self.shared.state().content;
+        content.forgotten = content.version;
+        content.changes.clear();
+    }
+
+    /// Returns a copy of all that the table holds.
+    pub fn copy(&self) -> Content {
+        self.shared.state().content.clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its versions are given
+    /// out again. Calls that wait go on with this content.
+    pub fn restore(&self, copy: Content) {
         let mut state = self.shared.state();
-        state.forgotten = state.version;
-        state.changes.clear();
+        state.content = copy;
+        state.era += 1;
+    }
+
+    /// Sets what the responses from now on name as the era.
+    pub fn set_era_header(&self, header: EraHeader) {
+        self.shared.state().header = header;
+    }
+
+    /// Returns the version of the latest change.
+    pub fn version(&self) -> u64 {
+        self.shared.state().content.version
     }
 
     /// Returns the number of calls so far.
@@ -144,19 +190,32 @@
     /// Returns the keys of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.shared.state();
-        let keys = state.rows.keys().filter(|(name, _)| name == table);
+        let keys = state.content.rows.keys().filter(|(name, _)| name == table);
         keys.map(|(_, key)| key.clone()).collect()
     }
 
     /// Returns the value of a row, if there is one that can be decoded.
     pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         let state = self.shared.state();
-        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        let row = state
+            .content
+            .rows
+            .get(&(table.to_owned(), key.to_owned()))?;
         STANDARD.decode(row.value.as_ref()?).ok()
     }
 }
 
 impl State {
+    fn era_header(&self) -> Option<HeaderValue> {
+        match &self.header {
+            EraHeader::Actual => Some(self.era.into()),
+            EraHeader::Missing => None,
+            EraHeader::Text(text) => HeaderValue::from_str(text).ok(),
+        }
+    }
+}
+
+impl Content {
     fn change(&mut self, table: &str, key: &str, value: Option<String>) {
         self.version += 1;
         let row = Row {
@@ -207,10 +266,10 @@
     fn read(&self, query: &BTreeMap<String, String>) -> Response<Body> {
         let table = text(query, "table_name");
         let source = text(query, "source");
-        let state = self.state();
-        let rows = state.rows.values();
+        let content = &self.state().content;
+        let rows = content.rows.values();
         let rows = rows.filter(|row| row.table_name == table && row.key.as_str() >= source);
-        body::json(StatusCode::OK, &state.reply(rows.cloned().collect()))
+        body::json(StatusCode::OK, &content.reply(rows.cloned().collect()))
     }
 
     async fn feed(&self, query: &BTreeMap<String, String>) -> Response<Body> {
@@ -221,13 +280,13 @@
         loop {
             let changed = self.changed.notified();
             {
-                let state = self.state();
-                if after < state.forgotten {
+                let content = &self.state().content;
+                if after < content.forgotten || after > content.version {
                     return body::error(StatusCode::GONE, "the history is gone");
                 }
-                let rows = state.since(&table, after);
+                let rows = content.since(&table, after);
                 if !rows.is_empty() || time::Instant::now() >= end {
-                    return body::json(StatusCode::OK, &state.reply(rows));
+                    return body::json(StatusCode::OK, &content.reply(rows));
                 }
             }
             // A change between the look and the wait is seen at the next turn.
@@ -246,19 +305,18 @@
         let Ok(transaction) = serde_json::from_slice::<Transaction>(&body.to_bytes()) else {
             return body::error(StatusCode::BAD_REQUEST, "not a transaction");
         };
-        let mut state = self.state();
+        let content = &mut self.state().content;
         for op in &transaction.write {
-            state.change(
+            content.change(
                 &op.table_name,
                 &op.key,
                 Some(op.value.clone().unwrap_or_default()),
             );
         }
         for op in &transaction.remove {
-            state.change(&op.table_name, &op.key, None);
+            content.change(&op.table_name, &op.key, None);
         }
-        let version = json!({"row_version": state.version, "now_ms": 0});
-        drop(state);
+        let version = json!({"row_version": content.version, "now_ms": 0});
         self.changed.notify_waiters();
         body::json(StatusCode::OK, &version)
     }
@@ -284,13 +342,16 @@
             }
         }
         let query = parse(request.uri().query().unwrap_or_default());
-        let response = match (request.method(), request.uri().path()) {
+        let mut response = match (request.method(), request.uri().path()) {
             (&Method::GET, "/rows-get") => self.read(&query),
             (&Method::GET, "/rows-feed") => self.feed(&query).await,
             (&Method::POST, "/rows-tx") => self.transact(request).await,
             _ => body::error(StatusCode::NOT_FOUND, "no such path"),
         };
         self.lose(&query).await;
+        if let Some(era) = self.state().era_header() {
+            response.headers_mut().insert(ERA_HEADER, era);
+        }
         Ok(response)
     }
 }
