--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -12,7 +12,7 @@
 };
 use bytes::Bytes;
 use http::{Method, Request, header};
-use platform::rows::{self, Position, Row, Table};
+use platform::rows::{self, Era, Position, Row, Table};
 use store::{
     backoff::Backoff,
     breaker,
@@ -215,6 +215,7 @@
     let mut follower = Follower::new(shared.clone(), service, Table::Targets);
     loop {
         let began = shared.clock.now();
+        let era = shared.eras.latest();
         let change = follower.next(span::Span::ZERO).await;
         let is_read = change.is_ok();
         shared.reads_table.store(is_read, Ordering::Relaxed);
@@ -230,17 +231,22 @@
             None => {}
         }
         shared.expire_cold_suspicions(shared.clock.now());
-        wait_for_next_read(&peers, &shared, &view).await;
+        wait_for_next_read(&peers, &shared, &view, era).await;
     }
 }
 
-/// Waits until the changes of the targets have to be read again.
-async fn wait_for_next_read(peers: &Peers, shared: &Shared, view: &View) {
+/// Waits until the changes of the targets have to be read again; `era` is the latest era
+/// that was known before the latest read.
+async fn wait_for_next_read(peers: &Peers, shared: &Shared, view: &View, era: Era) {
     let read = shared.clock.now();
     let mut skipped = false;
     loop {
         let drain = shared.bounds.load().drain;
-        timer::sleep(readers::interval(drain, peers.is_reader()).duration()).await;
+        let interval = readers::interval(drain, peers.is_reader());
+        tokio::select! {
+            () = timer::sleep(interval.duration()) => {}
+            () = shared.eras.after(era) => return,
+        }
         let mut target_list = view.target_list();
         let since = shared.clock.now().since(read);
         let may_skip = readers::may_skip(target_list.last_change(), peers.relayed_change(), since);
@@ -295,7 +301,7 @@
     let address = shared.settings.peers.to_string();
     loop {
         let written = match rows::write_body(Table::Members, key, address.as_bytes()) {
-            Ok(body) => transact(&service, body).await,
+            Ok(body) => transact(&shared, &service, body).await,
             Err(error) => Err(Fault::new("encode row", key, error)),
         };
         match written {
@@ -316,8 +322,14 @@
 ///
 /// # Errors
 ///
-/// When the table does not confirm it; it may have been performed.
-pub async fn transact(service: &Service, body: Bytes) -> Result<Option<Position>, Fault> {
+/// When the table does not confirm it; it may have been performed. Also when the table has
+/// come back from a copy since, which may lack it.
+pub async fn transact(
+    shared: &Shared,
+    service: &Service,
+    body: Bytes,
+) -> Result<Option<Position>, Fault> {
+    let asked = shared.eras.latest();
     let client = service.client();
     let attempt = || {
         let request = Request::builder()
@@ -329,8 +341,10 @@
         .write(attempt)
         .await
         .at("write row", service.peer())?;
+    let era = shared.eras.accept(&reply.headers, asked);
+    let era = era.at("write row", service.peer())?;
     tracing::debug!(event = "row_written", status = reply.status.as_u16());
-    Ok(rows::written(&reply.body))
+    Ok(rows::written(&reply.body, era))
 }
 
 /// Reads the rows of the routers, writes this router's row again if it was
@@ -382,7 +396,7 @@
     }
     for key in expired {
         let removed = match rows::remove_body(Table::Members, &key) {
-            Ok(body) => transact(service, body).await,
+            Ok(body) => transact(shared, service, body).await,
             Err(error) => Err(Fault::new("encode row", &key, error)),
         };
         match removed {
--- a/crates/edge/src/evacuation/log.rs
+++ b/crates/edge/src/evacuation/log.rs
@@ -21,7 +21,7 @@
             event = "evacuation",
             centre = %change.centre,
             active = change.active,
-            position = change.position.0,
+            position = %change.position,
             source,
             targets = targets.count(),
             own = change.centre == shared.settings.centre,
@@ -39,8 +39,8 @@
             || settings.regions.contains_key(centre)
             || fleet.targets().any(|target| target.row.centre == *centre);
         if !is_known {
-            let position = evacuation.position.0;
-            tracing::warn!(event = "evacuation_unknown", %centre, position);
+            let position = evacuation.position;
+            tracing::warn!(event = "evacuation_unknown", %centre, %position);
         }
     }
 }
--- a/crates/edge/src/evacuation/mod.rs
+++ b/crates/edge/src/evacuation/mod.rs
@@ -117,7 +117,7 @@
             active: row.value.is_some(),
         }),
         Err(error) => {
-            tracing::info!(event = "row_unusable", key = row.key, position = row.position.0, %error);
+            tracing::info!(event = "row_unusable", key = row.key, position = %row.position, %error);
             None
         }
     }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -8,6 +8,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use base::{cores, span, time};
+use platform::rows::{Era, Position};
 
 use crate::{
     fleet::PEER_LOAD_TTL,
@@ -112,7 +113,7 @@
     cache_synced: bool,
     uses_relays: bool,
     /// Table position of the latest change of a target that the peer knows.
-    last_change: u64,
+    last_change: Position,
     centre: CentreHash,
     share: cores::Cores,
     run: u64,
@@ -293,7 +294,10 @@
             reads_table: update.reads_table,
             cache_synced: update.cache_synced,
             uses_relays: update.uses_relays,
-            last_change: update.last_change,
+            last_change: Position {
+                era: Era(update.change_era),
+                version: update.last_change,
+            },
             centre: CentreHash(update.centre),
             share: cores::Cores(update.share),
             run: update.run,
@@ -554,7 +558,7 @@
     /// Returns the table position of the latest change of a target that this
     /// router's relays reported, if one of them is up and reads the table.
     /// Returns `None` for a relay, which must read the table itself.
-    pub fn relayed_change(&self, now: time::Mono) -> Option<u64> {
+    pub fn relayed_change(&self, now: time::Mono) -> Option<Position> {
         if self.plan.mesh || self.plan.is_relay {
             return None;
         }
--- a/crates/edge/src/feed/checks.rs
+++ b/crates/edge/src/feed/checks.rs
@@ -54,7 +54,7 @@
                     if begun.load(Ordering::Relaxed) {
                         return future::pending().await;
                     }
-                    tracing::debug!(event = "feed_check", table = ?self.table, after = watched.known.0, ?doubt);
+                    tracing::debug!(event = "feed_check", table = ?self.table, after = %watched.known, ?doubt);
                     self.shared.metrics.count(Counter::FeedChecks);
                     earliest = timer::Instant::now() + CHECK_INTERVAL;
                     checks.push(self.check(waiting, watched.known, doubt));
@@ -67,7 +67,7 @@
                     Ok(answer) => {
                         if matches!(answer, Answer::Page(_)) {
                             let (table, waited) = (self.table, clock.now().since(began));
-                            tracing::warn!(event = "change_missed", ?table, after = after.0, ?doubt, %waited);
+                            tracing::warn!(event = "change_missed", ?table, %after, ?doubt, %waited);
                             self.shared.metrics.count(Counter::MissedChanges);
                         }
                         return answer;
--- a/crates/edge/src/feed/known.rs
+++ b/crates/edge/src/feed/known.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 
 use base::{id, time};
-use platform::rows::Position;
+use platform::rows::{Era, Position};
 
 /// Maximum number of ranges of positions that are remembered.
 const MAX_RANGES: usize = 512;
@@ -20,7 +20,7 @@
 /// The changes that this router has read, by their positions.
 #[derive(Clone, Debug, Default)]
 pub struct KnownChanges {
-    /// Position up to which the targets were read.
+    /// Position up to which the targets were read. Its era is the one of the ranges.
     read: Position,
     /// Ranges of positions of rows that were read: the first and the last of each.
     /// They are apart from each other by at least one position.
@@ -59,7 +59,10 @@
     /// Records the positions of rows that were read.
     pub fn record_rows(&mut self, rows: impl Iterator<Item = Position>) {
         for position in rows {
-            self.add(position.0);
+            self.enter(position.era);
+            if position.era == self.read.era {
+                self.add(position.version);
+            }
         }
         while self.ranges.len() > MAX_RANGES {
             // Early positions are in doubt again, which causes a call at most.
@@ -69,7 +72,18 @@
 
     /// Records that the targets were read up to a position.
     pub fn record_read(&mut self, position: Position) {
-        self.read = position;
+        self.enter(position.era);
+        if position.era == self.read.era {
+            self.read = position;
+        }
+    }
+
+    /// Forgets the positions of earlier eras, which say nothing of a later one.
+    fn enter(&mut self, era: Era) {
+        if era > self.read.era {
+            self.ranges.clear();
+            self.read = Position { era, version: 0 };
+        }
     }
 
     /// Records that a call remained without an answer.
@@ -96,13 +110,19 @@
         if self.unanswered.is_some_and(|at| at > watched.asked) {
             return Some(Doubt::Unanswered);
         }
-        let next = watched.known.0.saturating_add(1);
+        if watched.known.era != self.read.era {
+            return None;
+        }
+        let next = watched.known.version.saturating_add(1);
         let before = self.ranges.range(..=next).next_back();
         let first = match before {
             Some((_, last)) if *last >= next => last.saturating_add(1),
             _ => next,
         };
-        (first <= self.read.0).then_some(Doubt::Unknown(Position(first)))
+        (first <= self.read.version).then_some(Doubt::Unknown(Position {
+            version: first,
+            ..self.read
+        }))
     }
 
     fn add(&mut self, position: u64) {
--- a/crates/edge/src/feed/mod.rs
+++ b/crates/edge/src/feed/mod.rs
@@ -2,6 +2,7 @@
 //! ([`Follower`]), and checks whether the call that waits has missed one.
 
 mod checks;
+pub mod eras;
 pub mod known;
 
 use std::sync::{Arc, atomic::AtomicBool};
@@ -12,7 +13,7 @@
 };
 use bytes::Bytes;
 use http::StatusCode;
-use platform::rows::{self, Page, Position, Row, Table};
+use platform::rows::{self, Era, Page, Position, Row, Table};
 use store::{error::Error, http::Reply, service::Service};
 
 use crate::{metrics::Counter, peers::Peers, shared::Shared};
@@ -26,6 +27,8 @@
     table: Table,
     /// Position up to which the changes are known.
     pub position: Option<Position>,
+    /// The era of the latest read of all rows.
+    era: Option<Era>,
     unavailable: bool,
 }
 
@@ -68,6 +71,8 @@
     Page(Page),
     /// The table no longer has the changes.
     HistoryGone,
+    /// The table has come back from a copy, so that its positions are others.
+    Returned,
 }
 
 impl Follower {
@@ -79,6 +84,7 @@
             service,
             table,
             position: None,
+            era: None,
             unavailable: false,
         }
     }
@@ -94,7 +100,8 @@
     ///
     /// When the table does not answer; the next call tries again.
     pub async fn next(&mut self, wait: span::Span) -> Result<Change, Fault> {
-        let change = match self.position {
+        let latest = self.shared.eras.latest();
+        let change = match self.position.filter(|known| known.era == latest) {
             None => self.read().await.map(Change::All),
             Some(after) => self.changes(after, wait).await,
         };
@@ -119,6 +126,7 @@
                 tokio::select! {
                     answer = self.ask(&waiting.service, after, wait, &begun) => answer?,
                     answer = self.missed(&waiting, after, &begun) => answer,
+                    () = self.shared.eras.after(after.era) => Answer::Returned,
                 }
             }
             _ => {
@@ -133,7 +141,11 @@
                 Ok(Change::Some(page.rows))
             }
             Answer::HistoryGone => {
-                tracing::info!(event = "history_gone", table = ?self.table, after = after.0);
+                tracing::info!(event = "history_gone", table = ?self.table, %after);
+                self.position = None;
+                self.read().await.map(Change::All)
+            }
+            Answer::Returned => {
                 self.position = None;
                 self.read().await.map(Change::All)
             }
@@ -150,9 +162,17 @@
         let path = rows::watch_path(self.table, after, wait);
         let reply = self.call(service, &path, &[StatusCode::GONE], begun).await;
         let reply = reply.at("follow rows", service.peer())?;
+        let eras = &self.shared.eras;
+        match eras.accept(&reply.headers, after.era) {
+            Ok(era) if era == after.era => {}
+            Err(error) if eras.latest() == after.era => {
+                return Err(error).at("follow rows", service.peer());
+            }
+            Ok(_) | Err(_) => return Ok(Answer::Returned),
+        }
         match reply.status {
             StatusCode::GONE => Ok(Answer::HistoryGone),
-            _ => self.decode(&reply.body).map(Answer::Page),
+            _ => self.decode(&reply.body, after.era).map(Answer::Page),
         }
     }
 
@@ -178,27 +198,44 @@
 
     async fn read(&mut self) -> Result<Vec<Row>, Fault> {
         let mut rows: Vec<Row> = Vec::new();
-        let mut first = None;
+        let mut first: Option<Position> = None;
+        let asked = self.shared.eras.latest();
         loop {
             let last = rows.last().map(|row| row.key.as_str());
             let path = rows::read_path(self.table, last);
             let begun = AtomicBool::new(false);
             let reply = self.call(&self.service, &path, &[], &begun).await;
             let reply = reply.at("read rows", self.service.peer())?;
-            let page = self.decode(&reply.body)?;
+            let era = self.shared.eras.accept(&reply.headers, asked);
+            let era = era.at("read rows", self.service.peer())?;
+            let page = self.decode(&reply.body, era)?;
             // The feed returns changes since the first page again.
             let position = *first.get_or_insert(page.position);
+            if position.era != era {
+                // The pages are of different states of the table.
+                (rows, first) = (Vec::new(), None);
+                continue;
+            }
             let more = page.more && !page.rows.is_empty();
             rows.extend(page.rows);
             if !more {
+                self.record_read(era, rows.len());
                 self.position = Some(position);
                 return Ok(rows);
             }
         }
     }
 
-    fn decode(&self, body: &Bytes) -> Result<Page, Fault> {
-        let page = Page::decode(body).at("decode rows", self.service.peer())?;
+    /// Logs that all rows were read again after the table came back from a copy.
+    fn record_read(&mut self, era: Era, rows: usize) {
+        let previous = self.era.replace(era);
+        if previous.is_some_and(|previous| previous < era) {
+            tracing::info!(event = "table_reread", table = ?self.table, %era, rows);
+        }
+    }
+
+    fn decode(&self, body: &Bytes, era: Era) -> Result<Page, Fault> {
+        let page = Page::decode(body, era).at("decode rows", self.service.peer())?;
         let positions = page.rows.iter().map(|row| row.position);
         self.shared.known_changes.send_modify(|changes| {
             changes.record_rows(positions);
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -14,7 +14,7 @@
     fault::{At, Fault},
     hash, id, time,
 };
-use platform::rows::Position;
+use platform::rows::{Era, Position};
 use prost::Message;
 use rand::{RngExt, seq::IndexedRandom};
 use tokio::{
@@ -120,8 +120,7 @@
         if self.is_reader() {
             return None;
         }
-        let position = self.exchange().relayed_change(self.shared.clock.now())?;
-        Some(Position(position))
+        self.exchange().relayed_change(self.shared.clock.now())
     }
 
     /// Adds a router that has a row in the table.
@@ -230,7 +229,7 @@
                 max,
             ));
         }
-        let last_change = target_list.last_change().0;
+        let last_change = target_list.last_change();
         drop(target_list);
         let (crashes, refused_contents) = self.report_contents(now);
         let mut update = Update {
@@ -238,7 +237,9 @@
             version: self.shared.version().0,
             departures: departures.iter().map(DepartureEntry::from).collect(),
             joined,
-            last_change,
+            last_change: last_change.version,
+            change_era: last_change.era.0,
+            era: self.shared.eras.latest().0,
             blocked: status.blocked,
             slow: status.slow,
             reads_table: self.shared.reads_table.load(Ordering::Relaxed),
@@ -316,6 +317,7 @@
         self.shared.metrics.count(Counter::UpdatesReceived);
         let mut exchange = self.exchange();
         let is_new = !exchange.is_live(now, address);
+        self.shared.eras.learn(Era(update.era), "peer");
         let Some(changes) = exchange.receive(now, address, update) else {
             return;
         };
@@ -473,6 +475,8 @@
         departures: common.departures.clone(),
         joined: common.joined.clone(),
         last_change: common.last_change,
+        change_era: common.change_era,
+        era: common.era,
         blocked: common.blocked.clone(),
         slow: common.slow.clone(),
         reads_table: common.reads_table,
@@ -501,6 +505,8 @@
         cached: std::mem::take(&mut update.cached),
         version: common.version,
         last_change: common.last_change,
+        change_era: common.change_era,
+        era: common.era,
         reads_table: common.reads_table,
         cache_synced: common.cache_synced,
         process: common.process.clone(),
--- a/crates/edge/src/refusals.rs
+++ b/crates/edge/src/refusals.rs
@@ -277,7 +277,7 @@
             }
         };
         let body = body.map_err(|error| Fault::new("encode row", &key, error))?;
-        let position = control::transact(service, body).await?;
+        let position = control::transact(shared, service, body).await?;
         let crashes = change.targets.as_ref().map(Vec::len);
         let mut known = self.known();
         // Without a position, the row counts as new when the feed delivers it.
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -28,7 +28,7 @@
     clients::{self, Connections, LimitCounts, LimitReached},
     cold::Routers,
     exchange::LoadFreshness,
-    feed::known::KnownChanges,
+    feed::{eras::Eras, known::KnownChanges},
     fleet::{Fleet, Target},
     metrics::Metrics,
     refusals::{RefusalKey, RowChange},
@@ -74,6 +74,8 @@
     pub bounds: ArcSwap<Bounds>,
     /// The routers that the limits of cold targets are divided among.
     pub cold_routers: ArcSwap<Routers>,
+    /// The eras of the table that this process has seen.
+    pub eras: Eras,
     /// The changes of the table that this process has read.
     pub known_changes: watch::Sender<KnownChanges>,
     /// Signals that rows of refusals have to be written or removed.
@@ -146,6 +148,7 @@
             cold_routers: ArcSwap::default(),
             connections: Connections::new(clients::max_callers(&settings)),
             limits: LimitCounts::default(),
+            eras: Eras::default(),
             known_changes: watch::Sender::default(),
             refusals_changed: Notify::new(),
             hedging: OnceLock::new(),
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -9,7 +9,10 @@
 
 use base::{id, span};
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
-use platform::{rows::Position, target as row};
+use platform::{
+    rows::{Era, Position},
+    target as row,
+};
 use prost::Message;
 
 use crate::{evacuation::Evacuation, fleet::TargetHash, target_list::Departure};
@@ -134,6 +137,12 @@
     /// Evacuations of data centres, and ends of evacuations.
     #[prost(message, repeated, tag = "40")]
     pub evacuations: Vec<EvacuationEntry>,
+    /// The latest era of the table that the sender knows.
+    #[prost(uint64, tag = "41")]
+    pub era: u64,
+    /// The era of `last_change`.
+    #[prost(uint64, tag = "42")]
+    pub change_era: u64,
 }
 
 /// A crash of a target, and the prompt parts that may be its cause.
@@ -276,6 +285,9 @@
     /// Whether the target's row was removed.
     #[prost(bool, tag = "3")]
     pub removed: bool,
+    /// The era of `position`.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// A target that did not answer and gets no requests for some time.
@@ -341,6 +353,9 @@
     /// Whether the row exists.
     #[prost(bool, tag = "3")]
     pub active: bool,
+    /// The era of `position`.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 /// The table row of a target.
@@ -378,6 +393,16 @@
     /// in a response, which is 1. If 0, the time is that of the row.
     #[prost(uint32, tag = "10")]
     pub hops: u32,
+    /// The era of `position`.
+    #[prost(uint64, tag = "11")]
+    pub era: u64,
+}
+
+fn position(era: u64, version: u64) -> Position {
+    Position {
+        era: Era(era),
+        version,
+    }
 }
 
 /// Maximum size of an inflated configuration, in bytes.
@@ -459,8 +484,9 @@
     fn from(departure: &Departure) -> Self {
         Self {
             target: departure.target.to_string(),
-            position: departure.position.0,
+            position: departure.position.version,
             removed: departure.removed,
+            era: departure.position.era.0,
         }
     }
 }
@@ -471,7 +497,7 @@
     fn try_from(entry: &DepartureEntry) -> Result<Self, id::IdError> {
         Ok(Self {
             target: entry.target.parse()?,
-            position: Position(entry.position),
+            position: position(entry.era, entry.position),
             removed: entry.removed,
         })
     }
@@ -481,8 +507,9 @@
     fn from(evacuation: &Evacuation) -> Self {
         Self {
             centre: evacuation.centre.to_string(),
-            position: evacuation.position.0,
+            position: evacuation.position.version,
             active: evacuation.active,
+            era: evacuation.position.era.0,
         }
     }
 }
@@ -493,7 +520,7 @@
     fn try_from(entry: &EvacuationEntry) -> Result<Self, id::IdError> {
         Ok(Self {
             centre: entry.centre.parse()?,
-            position: Position(entry.position),
+            position: position(entry.era, entry.position),
             active: entry.active,
         })
     }
@@ -510,9 +537,10 @@
             slots: target.slots,
             leaving: target.leaving,
             born: target.started_at,
-            position: position.0,
+            position: position.version,
             cold: Some(u32::try_from(target.cold.as_millis()).unwrap_or(u32::MAX)),
             hops: 0,
+            era: position.era.0,
         }
     }
 
@@ -538,6 +566,6 @@
             leaving: self.leaving,
             started_at: self.born,
         };
-        Ok((Position(self.position), target))
+        Ok((position(self.era, self.position), target))
     }
 }
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -297,7 +297,7 @@
     match row::Target::decode(&row.key, value) {
         Ok(target) => Some(target),
         Err(error) => {
-            tracing::info!(event = "row_unusable", key = row.key, position = row.position.0, %error);
+            tracing::info!(event = "row_unusable", key = row.key, position = %row.position, %error);
             None
         }
     }
--- a/crates/edge/tests/cold_targets.rs
+++ b/crates/edge/tests/cold_targets.rs
@@ -58,16 +58,22 @@
 #[test]
 fn countdown_is_no_change() {
     let mut list = TargetList::default();
-    assert!(list.put(at(0), Position(1), row("a", 3_000)));
-    assert!(!list.put(at(1_000), Position(2), row("a", 2_000)));
-    assert!(!list.put(at(2_300), Position(3), row("a", 900)));
-    assert_eq!(list.last_change(), Position(1));
-    assert!(list.put(at(3_000), Position(4), row("a", 0)), "warm");
-    assert_eq!(list.last_change(), Position(4));
-    assert!(!list.put(at(4_000), Position(5), row("a", 0)));
-    assert!(list.put(at(5_000), Position(6), row("a", 3_000)), "cold");
-    assert!(list.put(at(6_500), Position(7), row("a", 3_000)), "again");
-    assert_eq!(list.last_change(), Position(7));
+    assert!(list.put(at(0), Position::from(1), row("a", 3_000)));
+    assert!(!list.put(at(1_000), Position::from(2), row("a", 2_000)));
+    assert!(!list.put(at(2_300), Position::from(3), row("a", 900)));
+    assert_eq!(list.last_change(), Position::from(1));
+    assert!(list.put(at(3_000), Position::from(4), row("a", 0)), "warm");
+    assert_eq!(list.last_change(), Position::from(4));
+    assert!(!list.put(at(4_000), Position::from(5), row("a", 0)));
+    assert!(
+        list.put(at(5_000), Position::from(6), row("a", 3_000)),
+        "cold"
+    );
+    assert!(
+        list.put(at(6_500), Position::from(7), row("a", 3_000)),
+        "again"
+    );
+    assert_eq!(list.last_change(), Position::from(7));
 }
 
 /// Other routers learn of a target that turns, with the time that is left, and from
@@ -75,8 +81,8 @@
 #[test]
 fn turns_are_announced() {
     let mut list = TargetList::default();
-    list.put(at(0), Position(1), row("a", 0));
-    list.put(at(10_000), Position(2), row("a", 3_000));
+    list.put(at(0), Position::from(1), row("a", 0));
+    list.put(at(10_000), Position::from(2), row("a", 3_000));
     let joined = list.joined(at(11_000), 4);
     let [(position, target)] = &joined[..] else {
         panic!("{joined:?}");
@@ -113,7 +119,7 @@
     }
     let sent = TargetRow {
         hops: 1,
-        ..TargetRow::new(Position(7), &row("a", 3_000))
+        ..TargetRow::new(Position::from(7), &row("a", 3_000))
     };
     let old = OldRow::decode(&sent.encode_to_vec()[..]).expect("decodes");
     assert_eq!((old.id.as_str(), old.position), ("a", 7));
@@ -130,7 +136,7 @@
 fn read(began: u64, position: u64) -> Option<TableRead> {
     Some(TableRead {
         began: at(began),
-        position: Position(position),
+        position: Position::from(position),
     })
 }
 
@@ -139,16 +145,16 @@
 #[test]
 fn silent_until_row() {
     let mut cold = ColdState::default();
-    cold.apply_row(at(0), Position(5), None, read(0, 5));
+    cold.apply_row(at(0), Position::from(5), None, read(0, 5));
     assert!(!cold.is_cold(at(0)), "judged by its row");
     cold.suspect(at(100), Evidence::Silent, None);
-    cold.apply_row(at(150), Position(6), None, read(50, 8));
+    cold.apply_row(at(150), Position::from(6), None, read(50, 8));
     assert!(cold.is_cold(at(150)), "the read began before");
-    cold.apply_row(at(750), Position(9), None, read(700, 12));
+    cold.apply_row(at(750), Position::from(9), None, read(700, 12));
     assert!(cold.is_cold(at(750)), "the row may be older");
-    cold.apply_row(at(1_400), Position(12), None, read(1_350, 20));
+    cold.apply_row(at(1_400), Position::from(12), None, read(1_350, 20));
     assert!(cold.is_cold(at(1_400)), "the row is older than the read");
-    cold.apply_row(at(2_000), Position(21), None, None);
+    cold.apply_row(at(2_000), Position::from(21), None, None);
     assert!(!cold.is_cold(at(2_000)));
     assert_eq!(cold.warm_since(at(2_000)), None, "it never was cold");
 }
@@ -176,12 +182,12 @@
 #[test]
 fn responses() {
     let mut cold = ColdState::default();
-    cold.apply_row(at(0), Position(1), Some(at(3_000)), None);
+    cold.apply_row(at(0), Position::from(1), Some(at(3_000)), None);
     cold.apply_response(at(500), Span::ZERO);
-    cold.apply_row(at(600), Position(1), Some(at(3_000)), None);
+    cold.apply_row(at(600), Position::from(1), Some(at(3_000)), None);
     assert!(!cold.is_cold(at(600)));
     cold.apply_response(at(700), Span::from_millis(900));
-    cold.apply_row(at(800), Position(2), None, None);
+    cold.apply_row(at(800), Position::from(2), None, None);
     assert!(cold.is_cold(at(1_500)));
     assert!(!cold.is_cold(at(1_600)));
     assert_eq!(cold.warm_since(at(1_600)), Some(at(1_600)));
@@ -287,7 +293,7 @@
     assert_eq!(count(5_000), 9, "not cold");
     target
         .cold()
-        .apply_row(at(6_500), Position(1), Some(at(9_500)), None);
+        .apply_row(at(6_500), Position::from(1), Some(at(9_500)), None);
     assert_eq!(count(6_500), 4, "half of the limit");
     assert_eq!(count(7_400), 0, "the share is used");
     assert_eq!(count(7_600), 4);
@@ -306,7 +312,7 @@
     let limit = limit(2.0, &settings);
     target
         .cold()
-        .apply_row(at(4_000), Position(1), Some(at(90_000)), None);
+        .apply_row(at(4_000), Position::from(1), Some(at(90_000)), None);
     assert!(limit.may_send(at(5_000), target));
     let mut first = limit.reserve(at(5_000), target).expect("free");
     assert!(limit.reserve(at(5_000), target).is_none());
@@ -332,7 +338,7 @@
         if number < 3 {
             target
                 .cold()
-                .apply_row(at(0), Position(1), Some(at(9_000)), None);
+                .apply_row(at(0), Position::from(1), Some(at(9_000)), None);
             continue;
         }
         for _ in 0..20 {
--- a/crates/edge/tests/evacuation.rs
+++ b/crates/edge/tests/evacuation.rs
@@ -40,7 +40,7 @@
 fn state(name: &str, position: u64, active: bool) -> Evacuation {
     Evacuation {
         centre: centre(name),
-        position: Position(position),
+        position: Position::from(position),
         active,
     }
 }
@@ -95,11 +95,11 @@
 #[test]
 fn full_reads() {
     let mut known = Evacuations::default();
-    known.replace(at(0), Position(10), vec![state("a", 4, true)]);
+    known.replace(at(0), Position::from(10), vec![state("a", 4, true)]);
     known.merge(at(0), vec![state("b", 15, true), state("c", 30, true)]);
     known.apply_rows(at(0), vec![state("d", 16, true)]);
     assert_eq!(names(&known), ["a", "b", "c", "d"]);
-    let changes = known.replace(at(0), Position(20), vec![state("d", 16, true)]);
+    let changes = known.replace(at(0), Position::from(20), vec![state("d", 16, true)]);
     assert_eq!(changes, [state("a", 20, false), state("b", 20, false)]);
     assert_eq!(names(&known), ["c", "d"]);
 }
@@ -109,7 +109,7 @@
 #[test]
 fn late_announcements() {
     let mut known = Evacuations::default();
-    known.replace(at(0), Position(10), Vec::new());
+    known.replace(at(0), Position::from(10), Vec::new());
     known.apply_rows(at(0), vec![state("a", 11, true)]);
     known.apply_rows(at(0), vec![state("a", 12, false)]);
     assert!(entries(&mut known, 6_000, &Update::default()).is_empty());
@@ -143,7 +143,7 @@
         rounds.map(|entries| entries.len()).sum::<usize>()
     };
     let mut known = Evacuations::default();
-    known.replace(at(0), Position(1), Vec::new());
+    known.replace(at(0), Position::from(1), Vec::new());
     assert_eq!(sent(&mut known, 0, &heartbeat), 0);
     assert_eq!(Snapshot::default().encoded_len(), 0);
     assert_eq!(Update::default().encoded_len(), 0);
@@ -391,12 +391,12 @@
     };
     let row = |name: &str, position, value: Option<&'static [u8]>| Row {
         key: format!("evacuate/{name}"),
-        position: Position(position),
+        position: Position::from(position),
         value: value.map(Into::into),
     };
     let first = view();
     let rows = [row("a", 5, Some(b"")), row("b", 6, Some(b""))];
-    first.apply_evacuation_rows(&rows, Some(Position(7)));
+    first.apply_evacuation_rows(&rows, Some(Position::from(7)));
     first.apply_evacuation_rows(&[row("a", 8, None)], None);
     let snapshot = first.snapshot().encode_to_vec();
     let second = view();
--- a/crates/edge/tests/exchange.rs
+++ b/crates/edge/tests/exchange.rs
@@ -131,7 +131,7 @@
     fn evacuate(&mut self, router: usize, position: u64, active: bool) {
         let row = Evacuation {
             centre: "north".parse().expect("an id"),
-            position: Position(position),
+            position: Position::from(position),
             active,
         };
         self.evacuations[router].apply_rows(self.now, vec![row]);
@@ -348,7 +348,7 @@
     simulation.routers[ordinary].receive(simulation.now, relay, &update);
     assert_eq!(
         simulation.routers[ordinary].relayed_change(simulation.now),
-        Some(41)
+        Some(Position::from(41))
     );
     let later = simulation.now + Span::from_millis(700);
     assert_eq!(
--- a/crates/edge/tests/known_changes.rs
+++ b/crates/edge/tests/known_changes.rs
@@ -3,14 +3,14 @@
 
 use base::{id::Version, span::Span, time::Mono};
 use edge::feed::known::{Doubt, KnownChanges, Watched};
-use platform::rows::Position;
+use platform::rows::{Era, Position};
 use proptest::prelude::*;
 
 const ASKED: Mono = Mono(1_000);
 
 fn watched(known: u64) -> Watched {
     Watched {
-        known: Position(known),
+        known: Position::from(known),
         asked: ASKED,
         version: None,
     }
@@ -18,8 +18,8 @@
 
 /// Records a read of the targets up to a position.
 fn record(changes: &mut KnownChanges, rows: &[u64], read: u64) {
-    changes.record_rows(rows.iter().copied().map(Position));
-    changes.record_read(Position(read));
+    changes.record_rows(rows.iter().copied().map(Position::from));
+    changes.record_read(Position::from(read));
 }
 
 /// Heartbeats of targets that were read explain all positions; a position that no row
@@ -30,7 +30,7 @@
     record(&mut changes, &[11, 12, 14], 14);
     assert_eq!(
         changes.doubt(watched(10)),
-        Some(Doubt::Unknown(Position(13)))
+        Some(Doubt::Unknown(Position::from(13)))
     );
     assert_eq!(changes.doubt(watched(13)), None);
     record(&mut changes, &[13], 14);
@@ -38,7 +38,7 @@
     record(&mut changes, &[], 15);
     assert_eq!(
         changes.doubt(watched(10)),
-        Some(Doubt::Unknown(Position(15)))
+        Some(Doubt::Unknown(Position::from(15)))
     );
 }
 
@@ -47,7 +47,7 @@
 fn later_position() {
     let mut changes = KnownChanges::default();
     record(&mut changes, &[], 10);
-    changes.record_rows([Position(14)].into_iter());
+    changes.record_rows([Position::from(14)].into_iter());
     assert_eq!(changes.doubt(watched(10)), None);
 }
 
@@ -146,7 +146,7 @@
                     // After a lost response the connection delivers nothing further.
                     if arrives && missed.is_none() {
                         known = position;
-                        changes.record_rows([Position(position)].into_iter());
+                        changes.record_rows([Position::from(position)].into_iter());
                     } else {
                         missed = missed.or(Some(position));
                     }
@@ -184,3 +184,23 @@
         prop_assert_eq!(changes.doubt(watched(0)), None);
     }
 }
+
+/// After the table has come back from a copy, the positions of the era before explain
+/// nothing, and late ones of it are not recorded.
+#[test]
+fn later_era() {
+    let later = |version| Position {
+        era: Era(1),
+        version,
+    };
+    let mut changes = KnownChanges::default();
+    record(&mut changes, &[11, 12, 13, 14], 14);
+    changes.record_rows([later(11), later(13)].into_iter());
+    changes.record_read(later(13));
+    record(&mut changes, &[12], 14);
+    let watched = Watched {
+        known: later(10),
+        ..watched(0)
+    };
+    assert_eq!(changes.doubt(watched), Some(Doubt::Unknown(later(12))));
+}
--- a/crates/edge/tests/readers.rs
+++ b/crates/edge/tests/readers.rs
@@ -70,9 +70,9 @@
 /// it does not know, or have reported nothing new for a long time.
 #[test]
 fn skipped_reads() {
-    let (known, span) = (Position(7), base::span::Span::from_secs);
-    assert!(readers::may_skip(known, Some(Position(7)), span(3)));
-    assert!(!readers::may_skip(known, Some(Position(8)), span(3)));
+    let (known, span) = (Position::from(7), base::span::Span::from_secs);
+    assert!(readers::may_skip(known, Some(Position::from(7)), span(3)));
+    assert!(!readers::may_skip(known, Some(Position::from(8)), span(3)));
     assert!(!readers::may_skip(known, None, span(3)));
-    assert!(!readers::may_skip(known, Some(Position(7)), span(11)));
+    assert!(!readers::may_skip(known, Some(Position::from(7)), span(11)));
 }
--- a/crates/edge/tests/scale.rs
+++ b/crates/edge/tests/scale.rs
@@ -45,16 +45,17 @@
     let view: Arc<View> = View::new(Shared::new(site::settings(table, &[])));
     let rows = |position| {
         (0..TARGETS)
-            .map(|number| (Position(position), target(number)))
+            .map(|number| (Position::from(position), target(number)))
             .collect()
     };
-    view.target_list().replace(Mono(1), Position(1), rows(1));
+    view.target_list()
+        .replace(Mono(1), Position::from(1), rows(1));
     view.publish("table");
     let time = |position| {
         let rows = rows(position);
         let start = Instant::now();
         view.target_list()
-            .replace(Mono(1), Position(position), rows);
+            .replace(Mono(1), Position::from(position), rows);
         view.publish("table");
         start.elapsed()
     };
--- /dev/null
+++ b/crates/edge/tests/table_returns.rs
@@ -0,0 +1,264 @@
+//! The table comes back from an older copy: what was written since is gone, and its
+//! versions are given out again.
+
+mod site;
+
+use std::{sync::Arc, time::Duration};
+
+use fakes::{
+    rows::{EraHeader, Rows},
+    runner::{Behaviour, Runner},
+};
+use site::Router;
+use tokio::{sync::watch, time};
+use tokio_util::task::AbortOnDropHandle;
+
+/// Time after an acknowledgement within which a configuration has to be in force.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
+/// Time after an acknowledgement from which on a leaving target gets no requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// Time after an acknowledgement within which an evacuation has to be in force.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
+
+/// Time from a return of the table from which on routers count as undisturbed.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Interval of the heartbeats of a target.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// Time in which each target has written its row again.
+const ALL_ROWS: Duration = Duration::from_millis(1_500);
+
+/// Number of targets.
+const TARGETS: usize = 6;
+
+struct Site {
+    table: Arc<Rows>,
+    routers: Vec<Router>,
+    targets: Arc<Vec<Runner>>,
+    /// The targets from this index on write no more heartbeats.
+    alive: watch::Sender<usize>,
+    _heartbeats: AbortOnDropHandle<()>,
+}
+
+impl Site {
+    async fn start(count: usize) -> Self {
+        let table = Arc::new(Rows::start().expect("a table"));
+        fakes::site::configure(&table, 1, &[site::KEY, "other"]);
+        let runner = |number| Runner::start(&format!("i-{number}"), Behaviour::Echo);
+        let targets: Result<Vec<_>, _> = (0..TARGETS).map(runner).collect();
+        let targets = Arc::new(targets.expect("targets"));
+        for target in targets.iter() {
+            fakes::site::list_runner(&table, target, "ready");
+        }
+        let (alive, living) = watch::channel(TARGETS);
+        let heartbeats = tokio::spawn(heartbeats(table.clone(), targets.clone(), living));
+        let mut site = Self {
+            table,
+            routers: Vec::new(),
+            targets,
+            alive,
+            _heartbeats: AbortOnDropHandle::new(heartbeats),
+        };
+        for _ in 0..count {
+            site.add_router().await;
+        }
+        for router in &site.routers {
+            router.ready().await;
+        }
+        time::sleep(ALL_ROWS).await;
+        site
+    }
+
+    /// Starts a further router.
+    async fn add_router(&mut self) {
+        let seeds: Vec<_> = self
+            .routers
+            .iter()
+            .map(|it| it.shared.settings.peers)
+            .collect();
+        let settings = site::settings(self.table.address(), &seeds);
+        self.routers.push(site::router(settings).await);
+    }
+
+    fn versions(&self) -> Vec<u64> {
+        let versions = self.routers.iter().map(|it| it.shared.version().0);
+        versions.collect()
+    }
+
+    /// Returns the ids of the targets that a router sends to.
+    fn open(&self, router: usize) -> Vec<String> {
+        let fleet = self.routers[router].shared.fleet.load();
+        let targets = fleet.iter().flat_map(|fleet| fleet.targets());
+        let open = targets.filter(|target| !target.row.leaving);
+        open.map(|target| target.row.id.to_string()).collect()
+    }
+
+    fn is_evacuated(&self, router: usize) -> bool {
+        !self.routers[router].shared.evacuated.load().is_empty()
+    }
+
+    /// Stops the heartbeats of a target, the last one, and writes what it reports.
+    fn report(&self, state: &str) {
+        let last = TARGETS - 1;
+        self.alive.send_replace(last);
+        fakes::site::list_runner(&self.table, &self.targets[last], state);
+    }
+}
+
+/// Writes the rows of the targets again and again, one after the other.
+async fn heartbeats(table: Arc<Rows>, targets: Arc<Vec<Runner>>, living: watch::Receiver<usize>) {
+    loop {
+        for (index, target) in targets.iter().enumerate() {
+            if index < *living.borrow() {
+                fakes::site::list_runner(&table, target, "ready");
+            }
+            time::sleep(HEARTBEAT / TARGETS as u32).await;
+        }
+    }
+}
+
+/// A version of the configuration is written as the table is back. The versions of the
+/// table that routers know have been given out again before they ask for changes, so that
+/// the change is below them.
+#[tokio::test]
+async fn new_config() {
+    for count in [1, 3] {
+        let site = Site::start(count).await;
+        let copy = site.table.copy();
+        time::sleep(Duration::from_secs(1)).await;
+        fakes::site::configure(&site.table, 2, &[site::KEY, "other"]);
+        time::sleep(Duration::from_secs(2)).await;
+        let known = site.table.version();
+        site.table.restore(copy);
+        fakes::site::configure(&site.table, 3, &[site::KEY]);
+        while site.table.version() <= known {
+            fakes::site::list_runner(&site.table, &site.targets[0], "ready");
+        }
+        time::sleep(APPLY_TIME.max(CONTACT_TIME)).await;
+        let versions = site.versions();
+        assert!(versions.iter().all(|version| *version == 3), "{versions:?}");
+    }
+}
+
+/// The same, twice within a second, with the responses of one era late.
+#[tokio::test]
+async fn new_config_twice() {
+    let site = Site::start(3).await;
+    let copy = site.table.copy();
+    time::sleep(Duration::from_secs(2)).await;
+    fakes::site::configure(&site.table, 2, &[site::KEY, "other"]);
+    time::sleep(Duration::from_secs(1)).await;
+    site.table.slow(Duration::from_millis(300));
+    site.table.restore(copy.clone());
+    fakes::site::configure(&site.table, 3, &[site::KEY]);
+    time::sleep(Duration::from_millis(700)).await;
+    site.table.restore(copy);
+    site.table.slow(Duration::ZERO);
+    fakes::site::configure(&site.table, 4, &[site::KEY]);
+    time::sleep(APPLY_TIME.max(CONTACT_TIME)).await;
+    let versions = site.versions();
+    assert!(versions.iter().all(|version| *version == 4), "{versions:?}");
+}
+
+/// An older configuration in the copy must not come into force again, also not at a
+/// router that has just started.
+#[tokio::test]
+async fn old_config() {
+    let mut site = Site::start(2).await;
+    let copy = site.table.copy();
+    fakes::site::configure(&site.table, 2, &[site::KEY]);
+    time::sleep(APPLY_TIME).await;
+    site.table.restore(copy);
+    site.add_router().await;
+    let end = time::Instant::now() + CONTACT_TIME;
+    while time::Instant::now() < end {
+        assert_eq!(site.versions()[..2], [2, 2]);
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(site.versions(), [2, 2, 2]);
+}
+
+/// A target reports that it is leaving soon after the table is back. Its row has a lower
+/// version than the one that routers know, and it does not write it again.
+#[tokio::test]
+async fn leaving_target() {
+    for pause in [0, 300, 1_500] {
+        let site = Site::start(2).await;
+        let copy = site.table.copy();
+        time::sleep(Duration::from_secs(4)).await;
+        site.table.restore(copy);
+        time::sleep(Duration::from_millis(pause)).await;
+        site.report("draining");
+        time::sleep(DRAIN_TIME.max(CONTACT_TIME)).await;
+        for router in 0..2 {
+            let open = site.open(router);
+            assert_eq!(open.len(), TARGETS - 1, "after {pause} ms: {open:?}");
+        }
+    }
+}
+
+/// The row of a target is removed soon after the table is back.
+#[tokio::test]
+async fn removed_target() {
+    let site = Site::start(2).await;
+    let copy = site.table.copy();
+    time::sleep(Duration::from_secs(4)).await;
+    site.table.restore(copy);
+    time::sleep(Duration::from_millis(300)).await;
+    site.alive.send_replace(TARGETS - 1);
+    let last = site.targets[TARGETS - 1].id();
+    site.table.remove("servers", last);
+    time::sleep(DRAIN_TIME + CONTACT_TIME).await;
+    for router in 0..2 {
+        let open = site.open(router);
+        assert!(!open.iter().any(|id| id == last), "{open:?}");
+    }
+}
+
+/// An operator evacuates a data centre again that was evacuated and taken back between
+/// the copy and the return.
+#[tokio::test]
+async fn evacuated_again() {
+    for pause in [0, 300, 4_000] {
+        let site = Site::start(2).await;
+        let copy = site.table.copy();
+        fakes::site::evacuate(&site.table, "north");
+        time::sleep(Duration::from_secs(1)).await;
+        fakes::site::withdraw(&site.table, "north");
+        time::sleep(Duration::from_secs(3)).await;
+        assert!(!site.is_evacuated(0) && !site.is_evacuated(1));
+        site.table.restore(copy);
+        time::sleep(Duration::from_millis(pause)).await;
+        fakes::site::evacuate(&site.table, "north");
+        time::sleep(EVACUATION_TIME).await;
+        let known = [site.is_evacuated(0), site.is_evacuated(1)];
+        assert_eq!(known, [true, true], "after {pause} ms");
+    }
+}
+
+/// Eras that are missing, no numbers or lower than the known one change nothing, and do
+/// not keep a router from following the table once the header is right again.
+#[tokio::test]
+async fn odd_eras() {
+    let site = Site::start(1).await;
+    site.table.restore(site.table.copy());
+    time::sleep(ALL_ROWS).await;
+    let odd = [
+        EraHeader::Missing,
+        EraHeader::Text("soon".to_owned()),
+        EraHeader::Text("-1".to_owned()),
+        EraHeader::Text("0".to_owned()),
+    ];
+    for (version, header) in (2..).zip(odd) {
+        site.table.set_era_header(header.clone());
+        time::sleep(ALL_ROWS).await;
+        assert_eq!(site.open(0).len(), TARGETS, "{header:?}");
+        site.table.set_era_header(EraHeader::Actual);
+        fakes::site::configure(&site.table, version, &[site::KEY]);
+        let is_applied = || site.versions() == [version];
+        site::until("the configuration is in force", is_applied).await;
+    }
+}
--- a/crates/edge/tests/target_list.rs
+++ b/crates/edge/tests/target_list.rs
@@ -34,9 +34,9 @@
 #[test]
 fn immediate_removal() {
     let mut target_list = TargetList::default();
-    target_list.put(at(0), Position(1), target("a", false));
-    target_list.put(at(0), Position(2), target("b", false));
-    target_list.remove(at(10), Position(3), "a");
+    target_list.put(at(0), Position::from(1), target("a", false));
+    target_list.put(at(0), Position::from(2), target("b", false));
+    target_list.remove(at(10), Position::from(3), "a");
     assert_eq!(open(&mut target_list, at(10)), ["b"]);
 }
 
@@ -45,12 +45,12 @@
 #[test]
 fn departure_is_final() {
     let mut target_list = TargetList::default();
-    target_list.put(at(0), Position(1), target("a", true));
-    target_list.put(at(1), Position(2), target("a", false));
+    target_list.put(at(0), Position::from(1), target("a", true));
+    target_list.put(at(1), Position::from(2), target("a", false));
     assert!(open(&mut target_list, at(2)).is_empty());
     let mut again = target("a", false);
     again.started_at = 2;
-    target_list.put(at(3), Position(3), again);
+    target_list.put(at(3), Position::from(3), again);
     assert_eq!(open(&mut target_list, at(3)), ["a"]);
 }
 
@@ -59,14 +59,14 @@
 #[test]
 fn lapsed_rows() {
     let mut target_list = TargetList::default();
-    target_list.put(at(0), Position(1), target("a", false));
-    target_list.put(at(0), Position(2), target("b", false));
+    target_list.put(at(0), Position::from(1), target("a", false));
+    target_list.put(at(0), Position::from(2), target("b", false));
     target_list.failed();
     target_list.answered(at(5_000));
-    target_list.remove(at(5_000), Position(3), "a");
-    target_list.remove(at(5_000), Position(4), "b");
+    target_list.remove(at(5_000), Position::from(3), "a");
+    target_list.remove(at(5_000), Position::from(4), "b");
     assert_eq!(open(&mut target_list, at(6_900)), ["a", "b"]);
-    target_list.put(at(6_900), Position(5), target("a", false));
+    target_list.put(at(6_900), Position::from(5), target("a", false));
     assert_eq!(open(&mut target_list, at(7_200)), ["a"]);
 }
 
@@ -75,10 +75,10 @@
 #[test]
 fn removed_after_outage() {
     let mut target_list = TargetList::default();
-    target_list.put(at(0), Position(1), target("a", false));
+    target_list.put(at(0), Position::from(1), target("a", false));
     target_list.failed();
     target_list.answered(at(5_000));
-    target_list.remove(at(7_500), Position(2), "a");
+    target_list.remove(at(7_500), Position::from(2), "a");
     assert!(open(&mut target_list, at(7_500)).is_empty());
 }
 
@@ -88,11 +88,11 @@
 #[test]
 fn announced_by_peer() {
     let mut target_list = TargetList::default();
-    target_list.put(at(0), Position(1), target("a", false));
-    target_list.put(at(0), Position(1), target("b", false));
+    target_list.put(at(0), Position::from(1), target("a", false));
+    target_list.put(at(0), Position::from(1), target("b", false));
     let mut other = target_list.clone();
-    other.remove(at(1), Position(7), "a");
-    other.put(at(1), Position(8), target("b", true));
+    other.remove(at(1), Position::from(7), "a");
+    other.put(at(1), Position::from(8), target("b", true));
     open(&mut other, at(1));
     let departures = other.departures(at(2), 10);
     assert_eq!(departures.len(), 2);
@@ -100,10 +100,10 @@
         target_list.apply_departure(at(2), departure);
     }
     assert!(open(&mut target_list, at(2)).is_empty());
-    target_list.put(at(3), Position(6), target("a", false));
-    target_list.put(at(3), Position(6), target("b", false));
+    target_list.put(at(3), Position::from(6), target("a", false));
+    target_list.put(at(3), Position::from(6), target("b", false));
     assert!(open(&mut target_list, at(3)).is_empty());
-    target_list.put(at(4), Position(9), target("a", false));
+    target_list.put(at(4), Position::from(9), target("a", false));
     assert_eq!(open(&mut target_list, at(4)), ["a"]);
     assert!(other.departures(at(10_000), 10).is_empty());
 }
@@ -112,10 +112,10 @@
 #[test]
 fn old_departure() {
     let mut target_list = TargetList::default();
-    target_list.put(at(0), Position(5), target("a", false));
+    target_list.put(at(0), Position::from(5), target("a", false));
     let departure = Departure {
         target: "a".parse().expect("an id"),
-        position: Position(4),
+        position: Position::from(4),
         removed: true,
     };
     target_list.apply_departure(at(0), &departure);
@@ -125,8 +125,12 @@
 #[test]
 fn missed_changes() {
     let mut target_list = TargetList::default();
-    target_list.put(at(0), Position(1), target("a", false));
-    target_list.replace(at(1), Position(9), vec![(Position(8), target("b", false))]);
+    target_list.put(at(0), Position::from(1), target("a", false));
+    target_list.replace(
+        at(1),
+        Position::from(9),
+        vec![(Position::from(8), target("b", false))],
+    );
     assert_eq!(open(&mut target_list, at(1)), ["b"]);
     let later = at(1) + Span::from_secs(1);
     assert_eq!(open(&mut target_list, later), ["b"]);
@@ -137,10 +141,10 @@
 #[test]
 fn announced_further() {
     let mut target_list = TargetList::default();
-    target_list.put(at(0), Position(1), target("a", false));
+    target_list.put(at(0), Position::from(1), target("a", false));
     let departure = Departure {
         target: "a".parse().expect("an id"),
-        position: Position(4),
+        position: Position::from(4),
         removed: false,
     };
     target_list.apply_departure(at(1), &departure);
@@ -148,7 +152,7 @@
         target_list.departures(at(2), 10),
         std::slice::from_ref(&departure)
     );
-    assert_eq!(target_list.last_change(), Position(4));
+    assert_eq!(target_list.last_change(), Position::from(4));
     target_list.apply_departure(at(2_900), &departure);
     assert!(target_list.departures(at(3_100), 10).is_empty());
 }
@@ -160,7 +164,7 @@
     let mut target_list = TargetList::default();
     let ids: Vec<String> = (0..45).map(|number| format!("t{number}")).collect();
     for (position, id) in ids.iter().enumerate() {
-        target_list.put(at(0), Position(position as u64), target(id, false));
+        target_list.put(at(0), Position::from(position as u64), target(id, false));
     }
     let joined = |target_list: &mut TargetList| -> BTreeSet<String> {
         let joined = target_list.joined(at(1), 4).into_iter();
@@ -175,7 +179,11 @@
     }
     assert_eq!(announced.len(), 45);
     for (position, id) in ids.iter().enumerate() {
-        target_list.put(at(2), Position(100 + position as u64), target(id, true));
+        target_list.put(
+            at(2),
+            Position::from(100 + position as u64),
+            target(id, true),
+        );
     }
     let mut announced = BTreeSet::new();
     for _ in 0..9 {
@@ -183,7 +191,7 @@
         announced.extend(departures.map(|departure| departure.target.to_string()));
     }
     assert_eq!(announced.len(), 45);
-    assert_eq!(target_list.last_change(), Position(144));
+    assert_eq!(target_list.last_change(), Position::from(144));
 }
 
 /// Relays announce a change for some seconds, ten times a second. A change that is
@@ -191,22 +199,22 @@
 #[test]
 fn repeated_announcements() {
     let mut target_list = TargetList::default();
-    assert!(target_list.put(at(0), Position(1), target("a", false)));
-    assert!(!target_list.put(at(1), Position(2), target("a", false)));
+    assert!(target_list.put(at(0), Position::from(1), target("a", false)));
+    assert!(!target_list.put(at(1), Position::from(2), target("a", false)));
     let departure = Departure {
         target: "a".parse().expect("an id"),
-        position: Position(4),
+        position: Position::from(4),
         removed: true,
     };
     assert!(target_list.apply_departure(at(2), &departure));
     assert!(!target_list.apply_departure(at(3), &departure));
-    assert!(!target_list.put(at(4), Position(3), target("a", false)));
-    target_list.put(at(5), Position(5), target("a", false));
+    assert!(!target_list.put(at(4), Position::from(3), target("a", false)));
+    target_list.put(at(5), Position::from(5), target("a", false));
     target_list.failed();
     target_list.answered(at(6));
-    target_list.remove(at(6), Position(6), "a");
+    target_list.remove(at(6), Position::from(6), "a");
     assert!(
-        target_list.put(at(7), Position(7), target("a", false)),
+        target_list.put(at(7), Position::from(7), target("a", false)),
         "the target is back"
     );
 }
