--- a/crates/edge/src/evacuation/mod.rs
+++ b/crates/edge/src/evacuation/mod.rs
@@ -37,6 +37,10 @@
 /// names of the maximum length do not need a third of the datagram.
 const MAX_NAMES: usize = 240;
 
+/// Time after the table has come back from a copy in which operators write again what it
+/// lost. Until then a data centre whose row is missing stays evacuated.
+const REWRITE_TIME: span::Span = span::Span::from_secs(10);
+
 /// Maximum number of data centres whose ended evacuations are remembered.
 /// Evacuations that other routers announce are ignored beyond it.
 const MAX_KNOWN: usize = 1_024;
@@ -57,6 +61,9 @@
 struct Entry {
     position: Position,
     active: bool,
+    /// When the evacuation ends unless a row of the latest era shows it, if the table
+    /// came back without its row.
+    ends: Option<time::Mono>,
     /// Since when the entry is announced, if it is.
     announced: Option<time::Mono>,
     /// Whether it has been checked that the data centre is known.
@@ -70,6 +77,8 @@
     /// Position of the latest full read of the table. A data centre without an entry
     /// was not evacuated then.
     full_read: Position,
+    /// When the table was first read in full in the era of `full_read`.
+    era_began: time::Mono,
     /// Number of reports so far.
     rounds: usize,
 }
@@ -150,17 +159,29 @@
     /// Applies all rows of the table, read at `position`, and returns what changed.
     ///
     /// An evacuation that is not among them has ended, unless its position is higher:
-    /// another router has then read a later state of the table.
+    /// another router has then read a later state of the table. An evacuation of an
+    /// earlier era may be lost instead, so that its end is put off.
     pub fn replace(
         &mut self,
         now: time::Mono,
         position: Position,
         rows: Vec<Evacuation>,
     ) -> Vec<Evacuation> {
+        if position.era > self.full_read.era {
+            self.era_began = now;
+        }
         self.full_read = position;
+        let ends = self.era_began + REWRITE_TIME;
         let listed: BTreeSet<_> = rows.iter().map(|row| row.centre.clone()).collect();
+        for (centre, entry) in &mut self.entries {
+            if entry.active && entry.position.era < position.era && !listed.contains(centre) {
+                entry.ends = Some(ends);
+            }
+        }
         let ended = self.all().into_iter().filter(|known| {
-            known.active && known.position <= position && !listed.contains(&known.centre)
+            let is_lost = known.position.era < position.era && ends > now;
+            let is_missing = known.position <= position && !listed.contains(&known.centre);
+            known.active && is_missing && !is_lost
         });
         let ended = ended.map(|known| Evacuation {
             position,
@@ -172,6 +193,21 @@
         changes
     }
 
+    /// Ends the evacuations whose rows the table has lost and no operator has written
+    /// again in time, and returns them.
+    pub fn expire(&mut self, now: time::Mono) -> Vec<Evacuation> {
+        let entries = self.entries.iter();
+        let expired = entries.filter(|(_, entry)| entry.ends.is_some_and(|ends| ends <= now));
+        let ended: Vec<_> = expired
+            .map(|(centre, _)| Evacuation {
+                centre: centre.clone(),
+                position: self.full_read,
+                active: false,
+            })
+            .collect();
+        self.apply_rows(now, ended)
+    }
+
     /// Applies what another router announced, and returns what changed.
     ///
     /// A router that announces an older state has missed a change. The newer one is
@@ -181,6 +217,7 @@
         for announced in announced {
             let entry = Entry::new(now, &announced);
             let is_full = self.entries.len() >= MAX_KNOWN;
+            let may_be_lost = announced.active && self.may_be_lost(now, announced.position);
             match self.entries.get_mut(&announced.centre) {
                 Some(known) if known.order() >= entry.order() => {
                     if known.active != announced.active {
@@ -188,6 +225,14 @@
                     }
                 }
                 None if is_full => {}
+                None if may_be_lost => {
+                    let ends = Some(self.era_began + REWRITE_TIME);
+                    let centre = announced.centre.clone();
+                    changes.extend(self.put(now, announced));
+                    if let Some(entry) = self.entries.get_mut(&centre) {
+                        entry.ends = ends;
+                    }
+                }
                 None if announced.position <= self.full_read => {
                     if announced.active {
                         let ended = Evacuation {
@@ -205,6 +250,12 @@
         changes
     }
 
+    /// Returns whether the latest full read may lack an evacuation because the table has
+    /// come back from a copy.
+    fn may_be_lost(&self, now: time::Mono, position: Position) -> bool {
+        position.era < self.full_read.era && now < self.era_began + REWRITE_TIME
+    }
+
     /// Returns what the other routers may not know yet, and the evacuated data centres.
     pub fn report(&mut self, now: time::Mono) -> Report {
         self.rounds = self.rounds.wrapping_add(1);
@@ -289,6 +340,7 @@
         Self {
             position: state.position,
             active: state.active,
+            ends: None,
             announced: Some(now),
             checked: false,
         }
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -152,6 +152,11 @@
         self.update_evacuations("peer", |now, known| known.merge(now, entries));
     }
 
+    /// Ends the evacuations whose rows the table has lost.
+    pub fn expire_evacuations(&self) {
+        self.update_evacuations("time", |now, known| known.expire(now));
+    }
+
     /// Changes the set of evacuations, and puts it in force for the traffic thread.
     fn update_evacuations(
         &self,
@@ -262,6 +267,7 @@
     }
 
     fn publish_rows(&self, source: &'static str, read: Option<TableRead>) {
+        self.expire_evacuations();
         let now = self.shared.clock.now();
         let old = self.shared.fleet.load_full();
         let mut target_list = self.target_list();
--- a/crates/edge/tests/evacuation.rs
+++ b/crates/edge/tests/evacuation.rs
@@ -19,7 +19,7 @@
     site::Options,
 };
 use http::StatusCode;
-use platform::rows::{Position, Row};
+use platform::rows::{Era, Position, Row};
 use proptest::prelude::*;
 use prost::Message;
 use site::{Response, Router};
@@ -104,6 +104,79 @@
     assert_eq!(names(&known), ["c", "d"]);
 }
 
+fn in_era(era: u64, version: u64) -> Position {
+    Position {
+        era: Era(era),
+        version,
+    }
+}
+
+fn later(name: &str, era: u64, version: u64, active: bool) -> Evacuation {
+    Evacuation {
+        position: in_era(era, version),
+        ..state(name, 0, active)
+    }
+}
+
+/// After the table has come back from a copy without the row of an evacuation, operators
+/// have some time to write it again. A second return gives them that time again.
+#[test]
+fn lost_rows() {
+    let mut known = Evacuations::default();
+    known.replace(at(0), 10.into(), Vec::new());
+    known.apply_rows(at(0), vec![state("a", 40, true), state("b", 41, true)]);
+    assert!(
+        known
+            .replace(at(1_000), in_era(1, 12), Vec::new())
+            .is_empty()
+    );
+    assert!(known.expire(at(10_900)).is_empty());
+    assert!(
+        known
+            .replace(at(8_000), in_era(2, 9), Vec::new())
+            .is_empty()
+    );
+    assert!(known.expire(at(17_900)).is_empty());
+    known.apply_rows(at(17_900), vec![later("a", 2, 11, true)]);
+    assert_eq!(known.expire(at(18_000)), [later("b", 2, 9, false)]);
+    assert_eq!(names(&known), ["a"]);
+    known.apply_rows(at(18_100), vec![later("a", 2, 12, false)]);
+    assert!(names(&known).is_empty());
+}
+
+/// An evacuation that was withdrawn before the return counts again if the table shows it
+/// again, be it the row of the copy or a new one.
+#[test]
+fn returned_rows() {
+    let mut known = Evacuations::default();
+    known.replace(at(0), 10.into(), vec![state("a", 5, true)]);
+    known.apply_rows(at(0), vec![state("a", 40, false)]);
+    known.replace(at(1_000), in_era(1, 12), vec![later("a", 1, 5, true)]);
+    assert_eq!(names(&known), ["a"]);
+    known.merge(at(1_100), vec![state("a", 40, false)]);
+    assert_eq!(names(&known), ["a"]);
+    known.apply_rows(at(1_200), vec![later("a", 1, 13, false)]);
+    assert!(names(&known).is_empty());
+}
+
+/// A router that has started after the return learns of a lost evacuation from one that
+/// is cut from the table, and not for longer than operators have to write it again.
+#[test]
+fn lost_at_peer() {
+    let mut fresh = Evacuations::default();
+    fresh.replace(at(1_000), in_era(1, 12), Vec::new());
+    fresh.merge(at(2_000), vec![state("a", 40, true)]);
+    assert_eq!(names(&fresh), ["a"]);
+    assert_eq!(fresh.expire(at(11_000)), [later("a", 1, 12, false)]);
+    assert!(
+        fresh
+            .merge(at(12_000), vec![state("a", 40, true)])
+            .is_empty()
+    );
+    fresh.merge(at(12_000), vec![state("b", 41, true)]);
+    assert!(names(&fresh).is_empty());
+}
+
 /// A late announcement must not bring back an evacuation that was withdrawn, nor one
 /// that a full read did not contain. The router that sent it is told.
 #[test]
--- a/crates/edge/tests/table_returns.rs
+++ b/crates/edge/tests/table_returns.rs
@@ -239,6 +239,31 @@
     }
 }
 
+/// The row of an evacuation is lost with the return, and the operator writes it again a
+/// while later. The data centre stays evacuated until then, and is taken back as usual.
+#[tokio::test]
+async fn lost_evacuation() {
+    let site = Site::start(2).await;
+    let copy = site.table.copy();
+    fakes::site::evacuate(&site.table, "north");
+    time::sleep(Duration::from_secs(3)).await;
+    assert!(site.is_evacuated(0) && site.is_evacuated(1));
+    site.table.restore(copy);
+    let returned = time::Instant::now();
+    while returned.elapsed() < CONTACT_TIME {
+        assert!(site.is_evacuated(0) && site.is_evacuated(1));
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    fakes::site::evacuate(&site.table, "north");
+    time::sleep(Duration::from_secs(10)).await;
+    assert!(site.is_evacuated(0) && site.is_evacuated(1));
+    fakes::site::withdraw(&site.table, "north");
+    site::until("it is taken back", || {
+        !site.is_evacuated(0) && !site.is_evacuated(1)
+    })
+    .await;
+}
+
 /// Eras that are missing, no numbers or lower than the known one change nothing, and do
 /// not keep a router from following the table once the header is right again.
 #[tokio::test]
