--- a/crates/edge/src/cold/mod.rs
+++ b/crates/edge/src/cold/mod.rs
@@ -235,11 +235,11 @@
     let said = fleet.targets().filter_map(|target| {
         let (left, hops) = target.cold().statement(now)?;
         shared.cold_limit(&target.row.service)?;
-        let (position, mut row) = target_list.row(now, &target.row.id)?;
+        let (source, mut row) = target_list.row(now, &target.row.id)?;
         row.cold = left;
         Some(TargetRow {
             hops: hops + 1,
-            ..TargetRow::new(position, &row)
+            ..TargetRow::new(source, &row)
         })
     });
     let said = said.filter(|row| row.hops <= MAX_HOPS);
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -290,6 +290,7 @@
                     None => target_list.remove(now, row.position, &row.key),
                 }
             }
+            target_list.record_read(position.unwrap_or_default());
         }
         Err(_) => target_list.failed(),
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -217,7 +217,7 @@
         let mut target_list = self.view.target_list();
         let departures = target_list.departures(now, MAX_DEPARTURES);
         let joined = target_list.joined(now, MAX_JOINED).into_iter();
-        let joined = joined.map(|(position, target)| TargetRow::new(position, &target));
+        let joined = joined.map(|(source, target)| TargetRow::new(source, &target));
         let mut joined: Vec<TargetRow> = joined.collect();
         if let Some(fleet) = fleet.as_ref() {
             let max = MAX_JOINED - joined.len().min(MAX_JOINED);
--- a/crates/edge/src/update.rs
+++ b/crates/edge/src/update.rs
@@ -15,7 +15,11 @@
 };
 use prost::Message;
 
-use crate::{evacuation::Evacuation, fleet::TargetHash, target_list::Departure};
+use crate::{
+    evacuation::Evacuation,
+    fleet::TargetHash,
+    target_list::{Departure, Source},
+};
 
 /// Largest datagram that is sent, in bytes; larger ones would be fragmented on
 /// the way.
@@ -285,6 +289,9 @@
     /// Whether the target's row was removed.
     #[prost(bool, tag = "3")]
     pub removed: bool,
+    /// Start time of the target; absent if the sender does not tell.
+    #[prost(int64, optional, tag = "4")]
+    pub born: Option<i64>,
     /// The era of `position`.
     #[prost(uint64, tag = "5")]
     pub era: u64,
@@ -396,6 +403,9 @@
     /// The era of `position`.
     #[prost(uint64, tag = "11")]
     pub era: u64,
+    /// Whether the row may come from the copy from which the table came back.
+    #[prost(bool, tag = "12")]
+    pub copied: bool,
 }
 
 fn position(era: u64, version: u64) -> Position {
@@ -486,6 +496,7 @@
             target: departure.target.to_string(),
             position: departure.position.version,
             removed: departure.removed,
+            born: departure.started_at,
             era: departure.position.era.0,
         }
     }
@@ -499,6 +510,7 @@
             target: entry.target.parse()?,
             position: position(entry.era, entry.position),
             removed: entry.removed,
+            started_at: entry.born,
         })
     }
 }
@@ -528,7 +540,7 @@
 
 impl TargetRow {
     /// Encodes the row of a target.
-    pub fn new(position: Position, target: &row::Target) -> Self {
+    pub fn new(source: Source, target: &row::Target) -> Self {
         Self {
             id: target.id.to_string(),
             address: target.address.to_string(),
@@ -537,10 +549,11 @@
             slots: target.slots,
             leaving: target.leaving,
             born: target.started_at,
-            position: position.version,
+            position: source.position.version,
             cold: Some(u32::try_from(target.cold.as_millis()).unwrap_or(u32::MAX)),
             hops: 0,
-            era: position.era.0,
+            era: source.position.era.0,
+            copied: source.copied,
         }
     }
 
@@ -550,12 +563,12 @@
         cold.min(row::MAX_COLD)
     }
 
-    /// Decodes the target and the position of its row.
+    /// Decodes the target and where its row is from.
     ///
     /// # Errors
     ///
     /// When an id or the address is malformed.
-    pub fn target(&self) -> anyhow::Result<(Position, row::Target)> {
+    pub fn target(&self) -> anyhow::Result<(Source, row::Target)> {
         let target = row::Target {
             id: self.id.parse()?,
             address: self.address.parse()?,
@@ -566,6 +579,10 @@
             leaving: self.leaving,
             started_at: self.born,
         };
-        Ok((position(self.era, self.position), target))
+        let source = Source {
+            position: position(self.era, self.position),
+            copied: self.copied,
+        };
+        Ok((source, target))
     }
 }
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -110,7 +110,7 @@
         let mut changed = false;
         for row in rows.iter().filter(|row| row.hops == 0) {
             match row.target() {
-                Ok((position, mut target)) => {
+                Ok((source, mut target)) => {
                     let mut target_list = self.target_list();
                     if row.cold.is_none() {
                         // The sender knows nothing of cold targets.
@@ -118,7 +118,7 @@
                         let known = known.filter(|(_, k)| k.started_at == target.started_at);
                         target.cold = known.map(|(_, known)| known.cold).unwrap_or_default();
                     }
-                    changed |= target_list.put(now, position, target);
+                    changed |= target_list.put_announced(now, source, target);
                 }
                 Err(error) => tracing::info!(event = "row_unusable", key = row.id, %error),
             }
@@ -219,7 +219,7 @@
         let target_list = self.target_list();
         let targets = target_list
             .rows(self.shared.clock.now())
-            .map(|(position, target)| TargetRow::new(position, &target));
+            .map(|(source, target)| TargetRow::new(source, &target));
         Snapshot {
             config,
             targets: targets.collect(),
--- a/crates/edge/tests/cold_targets.rs
+++ b/crates/edge/tests/cold_targets.rs
@@ -91,13 +91,13 @@
     let sent = TargetRow::new(*position, target);
     let mut other = TargetList::default();
     let (position, target) = sent.target().expect("valid");
-    other.put(at(500), position, target);
+    other.put_announced(at(500), position, target);
     let old = TargetRow {
         cold: None,
         ..sent.clone()
     };
     let (position, target) = old.target().expect("valid");
-    assert!(!other.put(at(600), position, target));
+    assert!(!other.put_announced(at(600), position, target));
     let (_, until) = other.cold(&row("a", 0).id, 1).expect("known");
     assert_eq!(until, Some(at(2_500)));
     let huge = TargetRow {
@@ -119,7 +119,7 @@
     }
     let sent = TargetRow {
         hops: 1,
-        ..TargetRow::new(Position::from(7), &row("a", 3_000))
+        ..TargetRow::new(Position::from(7).into(), &row("a", 3_000))
     };
     let old = OldRow::decode(&sent.encode_to_vec()[..]).expect("decodes");
     assert_eq!((old.id.as_str(), old.position), ("a", 7));
--- a/crates/edge/tests/table_returns.rs
+++ b/crates/edge/tests/table_returns.rs
@@ -218,6 +218,58 @@
     }
 }
 
+/// A target has left since the copy was made, which shows it as ready. It gets nothing
+/// again because of that row, whether it was leaving or its row was removed; a router
+/// that has just started learns it from the others.
+#[tokio::test]
+async fn left_since() {
+    for removed in [false, true] {
+        let mut site = Site::start(2).await;
+        let copy = site.table.copy();
+        site.report("draining");
+        let last = site.targets[TARGETS - 1].id().to_owned();
+        if removed {
+            site.table.remove("servers", &last);
+        }
+        time::sleep(Duration::from_secs(6)).await;
+        site.table.restore(copy);
+        let returned = time::Instant::now();
+        site.add_router().await;
+        while returned.elapsed() < CONTACT_TIME {
+            for router in 0..2 {
+                assert!(!site.open(router).contains(&last), "at {router}");
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(!site.open(2).contains(&last), "at the new router");
+    }
+}
+
+/// A target has come since the copy was made. It is not dropped before it had time to
+/// write its row again.
+#[tokio::test]
+async fn joined_since() {
+    let site = Site::start(2).await;
+    let new = Runner::start("i-new", Behaviour::Echo).expect("a target");
+    let copy = site.table.copy();
+    fakes::site::list_runner(&site.table, &new, "ready");
+    time::sleep(Duration::from_secs(2)).await;
+    site.table.restore(copy);
+    let returned = time::Instant::now();
+    let mut is_back = false;
+    while returned.elapsed() < CONTACT_TIME {
+        if !is_back && returned.elapsed() > HEARTBEAT {
+            is_back = true;
+            fakes::site::list_runner(&site.table, &new, "ready");
+        }
+        for router in 0..2 {
+            let open = site.open(router);
+            assert_eq!(open.len(), TARGETS + 1, "{open:?}");
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// An operator evacuates a data centre again that was evacuated and taken back between
 /// the copy and the return.
 #[tokio::test]
--- a/crates/edge/tests/target_list.rs
+++ b/crates/edge/tests/target_list.rs
@@ -117,6 +117,7 @@
         target: "a".parse().expect("an id"),
         position: Position::from(4),
         removed: true,
+        started_at: None,
     };
     target_list.apply_departure(at(0), &departure);
     assert_eq!(open(&mut target_list, at(0)), ["a"]);
@@ -146,6 +147,7 @@
         target: "a".parse().expect("an id"),
         position: Position::from(4),
         removed: false,
+        started_at: None,
     };
     target_list.apply_departure(at(1), &departure);
     assert_eq!(
@@ -205,6 +207,7 @@
         target: "a".parse().expect("an id"),
         position: Position::from(4),
         removed: true,
+        started_at: None,
     };
     assert!(target_list.apply_departure(at(2), &departure));
     assert!(!target_list.apply_departure(at(3), &departure));
