edge: refusals outlive a return of the table

Cause: a row that a full read lacks was taken for one that was removed, and one that it has for one that was written since.

Change: in a new era a missing row is lost: the refusal stays, and routers that still refuse write it again; a row known as removed is removed again and not adopted. Writes are spread and follow a read of all rows, as before.

--- a/crates/edge/src/refusals.rs
+++ b/crates/edge/src/refusals.rs
@@ -14,7 +14,7 @@
     fault::{At, Fault},
     id,
 };
-use platform::rows::{self, Position, Row, Table};
+use platform::rows::{self, Era, Position, Row, Table};
 use prost::Message;
 use rand::RngExt;
 use store::service::Service;
@@ -100,12 +100,19 @@
 }
 
 /// What is known of a row.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct KnownRow {
     /// Position of its latest change.
     position: Position,
-    /// Number of the crashes that it names; `None` if it was removed.
-    crashes: Option<usize>,
+    /// The targets of the crashes that it names; `None` if it was removed.
+    targets: Option<Vec<u64>>,
+}
+
+impl KnownRow {
+    /// Returns the number of crashes that the row names; `None` if it was removed.
+    fn crashes(&self) -> Option<usize> {
+        self.targets.as_ref().map(Vec::len)
+    }
 }
 
 /// The rows, as far as they are known.
@@ -127,7 +134,7 @@
         }
         self.rows.insert(key.clone(), row);
         // Late reads concern recent changes, so the oldest removal is forgotten first.
-        let removed = self.rows.iter().filter(|(_, row)| row.crashes.is_none());
+        let removed = self.rows.iter().filter(|(_, row)| row.targets.is_none());
         if removed.clone().count() > MAX_REMOVED {
             let oldest = removed.min_by_key(|(_, row)| row.position);
             if let Some(oldest) = oldest.map(|(key, _)| key.clone()) {
@@ -151,11 +158,14 @@
     /// still is what this router decides.
     ///
     /// Between the change and the write, the row may have been removed by an operator,
-    /// which lifted the refusal here. Rows that this router adopted are not
-    /// written again.
+    /// which lifted the refusal here. Rows that this router adopted are written again only
+    /// if the table has lost them.
     fn needs(&self, shared: &Shared, change: &RowChange) -> bool {
-        let known = self.known().rows.get(&change.key).copied();
-        let stored = known.and_then(|row| row.crashes);
+        let stored = self
+            .known()
+            .rows
+            .get(&change.key)
+            .and_then(KnownRow::crashes);
         match &change.targets {
             Some(targets) => {
                 let is_stored = stored.is_some_and(|crashes| crashes >= targets.len());
@@ -169,13 +179,17 @@
     pub fn apply(&self, shared: &Shared, rows: &[Row]) {
         for row in rows {
             if let Some((key, targets)) = decode(row) {
-                self.apply_row(shared, key, row.position, targets.as_deref());
+                self.apply_row(shared, key, row.position, targets);
             }
         }
     }
 
     /// Applies all rows of the table, read at a position. Rows that are missing were
     /// removed, unless they were written later.
+    ///
+    /// If the table has come back from a copy, a missing row may be lost and a row that
+    /// was removed may be there again. What was known before still holds then, and this
+    /// router writes or removes the row again, if that still is what it decides.
     pub fn apply_all(&self, shared: &Shared, rows: &[Row], position: Position) {
         let mut known = self.known();
         if known.read > position {
@@ -183,18 +197,59 @@
         }
         known.read = position;
         let stored = known.rows.iter();
-        let stored = stored.filter(|(_, row)| row.crashes.is_some() && row.position <= position);
+        let stored = stored.filter(|(_, row)| row.targets.is_some() && row.position <= position);
         let mut missing: BTreeSet<RefusalKey> = stored.map(|(key, _)| key.clone()).collect();
         drop(known);
+        let mut again = Vec::new();
         for row in rows {
             if let Some((key, targets)) = decode(row) {
                 missing.remove(&key);
-                self.record_row(shared, key, row.position, targets.as_deref());
+                if self.was_removed(&key, position.era) {
+                    again.push(self.restore_row(key, row.position, targets));
+                } else {
+                    self.record_row(shared, key, row.position, targets);
+                }
             }
         }
         for key in missing {
-            self.record_row(shared, key, position, None);
+            match self.lose_row(&key, position.era) {
+                Some(lost) => again.push(lost),
+                None => self.record_row(shared, key, position, None),
+            }
+        }
+        shared.queue_refusal_changes(again);
+    }
+
+    /// Returns whether a row is known as removed in an era before `era`.
+    fn was_removed(&self, key: &RefusalKey, era: Era) -> bool {
+        let known = self.known();
+        let row = known.rows.get(key);
+        row.is_some_and(|row| row.targets.is_none() && row.position.era < era)
+    }
+
+    /// Records a row that is there again, and returns the change that removes it.
+    fn restore_row(
+        &self,
+        key: RefusalKey,
+        position: Position,
+        targets: Option<Vec<u64>>,
+    ) -> RowChange {
+        self.known().record(&key, KnownRow { position, targets });
+        RowChange { key, targets: None }
+    }
+
+    /// Forgets a row that was stored in an era before `era`, and returns the change that
+    /// writes it again; `None` if it was stored later.
+    fn lose_row(&self, key: &RefusalKey, era: Era) -> Option<RowChange> {
+        let mut known = self.known();
+        if known.rows.get(key)?.position.era >= era {
+            return None;
         }
+        let lost = known.rows.remove(key)?;
+        Some(RowChange {
+            key: key.clone(),
+            targets: lost.targets,
+        })
     }
 
     fn apply_row(
@@ -202,7 +257,7 @@
         shared: &Shared,
         key: RefusalKey,
         position: Position,
-        targets: Option<&[u64]>,
+        targets: Option<Vec<u64>>,
     ) {
         let known = self.known();
         let is_removed = !known.rows.contains_key(&key) && position <= known.read;
@@ -217,12 +272,15 @@
         shared: &Shared,
         key: RefusalKey,
         position: Position,
-        targets: Option<&[u64]>,
+        targets: Option<Vec<u64>>,
     ) {
-        let crashes = targets.map(<[u64]>::len);
-        let is_new = self.known().record(&key, KnownRow { position, crashes });
+        let row = KnownRow {
+            position,
+            targets: targets.clone(),
+        };
+        let is_new = self.known().record(&key, row);
         match targets {
-            Some(targets) if is_new => adopt(shared, key, targets),
+            Some(targets) if is_new => adopt(shared, key, &targets),
             None if is_new => lift(shared, &key),
             _ => {}
         }
@@ -278,11 +336,13 @@
         };
         let body = body.map_err(|error| Fault::new("encode row", &key, error))?;
         let position = control::transact(shared, service, body).await?;
-        let crashes = change.targets.as_ref().map(Vec::len);
         let mut known = self.known();
-        // Without a position, the row counts as new when the feed delivers it.
-        let position = position.unwrap_or(known.read);
-        known.record(&change.key, KnownRow { position, crashes });
+        let row = KnownRow {
+            // Without a position, the row counts as new when the feed delivers it.
+            position: position.unwrap_or(known.read),
+            targets: change.targets.clone(),
+        };
+        known.record(&change.key, row);
         drop(known);
         let refused = change.targets.is_some();
         tracing::info!(event = "refusal_stored", part = key, refused);
--- a/crates/edge/tests/table_returns.rs
+++ b/crates/edge/tests/table_returns.rs
@@ -316,6 +316,53 @@
     .await;
 }
 
+/// A refusal that was stored since the copy was made stays in force, and its row is
+/// written again.
+#[tokio::test]
+async fn lost_refusal() {
+    let site = Site::start(2).await;
+    let copy = site.table.copy();
+    let part = edge::fleet::part_hash("deadly").to_string();
+    let refused = |router: usize| {
+        let parts = site.routers[router].shared.crash_parts();
+        parts.refused().count() > 0
+    };
+    site.table.put("refusals", &part, b"other-router");
+    site::until("the part is refused", || refused(0) && refused(1)).await;
+    time::sleep(Duration::from_secs(2)).await;
+    site.table.restore(copy);
+    let is_stored = || site.table.keys("refusals").contains(&part);
+    site::until("the row is written again", is_stored).await;
+    time::sleep(CONTACT_TIME).await;
+    assert!(refused(0) && refused(1) && is_stored());
+}
+
+/// A refusal that an operator has lifted since the copy was made does not come back, and
+/// its row is removed again.
+#[tokio::test]
+async fn lifted_refusal() {
+    let site = Site::start(2).await;
+    let part = edge::fleet::part_hash("deadly").to_string();
+    let refused = |router: usize| {
+        let parts = site.routers[router].shared.crash_parts();
+        parts.refused().count() > 0
+    };
+    site.table.put("refusals", &part, b"other-router");
+    site::until("the part is refused", || refused(0) && refused(1)).await;
+    let copy = site.table.copy();
+    site.table.remove("refusals", &part);
+    site::until("the refusal is lifted", || !refused(0) && !refused(1)).await;
+    time::sleep(Duration::from_secs(2)).await;
+    site.table.restore(copy);
+    let is_stored = || site.table.keys("refusals").contains(&part);
+    site::until("the row is removed again", || !is_stored()).await;
+    let end = time::Instant::now() + CONTACT_TIME;
+    while time::Instant::now() < end {
+        assert!(!refused(0) && !refused(1) && !is_stored());
+        time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Eras that are missing, no numbers or lower than the known one change nothing, and do
 /// not keep a router from following the table once the header is right again.
 #[tokio::test]
