edge: a router whose row a return of the table took writes it again

Cause: a missing row of the router's own was noticed only if the router had read it before, and only at the next read, up to 30 s later.

Change: module membership, taken out of control, remembers the position of the row, and writes it again if a read of that position or a later one lacks it.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,5 +1,5 @@
-//! Reads configuration, targets and the other routers' rows from the platform's
-//! table, and registers this router there.
+//! Reads configuration and targets from the platform's table, and starts the tasks
+//! that read and write the other tables.
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -12,7 +12,7 @@
 };
 use bytes::Bytes;
 use http::{Method, Request, header};
-use platform::rows::{self, Era, Position, Row, Table};
+use platform::rows::{self, Era, Position, Table};
 use store::{
     backoff::Backoff,
     breaker,
@@ -24,8 +24,8 @@
 
 use crate::{
     cold::TableRead,
-    expiry::Members,
     feed::{Change, Follower, Waiting},
+    membership,
     peers::Peers,
     readers,
     refusals::StoredRefusals,
@@ -46,13 +46,6 @@
 /// within a second.
 const RELAYED_WAIT: span::Span = span::Span::from_millis(12_000);
 
-/// Interval between two reads of the routers' rows. It can be long, because a
-/// router that starts sends updates to the routers whose rows it reads.
-const MEMBER_INTERVAL: Duration = Duration::from_secs(30);
-
-/// Pause after a failure to write this router's row or to read the others.
-const REGISTER_PAUSE: Duration = Duration::from_millis(700);
-
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -101,8 +94,7 @@
         view.clone(),
         service.clone(),
     ));
-    tokio::spawn(register(shared.clone(), service.clone()));
-    tokio::spawn(follow_members(shared, peers.clone(), service));
+    tokio::spawn(membership::follow(shared, peers.clone(), service));
     tokio::spawn(forward_changes(view, peers.clone()));
     if let Err(fault) = peers.serve().await {
         tracing::error!(event = "peers_failed", %fault);
@@ -296,28 +288,6 @@
     }
 }
 
-/// Writes this router's row, so that the other routers find it.
-async fn register(shared: Arc<Shared>, service: Arc<Service>) {
-    let key = shared.settings.process.as_str();
-    let address = shared.settings.peers.to_string();
-    loop {
-        let written = match rows::write_body(Table::Members, key, address.as_bytes()) {
-            Ok(body) => transact(&shared, &service, body).await,
-            Err(error) => Err(Fault::new("encode row", key, error)),
-        };
-        match written {
-            Ok(_) => {
-                tracing::info!(event = "registered", address);
-                return;
-            }
-            Err(fault) => {
-                tracing::info!(event = "not_registered", %fault);
-                timer::sleep(REGISTER_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// Sends a transaction to the table. Returns the position of its changes, if the
 /// reply tells it.
 ///
@@ -347,79 +317,3 @@
     tracing::debug!(event = "row_written", status = reply.status.as_u16());
     Ok(rows::written(&reply.body, era))
 }
-
-/// Reads the rows of the routers, writes this router's row again if it was
-/// removed, and removes the rows of routers that are down.
-async fn follow_members(shared: Arc<Shared>, peers: Arc<Peers>, service: Arc<Service>) {
-    let mut follower = Follower::new(shared.clone(), service.clone(), Table::Members);
-    let mut members = Members::default();
-    let own = shared.settings.process.as_str();
-    loop {
-        let had_row = members.contains(own);
-        match follower.next(span::Span::ZERO).await {
-            Ok(change) => {
-                apply_members(&peers, &mut members, &change);
-                peers.set_listed();
-                if !members.contains(own) && (had_row || change.removes(own)) {
-                    tracing::warn!(event = "row_removed", key = own);
-                    tokio::spawn(register(shared.clone(), service.clone()));
-                }
-            }
-            Err(_) => {
-                timer::sleep(REGISTER_PAUSE).await;
-                continue;
-            }
-        }
-        remove_expired(&shared, &peers, &service, &mut members).await;
-        timer::sleep(MEMBER_INTERVAL).await;
-    }
-}
-
-fn apply_members(peers: &Peers, members: &mut Members, change: &Change) {
-    if let Change::All(rows) = change {
-        let keys: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
-        for address in members.retain(&keys) {
-            peers.remove_listed(address);
-        }
-    }
-    for row in change.rows() {
-        apply_member_row(peers, members, row);
-    }
-}
-
-/// Removes the rows of routers that are down. Only the routers that read the
-/// table often do this; it does no harm if two of them do it concurrently.
-async fn remove_expired(shared: &Shared, peers: &Peers, service: &Service, members: &mut Members) {
-    let own = shared.settings.peers;
-    let expired = members.expired(shared.clock.now(), own, |address| peers.is_live(address));
-    if !peers.is_reader() {
-        return;
-    }
-    for key in expired {
-        let removed = match rows::remove_body(Table::Members, &key) {
-            Ok(body) => transact(shared, service, body).await,
-            Err(error) => Err(Fault::new("encode row", &key, error)),
-        };
-        match removed {
-            Ok(_) => tracing::info!(event = "router_gone", key),
-            Err(fault) => tracing::info!(event = "row_not_removed", key, %fault),
-        }
-    }
-}
-
-fn apply_member_row(peers: &Peers, members: &mut Members, row: &Row) {
-    let Some(value) = &row.value else {
-        if let Some(address) = members.remove(&row.key) {
-            peers.remove_listed(address);
-        }
-        return;
-    };
-    let text = String::from_utf8_lossy(value);
-    match text.parse() {
-        Ok(address) => {
-            members.put(&row.key, address);
-            peers.add_listed(address);
-        }
-        Err(error) => tracing::info!(event = "row_unusable", key = row.key, %error),
-    }
-}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod lag;
 pub mod listen;
 pub mod logs;
+pub mod membership;
 pub mod metered;
 pub mod metrics;
 pub mod peers;
--- a/crates/edge/tests/table_returns.rs
+++ b/crates/edge/tests/table_returns.rs
@@ -363,6 +363,25 @@
     }
 }
 
+/// The row of a router that started after the copy was made is written again.
+#[tokio::test]
+async fn own_row() {
+    let mut site = Site::start(1).await;
+    let copy = site.table.copy();
+    site.add_router().await;
+    site.routers[1].ready().await;
+    site::until("both rows are there", || {
+        site.table.keys("members").len() == 2
+    })
+    .await;
+    time::sleep(ALL_ROWS).await;
+    site.table.restore(copy);
+    site::until("both rows are back", || {
+        site.table.keys("members").len() == 2
+    })
+    .await;
+}
+
 /// Eras that are missing, no numbers or lower than the known one change nothing, and do
 /// not keep a router from following the table once the header is right again.
 #[tokio::test]
