--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -14,7 +14,7 @@
 use http::{Request, Response, StatusCode, Uri};
 use http_body::Frame;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use inlet::{ReadError, memory::Reservation};
 use place::{breaker::Breaker, contention::Figure, latency::Task};
 use platform::{load::Load, request, response::ResponseHead};
@@ -80,6 +80,15 @@
         self.head.event_stream && self.head.status.is_success()
     }
 
+    /// Returns whether the body was received completely. This is known before its end is
+    /// read if the target told its length.
+    pub fn is_complete(&self) -> bool {
+        match &self.first {
+            Some(frame) => frame.is_none(),
+            None => self.body.is_end_stream(),
+        }
+    }
+
     /// Returns the next frame of the body.
     pub async fn frame(&mut self) -> BodyFrame {
         match self.first.take() {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -35,10 +35,21 @@
     /// Whether the target has not crashed for some time since.
     survived: bool,
     attempts: Attempts,
-    ended: bool,
-    _active: ActiveRequest,
+    active: ActiveRequest,
 }
 
+/// The state of the response to the caller.
+enum State {
+    /// The stream is being forwarded.
+    Open(Box<EventStream>),
+    /// The last frame was returned. The request counts as active until the HTTP library
+    /// drops the response.
+    Ended { _active: ActiveRequest },
+}
+
+/// A frame for the caller, and the state after it; `None` at the end.
+type Step = Option<(Result<Frame<Bytes>, Fault>, State)>;
+
 /// Result of reading from the target.
 enum Read {
     Events(Bytes),
@@ -74,25 +85,40 @@
             request,
             response,
             attempts,
-            ended: false,
-            _active: active,
+            active,
         };
-        let frames = stream::unfold(stream, |stream| async move { stream.next().await });
+        let state = match stream.response.is_complete() {
+            // The library does not read a body that is known to be empty.
+            true => stream.finish(),
+            false => State::Open(Box::new(stream)),
+        };
+        let frames = stream::unfold(state, |state| async move {
+            match state {
+                State::Open(stream) => stream.next().await,
+                State::Ended { .. } => None,
+            }
+        });
         let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
     }
 
-    async fn next(mut self) -> Option<(Result<Frame<Bytes>, Fault>, Self)> {
-        if self.ended {
-            return None;
-        }
+    async fn next(mut self: Box<Self>) -> Step {
         loop {
             match self.read().await {
                 Read::Events(events) if events.is_empty() => {}
-                Read::Events(events) => return Some((Ok(Frame::data(events)), self)),
-                Read::End => return self.finish(),
+                Read::Events(events) => {
+                    let state = match self.is_complete() {
+                        true => self.finish(),
+                        false => State::Open(self),
+                    };
+                    return Some((Ok(Frame::data(events)), state));
+                }
+                Read::End => {
+                    self.finish();
+                    return None;
+                }
                 Read::Broken(fault) => {
                     self.record_broken(&fault);
                     if !self.resume().await {
@@ -111,6 +137,12 @@
         }
     }
 
+    /// Returns whether all events were returned. The library does not ask for the end of a
+    /// response whose length the caller knows.
+    fn is_complete(&self) -> bool {
+        self.error.is_none() && !self.events.has_partial() && self.response.is_complete()
+    }
+
     async fn read(&mut self) -> Read {
         if let Some(error) = self.error.take() {
             let peer = &self.response.flight.target().row.id;
@@ -230,7 +262,8 @@
         }
     }
 
-    fn finish(self) -> Option<(Result<Frame<Bytes>, Fault>, Self)> {
+    /// Records that the target has sent the whole stream.
+    fn finish(self) -> State {
         if let Some(begun) = self.begun
             && !self.survived
         {
@@ -251,16 +284,16 @@
         }
         self.request
             .finish("streamed", Some(head.status), &self.attempts);
-        None
+        State::Ended {
+            _active: self.active,
+        }
     }
 
-    fn abort(
-        mut self,
-        outcome: &'static str,
-        fault: Fault,
-    ) -> Option<(Result<Frame<Bytes>, Fault>, Self)> {
+    fn abort(self, outcome: &'static str, fault: Fault) -> Step {
         self.request.finish(outcome, None, &self.attempts);
-        self.ended = true;
-        Some((Err(fault), self))
+        let state = State::Ended {
+            _active: self.active,
+        };
+        Some((Err(fault), state))
     }
 }
--- a/crates/fakes/src/runner.rs
+++ b/crates/fakes/src/runner.rs
@@ -103,6 +103,8 @@
     /// Prompt part whose requests crash the target.
     deadly: Mutex<Option<String>>,
     leaving: AtomicBool,
+    /// Whether whole streams come with their length.
+    lengths: AtomicBool,
     /// `Retry-After` of refusals.
     pause: Mutex<Option<String>>,
     lists: AtomicUsize,
@@ -134,6 +136,7 @@
             kept: Mutex::default(),
             deadly: Mutex::default(),
             leaving: AtomicBool::new(false),
+            lengths: AtomicBool::new(false),
             pause: Mutex::default(),
             lists: AtomicUsize::new(0),
             refusals: AtomicUsize::new(0),
@@ -200,6 +203,16 @@
         self.shared.lists.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections that were opened to the target.
+    pub fn connections(&self) -> usize {
+        self.server.accepted()
+    }
+
+    /// Sends whole streams with their length, or in chunks.
+    pub fn set_lengths(&self, lengths: bool) {
+        self.shared.lengths.store(lengths, Ordering::Relaxed);
+    }
+
     /// Returns how many requests the target refused.
     pub fn refusals(&self) -> usize {
         self.shared.refusals.load(Ordering::Relaxed)
@@ -244,6 +257,9 @@
         let mut response = Response::new(match behaviour {
             Behaviour::Lose => return Err(Dropped),
             Behaviour::Cut => body::cut(run.body.clone()),
+            Behaviour::Stream if self.lengths.load(Ordering::Relaxed) => {
+                body::full((seen + 1..=EVENTS).map(event).collect::<String>())
+            }
             Behaviour::Stream => self.stream(seen, EVENTS, false),
             Behaviour::Break(events) => self.stream(seen, events, true),
             Behaviour::Endless => self.stream(seen, u64::MAX, false),
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -1,7 +1,15 @@
 //! A small HTTP/1.1 server that can lose all its connections and come back on
 //! the same address.
 
-use std::{future::Future, io, net::SocketAddr, sync::Arc};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 use base::span;
 use http::{Request, Response};
@@ -66,6 +74,7 @@
 pub struct Server {
     address: SocketAddr,
     power: Power,
+    accepted: Arc<AtomicUsize>,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -101,10 +110,19 @@
     /// Starts the server in the current tokio runtime.
     pub fn serve(self, handler: Arc<impl Handler>) -> Server {
         let address = self.address;
-        let task = tokio::spawn(run(handler, self.listener, address, self.commands));
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let served = run(
+            handler,
+            self.listener,
+            address,
+            self.commands,
+            accepted.clone(),
+        );
+        let task = tokio::spawn(served);
         Server {
             address,
             power: self.power,
+            accepted,
             _task: AbortOnDropHandle::new(task),
         }
     }
@@ -120,6 +138,11 @@
     pub fn power(&self) -> &Power {
         &self.power
     }
+
+    /// Returns the number of connections that were accepted.
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
+    }
 }
 
 /// Binds a socket without listening, which reserves the port and makes the
@@ -139,9 +162,10 @@
     mut listener: TcpListener,
     address: SocketAddr,
     mut commands: mpsc::UnboundedReceiver<Command>,
+    accepted: Arc<AtomicUsize>,
 ) {
     loop {
-        let time = accept(&handler, &listener, &mut commands).await;
+        let time = accept(&handler, &listener, &mut commands, &accepted).await;
         drop(listener);
         let reopened = async {
             let socket = reserve(address)?;
@@ -163,6 +187,7 @@
     handler: &Arc<impl Handler>,
     listener: &TcpListener,
     commands: &mut mpsc::UnboundedReceiver<Command>,
+    count: &AtomicUsize,
 ) -> Option<span::Span> {
     let stop = CancellationToken::new();
     let guard = stop.clone().drop_guard();
@@ -170,6 +195,7 @@
     let time = loop {
         tokio::select! {
             accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                count.fetch_add(1, Ordering::Relaxed);
                 connections.spawn(connection(handler.clone(), stream, stop.clone()));
             },
             Some(command) = commands.recv() => if let Command::Down(time) = command {
