edge: renewed rows and leaves of other runs after a return of the table

Cause: a row of the copy that was removed before the return was ignored until a later version of it, which may never come. A departure was applied to the entry of a target whichever run it was of: a leave of an earlier run, known from the copy alone, took a later run out for good, and a leave of a later run was told on as one of the earlier.

Change: a doubted row that is still there after 10 s is used; a departure of an earlier run is ignored, and one of a later run makes the entry that run's.

--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -23,6 +23,10 @@
 /// outage come back: two seconds, and the time of a call.
 const RECOVERY_TIME: span::Span = span::Span::from_millis(2_100);
 
+/// Time after which the table has removed the row of a target that is gone: several times
+/// the interval at which targets renew their rows.
+const LAPSE_TIME: span::Span = span::Span::from_secs(10);
+
 /// Time for which a change is announced to other routers. They receive it
 /// several times, because datagrams may be lost.
 const ANNOUNCE_TIME: span::Span = span::Span::from_secs(3);
@@ -142,8 +146,12 @@
     /// Position of the first read in its era. Rows up to it may come from the copy from
     /// which the table came back.
     first_read: Position,
+    /// When the first read in the era was applied.
+    era_began: time::Mono,
     /// Position up to which the table was read.
     read: Position,
+    /// Rows of the copy that were removed in an earlier era.
+    doubted: BTreeMap<id::TargetId, (Position, Target)>,
     table: TableHealth,
     departures: Vec<(time::Mono, Departure)>,
     /// Targets that started recently, or turned cold or warm, and until when each is
@@ -186,6 +194,9 @@
     /// or of a later run.
     fn concerns(&self, entry: &Entry) -> bool {
         let started_at = entry.target.started_at;
+        if self.started_at.is_some_and(|of| of < started_at) {
+            return false;
+        }
         match Source::from(self.position).order(entry.source) {
             // A run that was leaving in an earlier era is still leaving.
             Some(Ordering::Less) => {
@@ -194,7 +205,7 @@
                     && self.started_at == Some(started_at)
             }
             Some(_) => true,
-            None => self.started_at.is_some_and(|of| of >= started_at),
+            None => self.started_at.is_some(),
         }
     }
 }
@@ -229,7 +240,33 @@
     pub fn put(&mut self, now: time::Mono, position: Position, target: Target) -> bool {
         let first = self.first_read;
         let copied = position.era == first.era && position.version <= first.version;
-        self.apply(now, Source { position, copied }, target)
+        let source = Source { position, copied };
+        self.doubted.remove(&target.id);
+        if copied && self.is_removed(source, &target) {
+            self.doubted
+                .insert(target.id.clone(), (position, target.clone()));
+        }
+        self.apply(now, source, target)
+    }
+
+    /// Uses the rows of the copy that were removed in an earlier era and are still there
+    /// when the table would have removed them again: their targets renew them.
+    fn accept_doubted(&mut self, now: time::Mono) {
+        if self.doubted.is_empty() || now < self.era_began + LAPSE_TIME {
+            return;
+        }
+        for (id, (position, target)) in std::mem::take(&mut self.doubted) {
+            self.removed.remove(&id);
+            self.apply(now, position.into(), target);
+        }
+    }
+
+    /// Returns whether a row was written before the row of its target was removed.
+    fn is_removed(&self, source: Source, target: &Target) -> bool {
+        let known = self.entries.get(&target.id);
+        let removal = self.removed.get(&target.id);
+        removal.is_some_and(|removal| !removal.is_before(source, target))
+            || known.is_some_and(|known| known.is_removed(source, target))
     }
 
     /// Applies a row that another router announced, and returns whether it changes what is
@@ -267,19 +304,14 @@
     /// Applies a row. A target that is leaving keeps leaving until it restarts, and a row
     /// that is older than a removal has no effect.
     fn apply(&mut self, now: time::Mono, source: Source, mut target: Target) -> bool {
-        if let Some(removal) = self.removed.get(&target.id).copied()
-            && !removal.is_before(source, &target)
-        {
-            if source.copied {
+        if self.is_removed(source, &target) {
+            if let Some(removal) = self.removed.get(&target.id).filter(|_| source.copied) {
                 self.announce_again(now, &target.id, removal.position, true);
             }
             return false;
         }
         let position = source.position;
         let known = self.entries.get(&target.id);
-        if known.is_some_and(|known| known.is_removed(source, &target)) {
-            return false;
-        }
         match known.map(|known| (known.order(source, &target), source.order(known.source))) {
             Some((Ordering::Less, _)) => return false,
             Some((Ordering::Equal, None)) => return self.merge_copy(now, source, &target),
@@ -342,6 +374,7 @@
 
     /// Applies the removal of a row.
     pub fn remove(&mut self, now: time::Mono, position: Position, id: &str) {
+        self.doubted.remove(id);
         let until = match self.table {
             TableHealth::Recovered(back) => back + RECOVERY_TIME,
             TableHealth::Available | TableHealth::Unavailable => now,
@@ -362,7 +395,9 @@
         }
         if position.era > self.first_read.era || self.first_read == Position::default() {
             self.first_read = position;
+            self.era_began = now;
         }
+        self.doubted.clear();
         self.record_read(position);
         let listed: BTreeSet<&id::TargetId> = rows.iter().map(|(_, target)| &target.id).collect();
         let removed: Vec<_> = self
@@ -389,13 +424,14 @@
         if !departure.concerns(entry) {
             return false;
         }
-        let is_new = departure.removed || !entry.target.leaving;
-        entry.target.leaving = true;
+        let started_at = departure.started_at.unwrap_or(entry.target.started_at);
+        let is_later = started_at > entry.target.started_at;
+        let is_new = departure.removed || is_later || !entry.target.leaving;
+        (entry.target.leaving, entry.target.started_at) = (true, started_at);
         if entry.source.order(departure.position.into()) != Some(Ordering::Greater) {
             entry.source = departure.position.into();
         }
         if departure.removed {
-            let started_at = entry.target.started_at;
             self.entries.remove(&departure.target);
             let removal = Removal {
                 position: departure.position,
@@ -452,6 +488,7 @@
     /// Drops the targets that count as removed by now, and returns the others,
     /// including those that are leaving.
     pub fn targets(&mut self, now: time::Mono) -> Vec<&Target> {
+        self.accept_doubted(now);
         let removed = self.entries.values().filter_map(|entry| {
             let pending = entry.removal.filter(|pending| pending.at <= now)?;
             Some(Departure::new(&entry.target, pending.position, true))
--- a/crates/edge/tests/returned_targets.rs
+++ b/crates/edge/tests/returned_targets.rs
@@ -156,6 +156,66 @@
     assert_eq!(open(&mut list, at(4_000)), [run("a", 1)]);
 }
 
+/// The copy shows that an earlier run of a target was leaving. A router that knows only
+/// the copy announces it, which is no news of the later run.
+#[test]
+fn earlier_leave() {
+    let mut list = TargetList::default();
+    list.replace(at(0), 10.into(), vec![(8.into(), target("a", 2, false))]);
+    let mut fresh = TargetList::default();
+    fresh.replace(
+        at(1),
+        in_era(1, 7),
+        vec![(in_era(1, 6), target("a", 1, true))],
+    );
+    for departure in fresh.departures(at(2), MAX_DEPARTURES) {
+        assert!(!list.apply_departure(at(2), &departure));
+    }
+    assert_eq!(open(&mut list, at(2)), [run("a", 2)]);
+}
+
+/// A router that knows an earlier run hears that a later one leaves. What it announces
+/// of the target then is of the later run.
+#[test]
+fn later_leave() {
+    let mut list = TargetList::default();
+    list.replace(at(0), 10.into(), vec![(8.into(), target("a", 1, false))]);
+    let mut other = TargetList::default();
+    other.replace(at(0), 12.into(), vec![(11.into(), target("a", 2, false))]);
+    let departure = Departure {
+        target: "a".parse().expect("an id"),
+        position: 13.into(),
+        removed: false,
+        started_at: Some(2),
+    };
+    assert!(list.apply_departure(at(1), &departure));
+    for (source, target) in list.joined(at(1), MAX_JOINED) {
+        other.put_announced(at(1), source, target);
+    }
+    other.replace(
+        at(2),
+        in_era(1, 12),
+        vec![(in_era(1, 11), target("a", 2, false))],
+    );
+    assert!(open(&mut other, at(2)).is_empty());
+}
+
+/// The row of a target that runs lapses, and the table comes back with the row from
+/// before. The target only renews it, which gives it no later version.
+#[test]
+fn renewed_row() {
+    let mut list = TargetList::default();
+    let row = target("a", 1, false);
+    list.replace(at(0), 10.into(), vec![(8.into(), row.clone())]);
+    list.remove(at(0), 40.into(), "a");
+    list.targets(at(1));
+    list.replace(at(1_000), in_era(1, 20), vec![(in_era(1, 8), row.clone())]);
+    assert!(open(&mut list, at(5_000)).is_empty());
+    assert_eq!(open(&mut list, at(11_000)), [run("a", 1)]);
+    list.replace(at(20_000), in_era(2, 20), vec![(in_era(2, 8), row)]);
+    assert_eq!(open(&mut list, at(20_000)), [run("a", 1)]);
+}
+
 /// A row that another router announces is older than a read that no longer showed it.
 #[test]
 fn read_before() {
@@ -404,15 +464,17 @@
         Ok(())
     }
 
-    /// Lets all targets write their rows, the table drop those of ended ones, and all
-    /// routers read, and checks that each router has just the targets that run.
+    /// Lets targets whose rows were lost write them, the table drop those of ended ones,
+    /// and all routers read, and checks that each router has just the targets that run.
     fn settle(&mut self) -> Result<(), TestCaseError> {
-        for _ in 0..3 {
+        for _ in 0..5 {
             self.now = self.now + SETTLED;
             let targets = self.targets.clone();
             for (target, runs) in &targets {
+                let row = self.table.rows.get(&target.id).map(|(_, row)| row);
                 match runs {
-                    true => self.table.write(target),
+                    true if row != Some(target) => self.table.write(target),
+                    true => {}
                     false => self.table.remove(&target.id),
                 }
             }
