--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -199,6 +199,7 @@
             logs::dropped()
         )?;
         writeln!(text, "ebonywall_config_version {}", shared.version())?;
+        writeln!(text, "ebonywall_table_era {}", shared.eras.latest())?;
         let fleet = shared.fleet.load();
         let targets = fleet.as_ref().map_or(0, |fleet| fleet.targets().count());
         writeln!(text, "ebonywall_targets {targets}")?;
