fakes: hand out each port of a test process once

Seen once: removed_target of table_returns ended with a router that could not bind its callers' address (site/mod.rs:64), while other tests of the file started routers.

Cause: free_port let the kernel choose a port, and held the chosen one for a moment before it found it in the list of ports that were handed out. A router that bound its port in that moment got "address already in use".

Change: ports are tried one after the other, each once. The address is of this process alone, so that nobody else has them.

--- a/crates/fakes/src/site.rs
+++ b/crates/fakes/src/site.rs
@@ -2,11 +2,10 @@
 //! rule of each class, and rows of targets.
 
 use std::{
-    collections::BTreeSet,
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     process,
-    sync::{Mutex, PoisonError},
+    sync::atomic::{AtomicU16, Ordering},
 };
 
 use serde_json::{Value, json};
@@ -26,6 +25,9 @@
 /// have 22 bits, so that the sum stays below 256.
 const HOST_OFFSET: u8 = 1;
 
+/// First port that is handed out.
+const FIRST_PORT: u16 = 10_000;
+
 /// The ports of a router, on a loopback address of this process.
 ///
 /// A router that was killed leaves its ports free for a while. On an address
@@ -112,18 +114,18 @@
     Ipv4Addr::new(127, high.wrapping_add(HOST_OFFSET), middle, low)
 }
 
-/// Ports that were handed out and may not be bound yet; tests of one process run
-/// at the same time.
-static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+/// The port that is tried next. Tests of one process run at the same time, and a port that
+/// was handed out may not be bound yet: it must not be tried again.
+static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
 
 /// Returns a port that is free for TCP and UDP, another one each time.
 fn free_port(host: Ipv4Addr) -> io::Result<u16> {
     loop {
-        let listener = TcpListener::bind((host, 0))?;
-        let port = listener.local_addr()?.port();
-        let is_free = UdpSocket::bind((host, port)).is_ok();
-        let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
-        if is_free && taken.insert(port) {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        if port < FIRST_PORT {
+            return Err(io::Error::other("all ports were handed out"));
+        }
+        if TcpListener::bind((host, port)).is_ok() && UdpSocket::bind((host, port)).is_ok() {
             return Ok(port);
         }
     }
