soak: the table returns from an older copy, and changes follow

Change: the calm end lets the table come back from a copy once or twice, with or without an outage; operators and targets write again; then a key is taken away, one is added and a target leaves, in either order.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -59,6 +59,9 @@
 /// Key that the calm end takes away.
 const REVOKED: &str = "revoked";
 
+/// Key that the calm end adds.
+const ADDED: &str = "added";
+
 /// What a soak did and found.
 #[derive(Debug)]
 pub struct Report {
@@ -359,6 +362,7 @@
         violations.extend(self.drained().await);
         violations.extend(self.revoked().await);
         violations.extend(self.lost().await?);
+        violations.extend(self.returned().await);
         violations.extend(self.stopped().await?);
         Ok(violations)
     }
@@ -381,12 +385,17 @@
     }
 
     /// A target that leaves gets no new work after the bound.
-    async fn drained(&self) -> Violations {
+    async fn drained(&mut self) -> Violations {
         self.site.list(0, "draining");
         time::sleep(BOUND).await;
-        let before = self.site.targets[0].runner.runs().len();
+        self.late_runs(0).await
+    }
+
+    /// Returns the requests that reach a target which left a while ago.
+    async fn late_runs(&self, target: usize) -> Violations {
+        let before = self.site.targets[target].runner.runs().len();
         time::sleep(Duration::from_secs(1)).await;
-        let runs = self.site.targets[0].runner.runs();
+        let runs = self.site.targets[target].runner.runs();
         let late = runs.iter().skip(before);
         late.map(|run| {
             let attempt = run.headers.get("x-attempt-id");
@@ -421,6 +430,90 @@
         Ok(self.served_revoked("lost").await)
     }
 
+    /// The table comes back from an older copy, once or twice, and operators and targets
+    /// write again what it lost. Changes that follow take effect within the bound.
+    async fn returned(&mut self) -> Violations {
+        self.site.configure(&[KEY, REVOKED]);
+        time::sleep(BOUND).await;
+        for _ in 0..self.rng.random_range(1..3) {
+            self.return_table().await;
+        }
+        let pause = match self.rng.random_bool(0.5) {
+            true => Duration::from_millis(self.rng.random_range(0..2_000)),
+            false => Duration::ZERO,
+        };
+        time::sleep(pause).await;
+        if self.rng.random_bool(0.5) {
+            self.site.list(1, "draining");
+            self.site.configure(&[KEY, ADDED]);
+        } else {
+            self.site.configure(&[KEY, ADDED]);
+            self.site.list(1, "draining");
+        }
+        self.heartbeats();
+        self.faults
+            .push(format!("changes {} ms after it", pause.as_millis()));
+        time::sleep(CONTACT).await;
+        let mut violations = self.served_revoked("returned").await;
+        for router in &self.routers {
+            let attempt = format!("added-{}", router.name);
+            let outcome = Caller::default()
+                .call(router.ports.callers(), 1, &attempt, ADDED)
+                .await;
+            if outcome != Outcome::Whole(http::StatusCode::OK) {
+                violations.push(format!(
+                    "returned: a new key at {}: {outcome:?}",
+                    router.name
+                ));
+            }
+        }
+        violations.extend(self.late_runs(1).await);
+        violations
+    }
+
+    /// Lets the table come back from a copy, with or without an outage, and operators and
+    /// targets write again.
+    async fn return_table(&mut self) {
+        let copy = self.site.table.copy();
+        self.heartbeats();
+        let is_changed = self.rng.random_bool(0.5);
+        if is_changed {
+            self.site.configure(&[KEY, REVOKED]);
+        }
+        let age = Duration::from_millis(self.rng.random_range(0..3_000));
+        time::sleep(age).await;
+        let away = match self.rng.random_bool(0.5) {
+            true => Duration::from_millis(self.rng.random_range(50..800)),
+            false => Duration::ZERO,
+        };
+        if !away.is_zero() {
+            self.site.table.power().down(None);
+            time::sleep(away).await;
+        }
+        self.site.table.restore(copy);
+        self.site.table.power().up();
+        let (age, away) = (age.as_millis(), away.as_millis());
+        let text = format!("a return of the table after {away} ms, from {age} ms ago");
+        self.faults.push(format!("at the end: {text}"));
+        if self.rng.random_bool(0.5) {
+            self.site.rewrite_config();
+        }
+        for target in 0..TARGETS {
+            self.site.rewrite_row(target);
+        }
+        self.site.rewrite_config();
+    }
+
+    /// Lets targets write their rows again, so that the table's version rises; by few, if
+    /// the rows are only renewed, or by many.
+    fn heartbeats(&mut self) {
+        let most = if self.rng.random_bool(0.5) { 4 } else { 30 };
+        for _ in 0..self.rng.random_range(0..most) {
+            let target = self.rng.random_range(0..TARGETS);
+            self.site.rewrite_row(target);
+        }
+    }
+
     /// Returns the routers that accept the key that was taken away.
     async fn served_revoked(&self, step: &str) -> Violations {
         let mut violations = Vec::new();
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -20,6 +20,8 @@
     /// The link to it.
     pub proxy: Proxy,
     born: u64,
+    /// The state in its latest row.
+    state: &'static str,
 }
 
 /// Table and targets.
@@ -30,6 +32,8 @@
     /// The targets.
     pub targets: Vec<Target>,
     version: u64,
+    /// The keys of the latest configuration.
+    keys: Vec<&'static str>,
 }
 
 impl Site {
@@ -43,6 +47,7 @@
             table: Rows::start().context("start table")?,
             targets: Vec::new(),
             version: 0,
+            keys: Vec::new(),
         };
         for number in 0..targets {
             let runner = Runner::start(&format!("target-{number}"), Behaviour::ByPath)?;
@@ -51,6 +56,7 @@
                 runner,
                 proxy,
                 born: 1,
+                state: "ready",
             });
             site.list(number, "ready");
         }
@@ -59,8 +65,9 @@
     }
 
     /// Writes the row of a target.
-    pub fn list(&self, index: usize, state: &str) {
-        let target = &self.targets[index];
+    pub fn list(&mut self, index: usize, state: &'static str) {
+        let target = &mut self.targets[index];
+        target.state = state;
         let address = target.proxy.address();
         site::list(&self.table, target.runner.id(), address, state, target.born);
     }
@@ -72,8 +79,19 @@
     }
 
     /// Writes the next version of the configuration.
-    pub fn configure(&mut self, keys: &[&str]) {
+    pub fn configure(&mut self, keys: &[&'static str]) {
         self.version += 1;
-        site::configure(&self.table, self.version, keys);
+        self.keys = keys.to_vec();
+        self.rewrite_config();
+    }
+
+    /// Writes the latest configuration again.
+    pub fn rewrite_config(&self) {
+        site::configure(&self.table, self.version, &self.keys);
+    }
+
+    /// Writes the row of a target again, as a heartbeat.
+    pub fn rewrite_row(&mut self, index: usize) {
+        self.list(index, self.targets[index].state);
     }
 }
