--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -116,7 +116,7 @@
                 position: pending.position,
                 started_at: self.target.started_at,
             };
-            !removal.is_before(source, target)
+            !removal.precedes(source, target)
         })
     }
 }
@@ -131,7 +131,7 @@
 
 impl Removal {
     /// Returns whether a row was written after the removal.
-    fn is_before(self, source: Source, target: &Target) -> bool {
+    fn precedes(self, source: Source, target: &Target) -> bool {
         let started = || target.started_at.cmp(&self.started_at);
         let order = source.order(self.position.into());
         order.unwrap_or_else(started) == Ordering::Greater
@@ -265,7 +265,7 @@
     fn is_removed(&self, source: Source, target: &Target) -> bool {
         let known = self.entries.get(&target.id);
         let removal = self.removed.get(&target.id);
-        removal.is_some_and(|removal| !removal.is_before(source, target))
+        removal.is_some_and(|removal| !removal.precedes(source, target))
             || known.is_some_and(|known| known.is_removed(source, target))
     }
 
