--- a/crates/edge/src/feed/eras.rs
+++ b/crates/edge/src/feed/eras.rs
@@ -49,8 +49,8 @@
         *self.latest.borrow()
     }
 
-    /// Records an era that a reply or another router names. Returns whether it is new.
-    pub fn learn(&self, era: Era, source: &'static str) -> bool {
+    /// Records an era that a reply or another router names.
+    pub fn learn(&self, era: Era, source: &'static str) {
         let mut previous = era;
         let is_new = self.latest.send_if_modified(|latest| {
             previous = *latest;
@@ -61,7 +61,6 @@
             self.logged().clear();
             tracing::warn!(event = "table_returned", %era, %previous, source);
         }
-        is_new
     }
 
     /// Returns the era of a reply to a call that was made in the era `asked`, and records
--- a/crates/edge/src/feed/mod.rs
+++ b/crates/edge/src/feed/mod.rs
@@ -58,12 +58,6 @@
         let (Self::All(rows) | Self::Some(rows)) = self;
         rows
     }
-
-    /// Returns whether a row was removed.
-    pub fn removes(&self, key: &str) -> bool {
-        let mut rows = self.rows().iter();
-        rows.any(|row| row.key == key && row.value.is_none())
-    }
 }
 
 /// The response to a call for changes.
@@ -219,7 +213,7 @@
             let more = page.more && !page.rows.is_empty();
             rows.extend(page.rows);
             if !more {
-                self.record_read(era, rows.len());
+                self.log_reread(era, rows.len());
                 self.position = Some(position);
                 return Ok(rows);
             }
@@ -227,7 +221,7 @@
     }
 
     /// Logs that all rows were read again after the table came back from a copy.
-    fn record_read(&mut self, era: Era, rows: usize) {
+    fn log_reread(&mut self, era: Era, rows: usize) {
         let previous = self.era.replace(era);
         if previous.is_some_and(|previous| previous < era) {
             tracing::info!(event = "table_reread", table = ?self.table, %era, rows);
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -77,8 +77,8 @@
 }
 
 impl Source {
-    /// Returns whether this is later than `known`, earlier, or neither can be told: a row
-    /// of the copy, and what an era before it showed. Of one position, both say the same.
+    /// Orders this against `known` by their positions. Returns `None` if the positions do
+    /// not tell which is later: one is a row of the copy, the other is of an earlier era.
     fn order(self, known: Self) -> Option<Ordering> {
         let (own, other) = (self.position, known.position);
         let is_copy = match own.era.cmp(&other.era) {
--- a/crates/edge/tests/table_returns.rs
+++ b/crates/edge/tests/table_returns.rs
@@ -96,6 +96,12 @@
         open.map(|target| target.row.id.to_string()).collect()
     }
 
+    /// Returns whether a router refuses a prompt part.
+    fn refuses(&self, router: usize) -> bool {
+        let parts = self.routers[router].shared.crash_parts();
+        parts.refused().count() > 0
+    }
+
     fn is_evacuated(&self, router: usize) -> bool {
         !self.routers[router].shared.evacuated.load().is_empty()
     }
@@ -323,10 +329,7 @@
     let site = Site::start(2).await;
     let copy = site.table.copy();
     let part = edge::fleet::part_hash("deadly").to_string();
-    let refused = |router: usize| {
-        let parts = site.routers[router].shared.crash_parts();
-        parts.refused().count() > 0
-    };
+    let refused = |router: usize| site.refuses(router);
     site.table.put("refusals", &part, b"other-router");
     site::until("the part is refused", || refused(0) && refused(1)).await;
     time::sleep(Duration::from_secs(2)).await;
@@ -343,10 +346,7 @@
 async fn lifted_refusal() {
     let site = Site::start(2).await;
     let part = edge::fleet::part_hash("deadly").to_string();
-    let refused = |router: usize| {
-        let parts = site.routers[router].shared.crash_parts();
-        parts.refused().count() > 0
-    };
+    let refused = |router: usize| site.refuses(router);
     site.table.put("refusals", &part, b"other-router");
     site::until("the part is refused", || refused(0) && refused(1)).await;
     let copy = site.table.copy();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -455,18 +455,8 @@
             .push(format!("changes {} ms after it", pause.as_millis()));
         time::sleep(CONTACT).await;
         let mut violations = self.served_revoked("returned").await;
-        for router in &self.routers {
-            let attempt = format!("added-{}", router.name);
-            let outcome = Caller::default()
-                .call(router.ports.callers(), 1, &attempt, ADDED)
-                .await;
-            if outcome != Outcome::Whole(http::StatusCode::OK) {
-                violations.push(format!(
-                    "returned: a new key at {}: {outcome:?}",
-                    router.name
-                ));
-            }
-        }
+        let added = self.answered("added", ADDED, http::StatusCode::OK);
+        violations.extend(added.await);
         violations.extend(self.late_runs(1).await);
         violations
     }
@@ -476,8 +466,7 @@
     async fn return_table(&mut self) {
         let copy = self.site.table.copy();
         self.heartbeats();
-        let is_changed = self.rng.random_bool(0.5);
-        if is_changed {
+        if self.rng.random_bool(0.5) {
             self.site.configure(&[KEY, REVOKED]);
         }
         let age = Duration::from_millis(self.rng.random_range(0..3_000));
@@ -516,13 +505,19 @@
 
     /// Returns the routers that accept the key that was taken away.
     async fn served_revoked(&self, step: &str) -> Violations {
+        self.answered(step, REVOKED, http::StatusCode::UNAUTHORIZED)
+            .await
+    }
+
+    /// Returns the routers that do not answer a request with a key with this status.
+    async fn answered(&self, step: &str, key: &str, status: http::StatusCode) -> Violations {
         let mut violations = Vec::new();
         for router in &self.routers {
             let attempt = format!("{step}-{}", router.name);
             let outcome = Caller::default()
-                .call(router.ports.callers(), 1, &attempt, REVOKED)
+                .call(router.ports.callers(), 1, &attempt, key)
                 .await;
-            if outcome != Outcome::Whole(http::StatusCode::UNAUTHORIZED) {
+            if outcome != Outcome::Whole(status) {
                 violations.push(format!("{step}: the key at {}: {outcome:?}", router.name));
             }
         }
